Lay out the workspace and one path from caller to targets

Cause: the repository was empty.

Rates are a static split over listed instances for now, every instance watches the platform itself, and legs are not hedged.

--- /dev/null
+++ b/caller/callerhttp/refusal.go
@@ -0,0 +1,74 @@
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"dogwooddrift.org/drift/caller"
+	querytier "dogwooddrift.org/drift/caller/callerhttp/gen/query_tier"
+)
+
+// groups maps each refusal code to the name of its error in the design, which sets the HTTP status.
+var groups = map[caller.Code]string{
+	caller.CodeBadRequest:      "invalid",
+	caller.CodeUnauthenticated: "unauthorized",
+	caller.CodeForbidden:       "forbidden",
+	caller.CodeUnknownService:  "unknown",
+	caller.CodeRateLimited:     "rate_limited",
+	caller.CodeOverloaded:      "unavailable",
+	caller.CodeDraining:        "unavailable",
+	caller.CodeNotConfigured:   "unavailable",
+	caller.CodeIsolated:        "unavailable",
+	caller.CodeDeadline:        "late",
+	caller.CodeNoTarget:        "unavailable",
+	caller.CodeQuarantined:     "forbidden",
+	caller.CodeHomeUnreachable: "unavailable",
+	caller.CodeDuplicate:       "conflict",
+	caller.CodeOutcomeUnknown:  "failed",
+	caller.CodeInternal:        "failed",
+}
+
+func refusalBody(r *caller.Refusal) *querytier.RefusalBody {
+	b := &querytier.RefusalBody{
+		Name: groups[r.Code], Code: string(r.Code), Ran: string(r.Ran), Message: r.Message,
+		RetryAfterMs: r.RetryAfter.Milliseconds(),
+	}
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		b.RetryAfter = &seconds
+	}
+	return b
+}
+
+// invalid is the response to a request that goa could not decode. Nothing ran.
+type invalid struct {
+	Code         string `json:"code"`
+	Ran          string `json:"ran"`
+	Message      string `json:"message"`
+	RetryAfterMs int64  `json:"retry_after_ms"`
+	status       int
+}
+
+// StatusCode returns the HTTP status of the response.
+func (i *invalid) StatusCode() int { return i.status }
+
+// format turns errors of goa itself into the same shape as refusals.
+func format(_ context.Context, err error) goahttp.Statuser {
+	out := &invalid{Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo), Message: err.Error(), status: http.StatusBadRequest}
+	var tooLarge *http.MaxBytesError
+	var decoded *goa.ServiceError
+	switch {
+	case errors.As(err, &tooLarge):
+		out.status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &decoded) && decoded.Name == "unready":
+		out.Code, out.status = string(caller.CodeNotConfigured), http.StatusServiceUnavailable
+	case errors.As(err, &decoded) && decoded.Fault:
+		out.Code, out.Ran, out.status = string(caller.CodeInternal), string(caller.RanUnknown), http.StatusInternalServerError
+	}
+	return out
+}
--- /dev/null
+++ b/caller/callerhttp/server.go
@@ -0,0 +1,96 @@
+// Package callerhttp serves callers over HTTP. The interface is designed in goa; this package converts its
+// types and turns refusals into responses.
+package callerhttp
+
+//go:generate goa gen dogwooddrift.org/drift/caller/callerhttp/design
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/caller/callerhttp/gen/http/query_tier/server"
+	querytier "dogwooddrift.org/drift/caller/callerhttp/gen/query_tier"
+	"dogwooddrift.org/drift/traffic"
+)
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 1 << 20
+
+// Tier is what the server needs of the request path.
+type Tier interface {
+	Query(ctx context.Context, q traffic.Query) (*traffic.Answer, *caller.Refusal)
+	Change(ctx context.Context, c traffic.Change) (*traffic.Outcome, *caller.Refusal)
+	Ready() bool
+}
+
+// NewHandler returns the HTTP handler for callers.
+func NewHandler(tier Tier) http.Handler {
+	mux := goahttp.NewMuxer()
+	endpoints := querytier.NewEndpoints(&service{tier: tier})
+	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, format))
+	return http.MaxBytesHandler(mux, maxBodyBytes)
+}
+
+type service struct{ tier Tier }
+
+func (s *service) Query(ctx context.Context, p *querytier.QueryPayload) (*querytier.QueryAnswer, error) {
+	deadline := time.Now().Add(time.Duration(p.TimeoutMs) * time.Millisecond)
+	answer, refusal := s.tier.Query(ctx, traffic.Query{
+		Service: p.Service, Key: bearer(p.Key), Deadline: deadline, Text: p.Query,
+	})
+	if refusal != nil {
+		return nil, refusalBody(refusal)
+	}
+	return encodeAnswer(answer), nil
+}
+
+func (s *service) Change(ctx context.Context, p *querytier.ChangePayload) (*querytier.ChangeOutcome, error) {
+	deadline := time.Now().Add(time.Duration(p.TimeoutMs) * time.Millisecond)
+	outcome, refusal := s.tier.Change(ctx, traffic.Change{
+		Service: p.Service, Key: bearer(p.Key), Deadline: deadline, IdempotencyKey: p.IdempotencyKey, Text: p.Change,
+	})
+	if refusal != nil {
+		return nil, refusalBody(refusal)
+	}
+	return &querytier.ChangeOutcome{RequestID: string(outcome.RequestID), Outcome: string(outcome.Reply)}, nil
+}
+
+func (s *service) Ready(context.Context) error {
+	if !s.tier.Ready() {
+		return querytier.MakeUnready(errors.New("the instance takes no new work"))
+	}
+	return nil
+}
+
+func bearer(header *string) string {
+	if header == nil {
+		return ""
+	}
+	return strings.TrimSpace(strings.TrimPrefix(*header, "Bearer "))
+}
+
+func encodeAnswer(a *traffic.Answer) *querytier.QueryAnswer {
+	out := &querytier.QueryAnswer{
+		RequestID: string(a.RequestID),
+		Snapshot:  uint64(a.Snapshot),
+		Coverage: &querytier.Coverage{
+			Answered: len(a.Results),
+			Total:    a.Total(),
+			Missing:  make([]*querytier.MissingShard, 0, len(a.Missing)),
+		},
+		Results: make([]*querytier.ShardResult, 0, len(a.Results)),
+	}
+	for _, m := range a.Missing {
+		out.Coverage.Missing = append(out.Coverage.Missing, &querytier.MissingShard{Shard: string(m.Shard), Reason: string(m.Reason)})
+	}
+	for _, r := range a.Results {
+		out.Results = append(out.Results, &querytier.ShardResult{Shard: string(r.Shard), Result: string(r.Payload)})
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/dogwooddrift/main.go
@@ -0,0 +1,64 @@
+// Command dogwooddrift is an entry instance of the query tier.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/cmd/internal/node"
+	"dogwooddrift.org/drift/cmd/internal/settings"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "dogwooddrift",
+		Usage: "serve queries and changes of callers from the targets of this deployment",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the YAML settings file", Required: true},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return run(c.String("settings")) },
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "dogwooddrift:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	n, err := node.New(s, log)
+	if err != nil {
+		return err
+	}
+	stop, abort := signals()
+	return n.Run(stop, abort)
+}
+
+// signals returns a context that ends at the first SIGTERM or SIGINT, and one that ends at the second.
+func signals() (stop, abort context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	abort, cancelAbort := context.WithCancel(context.Background())
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-received
+		cancelStop()
+		<-received
+		cancelAbort()
+	}()
+	return stop, abort
+}
--- /dev/null
+++ b/cmd/internal/node/metrics.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"bytes"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// metrics holds the process's metrics scope and its Prometheus registry.
+type metrics struct {
+	scope    tally.Scope
+	registry *prometheus.Registry
+}
+
+func newMetrics() *metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "dogwooddrift",
+		CachedReporter: reporter,
+		Separator:      tallyprom.DefaultSeparator,
+	}, 0)
+	return &metrics{scope: scope, registry: registry}
+}
+
+func (m *metrics) text() ([]byte, error) {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(&out, f); err != nil {
+			return nil, err
+		}
+	}
+	return out.Bytes(), nil
+}
--- /dev/null
+++ b/cmd/internal/node/node.go
@@ -0,0 +1,178 @@
+// Package node wires an entry instance together: sockets, the control loop, the request path and the
+// execution of control's effects.
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"dogwooddrift.org/drift/caller/callerhttp"
+	"dogwooddrift.org/drift/cmd/internal/settings"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/operator"
+	"dogwooddrift.org/drift/operator/operatorhttp"
+	"dogwooddrift.org/drift/platform/platformhttp"
+	"dogwooddrift.org/drift/sibling/siblinggrpc"
+	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/traffic"
+)
+
+// ErrListen means that an address of the settings cannot be used.
+var ErrListen = errors.New("cannot listen")
+
+// Node is one entry instance.
+type Node struct {
+	settings settings.Settings
+	log      zerolog.Logger
+	loop     *control.Loop
+	tier     *traffic.Tier
+	targets  *targethttp.Client
+	siblings *siblinggrpc.Client
+	platform *platformhttp.Client
+	metrics  *metrics
+
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+const (
+	idleConnectionsPerTarget = 4
+	idleConnectionTimeout    = 90 * time.Second
+	connectTimeout           = time.Second
+	readHeaderTimeout        = 5 * time.Second
+)
+
+// New binds the addresses of the settings and returns a node that is ready to run.
+func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+	n := &Node{
+		settings: s,
+		log:      log.With().Str("instance", s.ID).Logger(),
+		siblings: siblinggrpc.NewClient(),
+		metrics:  newMetrics(),
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnectionsPerTarget,
+		IdleConnTimeout:     idleConnectionTimeout,
+	}
+	client := &http.Client{Transport: transport}
+	n.targets = targethttp.New(client)
+	n.platform = platformhttp.New(s.Platform, &http.Client{})
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.tier = traffic.New(n.loop, n.targets)
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&n.callers, s.Listen.Callers}, {&n.peers, s.Listen.Siblings}, {&n.operators, s.Listen.Operators}} {
+		var err error
+		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+			n.closeListeners()
+			return nil, oops.In("node").Wrapf(ErrListen, "%s: %v", l.address, err)
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callers, n.peers, n.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallersAddress returns the address that callers use.
+func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
+
+// OperatorsAddress returns the address that operators use.
+func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
+
+// Run serves until ctx ends, then stops gracefully: unready first, then no new work, then running requests
+// finish. abort, when it ends, cuts the stop short.
+func (n *Node) Run(ctx, abort context.Context) error {
+	work, stopWork := context.WithCancel(abort)
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	callers := &http.Server{Handler: callerhttp.NewHandler(n.tier), ReadHeaderTimeout: readHeaderTimeout}
+	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
+	peers := grpc.NewServer()
+	siblinggrpc.Register(peers, n.loop)
+
+	exec := newExecutor(work, n)
+	group.Go(func() error { n.loop.Run(work, exec); return nil })
+	group.Go(func() error { return n.watchDocument(work) })
+	group.Go(func() error { return n.watchInstances(work) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
+	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
+	group.Go(func() error { return peers.Serve(n.peers) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		n.drain(abort, callers)
+		_ = operators.Close()
+		peers.Stop()
+		n.siblings.Close()
+		stopWork()
+		return nil
+	})
+	n.log.Info().Str("callers", n.CallersAddress()).Str("operators", n.OperatorsAddress()).Msg("node: started")
+	err := group.Wait()
+	exec.wait()
+	n.log.Info().Msg("node: stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain performs the planned stop of the callers' side.
+func (n *Node) drain(abort context.Context, callers *http.Server) {
+	n.log.Info().Dur("notice", n.settings.Drain.Notice).Msg("node: draining")
+	n.loop.Post(control.Drain{})
+	notice := time.NewTimer(n.settings.Drain.Notice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-abort.Done():
+	}
+	limit, cancel := context.WithTimeout(abort, n.settings.Drain.Limit)
+	defer cancel()
+	if err := n.tier.Drain(limit); err != nil {
+		n.log.Warn().Err(err).Msg("node: requests still running at the limit")
+	}
+	if err := callers.Shutdown(limit); err != nil {
+		_ = callers.Close()
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Dump returns the control state.
+func (n *Node) Dump(ctx context.Context) (operator.Dump, error) {
+	dump, err := control.Ask(ctx, n.loop, func(reply chan<- operator.Dump) control.Event {
+		return control.TakeDump{Reply: reply}
+	})
+	dump.EventsDropped = n.loop.Dropped()
+	return dump, err
+}
+
+// Metrics returns the metrics in the Prometheus text format.
+func (n *Node) Metrics() ([]byte, error) { return n.metrics.text() }
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,159 @@
+// Package control owns all control state of an instance and the one goroutine that changes it.
+//
+// State is a pure state machine: Step takes a typed event and the time, and returns typed effects. Loop runs it
+// on one goroutine and publishes an immutable Snapshot, which traffic reads without a lock.
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/operator"
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+)
+
+// Event is an input of State.Step.
+type Event interface {
+	apply(s *State, now time.Time)
+}
+
+// Effect is an action that State asks the I/O packages for.
+type Effect interface{ effect() }
+
+// Ready is the outcome of one Step.
+type Ready struct {
+	Effects []Effect
+	// Changed says that a new Snapshot is due.
+	Changed bool
+	// Wake is when Step needs a Tick at the latest.
+	Wake time.Time
+}
+
+// Snapshot is what traffic may read of the control state. It is immutable, but for the gauges and token pools
+// that it points to.
+type Snapshot struct {
+	Document *platform.Document
+	List     *platform.InstanceList
+	Accounts *caller.Accounts
+	Targets  target.View
+	Members  sibling.Members
+	Pools    map[string]*caller.TokenPool
+	// Configured says that a document and a list are in force.
+	Configured bool
+	Draining   bool
+}
+
+// Identity is who this instance is, from its settings.
+type Identity struct {
+	ID   string
+	Zone string
+}
+
+// State is the control state of one instance. It belongs to one goroutine.
+type State struct {
+	self     Identity
+	rng      *rand.Rand
+	document *platform.Document
+	list     *platform.InstanceList
+	accounts *caller.Accounts
+	members  sibling.Members
+	fleet    *target.Fleet
+	roster   *sibling.Roster
+	rates    *rates
+	draining bool
+
+	nextHeartbeat time.Time
+	effects       []Effect
+	changed       bool
+}
+
+const (
+	refillInterval    = 20 * time.Millisecond
+	heartbeatInterval = time.Second
+)
+
+// NewState returns the state of an instance that knows nothing yet. rng chooses siblings.
+func NewState(self Identity, rng *rand.Rand) *State {
+	return &State{
+		self:   self,
+		rng:    rng,
+		fleet:  target.NewFleet(),
+		roster: sibling.NewRoster(),
+		rates:  newRates(),
+	}
+}
+
+// Step applies one event and whatever is due at now.
+func (s *State) Step(e Event, now time.Time) Ready {
+	s.effects, s.changed = nil, false
+	e.apply(s, now)
+	s.rates.refill(now)
+	s.heartbeat(now)
+	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
+}
+
+// Tick is the event of a timer.
+type Tick struct{}
+
+func (Tick) apply(*State, time.Time) {}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// Snapshot builds the snapshot that traffic reads.
+func (s *State) Snapshot() *Snapshot {
+	return &Snapshot{
+		Document:   s.document,
+		List:       s.list,
+		Accounts:   s.accounts,
+		Targets:    s.fleet.View(),
+		Members:    s.members,
+		Pools:      s.rates.pools(),
+		Configured: s.document != nil && s.list != nil,
+		Draining:   s.draining,
+	}
+}
+
+// Drain is the event of a planned stop.
+type Drain struct{}
+
+func (Drain) apply(s *State, _ time.Time) { s.draining, s.changed = true, true }
+
+// TakeDump asks for a dump of the state. Reply must have room for one value.
+type TakeDump struct{ Reply chan<- operator.Dump }
+
+func (e TakeDump) apply(s *State, now time.Time) { e.Reply <- s.dump(now) }
+
+func (s *State) dump(now time.Time) operator.Dump {
+	d := operator.Dump{
+		Instance: s.self.ID, Zone: s.self.Zone, Taken: now,
+		Ready:   s.document != nil && s.list != nil && !s.draining,
+		Targets: s.fleet.Dump(),
+	}
+	if s.list != nil {
+		d.ListRevision = s.list.Revision
+	}
+	for id, p := range s.roster.Peers() {
+		h := p.Heartbeat
+		d.Siblings = append(d.Siblings, operator.SiblingDump{
+			ID: id, Zone: h.Zone, DocumentRevision: h.DocumentRevision, ListRevision: h.ListRevision, Heard: p.Heard,
+		})
+	}
+	if s.document == nil {
+		return d
+	}
+	d.DocumentRevision = s.document.Revision
+	for _, o := range s.document.Organisations {
+		od := operator.OrganisationDump{Name: o.Name, Rate: o.Rate, Burst: o.Burst}
+		for _, k := range o.Keys {
+			od.Keys = append(od.Keys, k.ID+":"+caller.ShortHash(k.SHA256))
+		}
+		if p := s.rates.pool(o.Name); p != nil {
+			od.Spent, od.Refused = p.Spent(), p.Refused()
+		}
+		d.Organisations = append(d.Organisations, od)
+	}
+	return d
+}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+func testDocument(revision platform.Revision) *platform.Document {
+	return &platform.Document{
+		Revision:      revision,
+		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: 10, Burst: 10, Weight: 1}},
+		Zones:         []platform.Zone{{Name: "a", RateFraction: 1}},
+		Isolation:     platform.Isolation{KeyedLimit: 60},
+		ChangeWindow:  60,
+	}
+}
+
+// Guards against a stale read of the platform that reverts the configuration.
+func TestDocumentRevisionsOnlyRise(t *testing.T) {
+	s := NewState(Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	s.Step(DocumentRead{Document: testDocument(5)}, now)
+	s.Step(DocumentRead{Document: testDocument(4)}, now)
+	if got := s.Snapshot().Document.Revision; got != 5 {
+		t.Fatalf("revision in force is %d after reading 5 and then 4, want 5", got)
+	}
+}
+
+// Guards against a bad document that displaces the one in force.
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	s := NewState(Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	s.Step(DocumentRead{Document: testDocument(5)}, now)
+	bad := testDocument(6)
+	bad.Organisations[0].Rate = -1
+	ready := s.Step(DocumentRead{Document: bad}, now)
+	if got := s.Snapshot().Document.Revision; got != 5 {
+		t.Fatalf("revision in force is %d, want 5", got)
+	}
+	if _, ok := ready.Effects[0].(Refused); !ok {
+		t.Fatalf("effects are %v, want Refused", ready.Effects)
+	}
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,44 @@
+// Package operator holds what operators see and decide: the state dump and the effects of a new document.
+//
+// The package does no I/O; operatorhttp serves operators over HTTP.
+package operator
+
+import (
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/target"
+)
+
+// Dump is the control state of one process at one moment. Keys appear only as short hashes.
+type Dump struct {
+	Instance         string              `json:"instance"`
+	Zone             string              `json:"zone"`
+	Taken            time.Time           `json:"taken"`
+	Ready            bool                `json:"ready"`
+	DocumentRevision platform.Revision   `json:"document_revision"`
+	ListRevision     platform.Revision   `json:"list_revision"`
+	Organisations    []OrganisationDump  `json:"organisations"`
+	Targets          []target.TargetDump `json:"targets"`
+	Siblings         []SiblingDump       `json:"siblings"`
+	EventsDropped    int64               `json:"events_dropped"`
+}
+
+// OrganisationDump is the state of one organisation at this instance.
+type OrganisationDump struct {
+	Name    string   `json:"name"`
+	Keys    []string `json:"keys"`
+	Rate    float64  `json:"rate"`
+	Burst   float64  `json:"burst"`
+	Spent   int64    `json:"spent"`
+	Refused int64    `json:"refused"`
+}
+
+// SiblingDump is what this instance last heard from a sibling.
+type SiblingDump struct {
+	ID               string            `json:"id"`
+	Zone             string            `json:"zone"`
+	DocumentRevision platform.Revision `json:"document_revision"`
+	ListRevision     platform.Revision `json:"list_revision"`
+	Heard            time.Time         `json:"heard"`
+}
--- /dev/null
+++ b/target/errors.go
@@ -0,0 +1,15 @@
+package target
+
+import "errors"
+
+// The errors of this layer. targethttp turns those of the transport into them.
+var (
+	// ErrShed means that the target refused the request and did not run it.
+	ErrShed = errors.New("target shed the request")
+	// ErrSnapshotGone means that the target no longer serves the snapshot.
+	ErrSnapshotGone = errors.New("target no longer serves the snapshot")
+	// ErrNotSent means that no byte of the request left this instance.
+	ErrNotSent = errors.New("request was not sent to the target")
+	// ErrFailed means that the request may have run and no usable reply came.
+	ErrFailed = errors.New("target gave no usable reply")
+)
--- /dev/null
+++ b/target/targethttp/run.go
@@ -0,0 +1,73 @@
+package targethttp
+
+import (
+	"context"
+	"time"
+
+	"dogwooddrift.org/drift/target"
+)
+
+// returnTrip is taken off the deadline that a target gets, so that its reply can still arrive.
+const returnTrip = 2 * time.Millisecond
+
+// Request is what Run needs of one caller's query.
+type Request struct {
+	ID           target.RequestID
+	Organisation string
+	Deadline     time.Time
+	Body         []byte
+}
+
+// Run drives a query to its answer: it sends the legs that the state machine asks for, feeds it replies and
+// failures, and cancels what is no longer wanted. It returns early when ctx ends, with what was merged so far.
+func (c *Client) Run(ctx context.Context, r Request, q *target.Query, ready target.Ready) *target.Answer {
+	ctx, cancelAll := context.WithCancel(ctx)
+	defer cancelAll()
+	messages := make(chan target.Message)
+	cancels := map[int]context.CancelFunc{}
+	timer := time.NewTimer(time.Until(r.Deadline))
+	defer timer.Stop()
+	for ready.Answer == nil {
+		for _, leg := range ready.Cancel {
+			cancels[leg.Attempt]()
+		}
+		for _, leg := range ready.Send {
+			legCtx, cancel := context.WithCancel(ctx)
+			cancels[leg.Attempt] = cancel
+			go c.runLeg(legCtx, r, leg, messages)
+		}
+		timer.Reset(time.Until(ready.Wake))
+		select {
+		case m := <-messages:
+			ready = q.Step(m, time.Now())
+		case <-timer.C:
+			ready = q.Step(target.Timeout{}, time.Now())
+		case <-ctx.Done():
+			ready = q.Step(target.Timeout{}, r.Deadline)
+		}
+	}
+	return ready.Answer
+}
+
+// runLeg sends one leg and delivers its outcome unless the query is over.
+func (c *Client) runLeg(ctx context.Context, r Request, leg target.Leg, messages chan<- target.Message) {
+	start := time.Now()
+	reply, err := c.Search(ctx, Search{
+		RequestID:    r.ID,
+		Organisation: r.Organisation,
+		Leg:          leg,
+		Timeout:      time.Until(r.Deadline) - returnTrip,
+		Body:         r.Body,
+	})
+	var m target.Message = reply
+	if err != nil {
+		leg.Target.Gauge.Finish(0)
+		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
+	} else {
+		leg.Target.Gauge.Finish(time.Since(start))
+	}
+	select {
+	case messages <- m:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/target/view.go
@@ -0,0 +1,110 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Target is one usable target in a View. It is immutable but for its gauge.
+type Target struct {
+	ID          string
+	Service     string
+	Zone        string
+	Address     string
+	Incarnation string
+	// Limit is how many requests this instance may have outstanding at the target.
+	Limit int
+	Gauge *Gauge
+}
+
+// ShardView lists the usable replicas of one shard in one snapshot.
+type ShardView struct {
+	Shard    Shard
+	Replicas []*Target
+}
+
+// SnapshotView is one snapshot with the shards of its manifest.
+type SnapshotView struct {
+	Snapshot Snapshot
+	Shards   []ShardView
+	// Covered counts the shards that have a usable replica.
+	Covered int
+}
+
+// ServiceView is what traffic needs to know of one service. It is immutable.
+type ServiceView struct {
+	Name string
+	// Targets lists the usable targets, by ID.
+	Targets []*Target
+	// Snapshots lists the known snapshots, newest first.
+	Snapshots []SnapshotView
+}
+
+// View maps the name of a service to its view. It is immutable.
+type View map[string]*ServiceView
+
+// Usable is a target with what it reported, as input of BuildServiceView.
+type Usable struct {
+	Target *Target
+	Status Status
+}
+
+// BuildServiceView arranges the usable targets of a service by snapshot and shard. A snapshot is known when
+// any target reports its manifest.
+func BuildServiceView(name string, usable []Usable) *ServiceView {
+	v := &ServiceView{Name: name}
+	manifests := map[Snapshot][]Shard{}
+	replicas := map[Snapshot]map[Shard][]*Target{}
+	for _, u := range usable {
+		v.Targets = append(v.Targets, u.Target)
+		for _, m := range u.Status.Manifests {
+			manifests[m.Snapshot] = m.Shards
+		}
+		for _, r := range u.Status.Replicas {
+			for _, s := range r.Snapshots {
+				if replicas[s] == nil {
+					replicas[s] = map[Shard][]*Target{}
+				}
+				replicas[s][r.Shard] = append(replicas[s][r.Shard], u.Target)
+			}
+		}
+	}
+	for snapshot, shards := range manifests {
+		v.Snapshots = append(v.Snapshots, buildSnapshotView(snapshot, shards, replicas[snapshot]))
+	}
+	slices.SortFunc(v.Snapshots, func(a, b SnapshotView) int { return cmp.Compare(b.Snapshot, a.Snapshot) })
+	slices.SortFunc(v.Targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func buildSnapshotView(snapshot Snapshot, shards []Shard, replicas map[Shard][]*Target) SnapshotView {
+	sv := SnapshotView{Snapshot: snapshot, Shards: make([]ShardView, 0, len(shards))}
+	for _, shard := range shards {
+		shardView := ShardView{Shard: shard, Replicas: replicas[shard]}
+		if len(shardView.Replicas) > 0 {
+			sv.Covered++
+		}
+		sv.Shards = append(sv.Shards, shardView)
+	}
+	return sv
+}
+
+// Pick returns the snapshot that a query is pinned to: the newest that every shard can serve, else the one
+// with the best coverage, the newest of equals. Snapshots not above after are passed over. It returns nil
+// if there is none.
+func (v *ServiceView) Pick(after Snapshot) *SnapshotView {
+	var best *SnapshotView
+	for i := range v.Snapshots {
+		s := &v.Snapshots[i]
+		if s.Snapshot <= after {
+			break
+		}
+		if s.Covered == len(s.Shards) {
+			return s
+		}
+		if best == nil || s.Covered*len(best.Shards) > best.Covered*len(s.Shards) {
+			best = s
+		}
+	}
+	return best
+}
