Emulate targets and platform with their faults

Cause: tests, the demo and the load tool need targets that crash, turn cold, shed, straggle and misreport, and a platform with outages and stale reads. Conclusion: go test -race -count=3 ./cmd/internal/standin passes.

--- a/cmd/driftctl/standin.go
+++ b/cmd/driftctl/standin.go
@@ -29,13 +29,16 @@
 					&cli.IntFlag{Name: "replicas", Usage: "targets of each shard", Value: 2},
 					&cli.IntFlag{Name: "slots", Usage: "requests that a target runs at a time", Value: 2},
 					&cli.DurationFlag{Name: "service-time", Usage: "time that one request takes", Value: 2 * time.Millisecond},
+					&cli.IntFlag{Name: "connections", Usage: "connections that a target accepts", Value: 25},
 					&cli.StringSliceFlag{Name: "zone", Usage: "availability zone; may be repeated", Value: []string{"a"}},
+					&cli.StringFlag{Name: "faults", Usage: "IP number and port for PUT /fault, PUT /snapshot, GET /counters and GET /instances; off when empty"},
+					&cli.Uint64Flag{Name: "seed", Usage: "seed of the random choices of faults", Value: 1},
 				},
 				Action: serveTargets,
 			},
 			{
 				Name:  "platform",
-				Usage: "serve a document and an instance list from files",
+				Usage: "serve a document and an instance list from files; PUT to their paths publishes newer ones, PUT /fault sets faults",
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "listen", Usage: "IP number and port", Value: "127.0.0.1:7000"},
 					&cli.StringFlag{Name: "document", Usage: "path of the document as JSON", Required: true},
@@ -50,8 +53,8 @@
 func serveTargets(ctx context.Context, c *cli.Command) error {
 	fleet, err := standin.NewFleet([]standin.ServiceOptions{{
 		Name: c.String("service"), Shards: c.Int("shards"), Replicas: c.Int("replicas"), Slots: c.Int("slots"),
-		Connections: 25, ServiceTime: c.Duration("service-time"),
-	}}, c.StringSlice("zone"))
+		Connections: c.Int("connections"), ServiceTime: c.Duration("service-time"),
+	}}, c.StringSlice("zone"), standin.WithSeed(c.Uint64("seed")))
 	if err != nil {
 		return err
 	}
@@ -62,10 +65,28 @@
 			return err
 		}
 	}
+	if address := c.String("faults"); address != "" {
+		return serveUntil(ctx, address, fleet.FaultHandler())
+	}
 	<-ctx.Done()
 	return nil
 }
 
+// serveUntil serves on the address until ctx ends.
+func serveUntil(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
 func servePlatform(ctx context.Context, c *cli.Command) error {
 	p := standin.NewPlatform()
 	var doc platform.Document
@@ -82,17 +103,7 @@
 	if err := p.PublishInstances(&list); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", c.String("listen"))
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return err
-	}
-	return nil
+	return serveUntil(ctx, c.String("listen"), p)
 }
 
 func readJSON(path string, value any) error {
--- a/cmd/internal/standin/fleet.go
+++ b/cmd/internal/standin/fleet.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"dogwooddrift.org/drift/platform"
@@ -12,72 +14,248 @@
 
 // ServiceOptions describes the targets of one emulated service.
 type ServiceOptions struct {
-	Name string
+	Name string `yaml:"name"`
 	// Shards is the number of shards; 0 makes an unsharded service.
-	Shards int
+	Shards int `yaml:"shards"`
 	// Replicas is the number of targets of each shard, or of an unsharded service.
-	Replicas    int
-	Slots       int
-	Connections int
-	ServiceTime time.Duration
+	Replicas    int `yaml:"replicas"`
+	Slots       int `yaml:"slots"`
+	Connections int `yaml:"connections"`
+	// Queue is how many requests wait at a target for a slot; 0 means twice the slots.
+	Queue       int           `yaml:"queue"`
+	ServiceTime time.Duration `yaml:"service_time"`
+	// ConnectionCost is the time that a target needs for one new connection; 0 means 6 ms for a sharded
+	// service and 1 ms for others (sizes of the design page).
+	ConnectionCost time.Duration `yaml:"connection_cost"`
+	// Bears is how many requests at a time a cold target bears; 0 means 1, or 2 for an unsharded service.
+	Bears int `yaml:"bears"`
+	// ColdTime is how long a cold start lasts; 0 means the default of TargetOptions.
+	ColdTime time.Duration `yaml:"cold_time"`
+	// Open routes need no key.
+	Open bool `yaml:"open"`
 }
 
+const (
+	shardedConnectionCost   = 6 * time.Millisecond
+	unshardedConnectionCost = time.Millisecond
+	unshardedBears          = 2
+)
+
+// ErrUnknownService means that the fleet has no such sharded service.
+var ErrUnknownService = errors.New("unknown sharded service")
+
 // Fleet is a set of emulated targets, each on a listener of its own.
 type Fleet struct {
+	// Instances and Targets do not change after NewFleet.
 	Instances []platform.Instance
 	Targets   map[string]*Target
-	servers   []*http.Server
+
+	seed    uint64
+	secrets []string
+
+	mu      sync.Mutex
+	indexes map[string]*index
 }
 
+// index is what the targets of one sharded service serve.
+type index struct {
+	publishing sync.Mutex // one new snapshot at a time
+
+	targets   []*Target // in shard order, replicas of a shard next to each other
+	replicas  int
+	manifests map[target.Snapshot]target.Manifest
+	newest    target.Snapshot
+}
+
+// Option changes how NewFleet builds targets.
+type Option func(*Fleet)
+
+// WithSeed makes the targets' random choices repeatable.
+func WithSeed(seed uint64) Option { return func(f *Fleet) { f.seed = seed } }
+
+// WithSecrets names the callers' keys, which no target may see.
+func WithSecrets(keys ...string) Option { return func(f *Fleet) { f.secrets = keys } }
+
 // NewFleet starts the targets of the services on loopback, spread over the zones.
-func NewFleet(services []ServiceOptions, zones []string) (*Fleet, error) {
-	f := &Fleet{Targets: map[string]*Target{}}
+func NewFleet(services []ServiceOptions, zones []string, options ...Option) (*Fleet, error) {
+	f := &Fleet{Targets: map[string]*Target{}, indexes: map[string]*index{}}
+	for _, o := range options {
+		o(f)
+	}
 	for _, s := range services {
+		x := &index{replicas: s.Replicas, manifests: map[target.Snapshot]target.Manifest{}, newest: 1}
+		x.manifests[1] = manifest(1, s.Shards)
 		for i := range max(s.Shards, 1) {
 			for r := range s.Replicas {
-				id := fmt.Sprintf("%s-%d-%d", s.Name, i, r)
-				if err := f.add(id, zones[(i+r)%len(zones)], s, i); err != nil {
+				t, err := f.add(fmt.Sprintf("%s-%d-%d", s.Name, i, r), zones[(i+r)%len(zones)], s)
+				if err != nil {
 					f.Close()
 					return nil, err
 				}
+				x.targets = append(x.targets, t)
+			}
+		}
+		if s.Shards > 0 {
+			f.indexes[s.Name] = x
+			for i, t := range x.targets {
+				x.place(i, t, 1)
 			}
 		}
 	}
 	return f, nil
 }
 
-func (f *Fleet) add(id, zone string, s ServiceOptions, shard int) error {
-	status := target.Status{Incarnation: id + "/1", State: target.StateWarm, Slots: s.Slots, Connections: s.Connections, Bears: 1}
-	if s.Shards > 0 {
-		const first = target.Snapshot(1)
-		status.Replicas = []target.Replica{{Shard: shardName(shard), Snapshots: []target.Snapshot{first}}}
-		manifest := target.Manifest{Snapshot: first}
-		for i := range s.Shards {
-			manifest.Shards = append(manifest.Shards, shardName(i))
+func (f *Fleet) add(id, zone string, s ServiceOptions) (*Target, error) {
+	sharded := s.Shards > 0
+	status := target.Status{
+		Incarnation: id + "/1", State: target.StateWarm, Slots: s.Slots, Connections: s.Connections, Bears: s.Bears,
+	}
+	o := TargetOptions{
+		ID: id, ServiceTime: s.ServiceTime, Queue: s.Queue, ConnectionCost: s.ConnectionCost, ColdTime: s.ColdTime,
+		Seed: f.seed, Secrets: f.secrets,
+	}
+	if o.Queue == 0 {
+		o.Queue = 2 * s.Slots
+	}
+	if status.Bears == 0 {
+		status.Bears = 1
+		if !sharded {
+			status.Bears = unshardedBears
 		}
-		status.Manifests = []target.Manifest{manifest}
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if o.ConnectionCost == 0 {
+		o.ConnectionCost = unshardedConnectionCost
+		if sharded {
+			o.ConnectionCost = shardedConnectionCost
+		}
+	}
+	o.Status = status
+	t := NewTarget(o)
+	address, err := t.Start()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	t := NewTarget(TargetOptions{Status: status, ServiceTime: s.ServiceTime})
-	server := &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(listener) }()
-	f.servers = append(f.servers, server)
 	f.Targets[id] = t
 	f.Instances = append(f.Instances, platform.Instance{
-		ID: id, Kind: platform.KindTarget, Service: s.Name, Zone: zone,
-		Address: listener.Addr().String(), State: platform.StateLive,
+		ID: id, Kind: platform.KindTarget, Service: s.Name, Zone: zone, Address: address, State: platform.StateLive,
 	})
+	return t, nil
+}
+
+func manifest(snapshot target.Snapshot, shards int) target.Manifest {
+	m := target.Manifest{Snapshot: snapshot}
+	for i := range shards {
+		m.Shards = append(m.Shards, shardName(snapshot, i, shards))
+	}
+	return m
+}
+
+// shardName names a shard. Shards of later snapshots carry the number of shards, so that a repartitioned index
+// shares no name with the one before.
+func shardName(snapshot target.Snapshot, i, shards int) target.Shard {
+	if snapshot == 1 {
+		return target.Shard(fmt.Sprintf("s%02d", i))
+	}
+	return target.Shard(fmt.Sprintf("s%02d.%d", i, shards))
+}
+
+// place sets what the i-th target serves of the given snapshots. Shards go round the groups of replicas.
+func (x *index) place(i int, t *Target, snapshots ...target.Snapshot) {
+	group, groups := i/x.replicas, len(x.targets)/x.replicas
+	byShard := map[target.Shard][]target.Snapshot{}
+	var manifests []target.Manifest
+	for _, s := range snapshots {
+		m := x.manifests[s]
+		manifests = append(manifests, m)
+		for j, shard := range m.Shards {
+			if j%groups == group {
+				byShard[shard] = append(byShard[shard], s)
+			}
+		}
+	}
+	var replicas []target.Replica
+	for _, shard := range slices.Sorted(maps.Keys(byShard)) {
+		replicas = append(replicas, target.Replica{Shard: shard, Snapshots: byShard[shard]})
+	}
+	t.serve(replicas, manifests)
+}
+
+// PublishSnapshot gives a service a new index snapshot with the number of shards, target by target with step
+// between them, and then drops the snapshot before in the same way. It returns when all targets are done.
+func (f *Fleet) PublishSnapshot(service string, shards int, step time.Duration) error {
+	x := f.indexes[service] // the map does not change after NewFleet
+	if x == nil || shards < 1 {
+		return fmt.Errorf("%w: %q with %d shards", ErrUnknownService, service, shards)
+	}
+	x.publishing.Lock()
+	defer x.publishing.Unlock()
+	f.mu.Lock()
+	old := x.newest
+	x.newest++
+	snapshot := x.newest
+	x.manifests[snapshot] = manifest(snapshot, shards)
+	f.mu.Unlock()
+	for _, snapshots := range [][]target.Snapshot{{old, snapshot}, {snapshot}} {
+		for i, t := range x.targets {
+			f.mu.Lock()
+			x.place(i, t, snapshots...)
+			f.mu.Unlock()
+			time.Sleep(step)
+		}
+	}
+	return nil
+}
+
+// Shards returns the shards of a snapshot as it was published, nil if there is no such snapshot.
+func (f *Fleet) Shards(service string, snapshot target.Snapshot) []target.Shard {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x := f.indexes[service]; x != nil {
+		return x.manifests[snapshot].Shards
+	}
 	return nil
 }
 
-func shardName(i int) target.Shard { return target.Shard(fmt.Sprintf("s%02d", i)) }
+// Select returns the targets that match, sorted by ID. Empty arguments match all.
+func (f *Fleet) Select(id, service, zone string) []*Target {
+	var out []*Target
+	for _, in := range f.Instances {
+		if (id == "" || id == in.ID) && (service == "" || service == in.Service) && (zone == "" || zone == in.Zone) {
+			out = append(out, f.Targets[in.ID])
+		}
+	}
+	slices.SortFunc(out, func(a, b *Target) int {
+		if a.options.ID < b.options.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Counters returns the counters of all targets by ID.
+func (f *Fleet) Counters() map[string]Counters {
+	out := make(map[string]Counters, len(f.Targets))
+	for id, t := range f.Targets {
+		out[id] = t.Counters()
+	}
+	return out
+}
+
+// Changes returns how often each change ran at all targets together, by organisation/idempotency key.
+func (f *Fleet) Changes() map[string]int {
+	out := map[string]int{}
+	for _, t := range f.Targets {
+		for key, n := range t.Changes() {
+			out[key] += n
+		}
+	}
+	return out
+}
 
 // Close stops all targets.
 func (f *Fleet) Close() {
-	for _, s := range f.servers {
-		_ = s.Close()
+	for _, t := range f.Targets {
+		t.Close()
 	}
 }
