Add a deployment in one process and the load tool

Cause: the demo, experiments and integration tests need whole deployments that can lose zones, instances and links, and a load that checks answers.

--- /dev/null
+++ b/cmd/driftctl/load.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/cmd/internal/load"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "load",
+		Usage:     "run an experiment: send requests by a schedule, switch faults, check every answer and report the measures",
+		ArgsUsage: "EXPERIMENT.yaml",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+			&cli.BoolFlag{Name: "compare", Usage: "run again with the experiment's baseline and print the ratios"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed in place of the experiment's; 0 keeps it"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return fmt.Errorf("load takes one experiment file, got %d arguments", c.Args().Len())
+			}
+			x, err := load.Load(c.Args().First())
+			if err != nil {
+				return err
+			}
+			if seed := c.Uint64("seed"); seed != 0 {
+				x.Seed = seed
+			}
+			return runExperiment(ctx, c.Root().Writer, x, c.Bool("json"), c.Bool("compare"))
+		},
+	}
+}
+
+// runExperiment prints the reports even when a check failed. Only the checks of the run itself count; the
+// baseline is there to be worse.
+func runExperiment(ctx context.Context, out io.Writer, x load.Experiment, asJSON, compare bool) error {
+	report, err := load.Run(ctx, x, x.Policy)
+	if report == nil {
+		return err
+	}
+	write := func(r *load.Report) error {
+		if asJSON {
+			return r.WriteJSON(out)
+		}
+		r.WriteTable(out)
+		return nil
+	}
+	err = errors.Join(err, write(report))
+	if compare {
+		baseline, baselineErr := load.Run(ctx, x, x.Baseline)
+		if baselineErr != nil {
+			return errors.Join(err, baselineErr)
+		}
+		err = errors.Join(err, write(baseline))
+		if !asJSON {
+			load.WriteComparison(out, report, baseline)
+		}
+	}
+	return errors.Join(err, report.Err())
+}
--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -19,6 +19,7 @@
 			checkCommand(),
 			dumpCommand(),
 			demoCommand(),
+			loadCommand(),
 			standinCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/internal/load/report.go
@@ -0,0 +1,497 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dogwooddrift.org/drift/cmd/internal/standin"
+)
+
+// The failures of a run.
+var (
+	// ErrUntruthful means that an answer contradicted the stand-ins.
+	ErrUntruthful = errors.New("an answer was untruthful")
+	// ErrViolation means that a guarantee was broken.
+	ErrViolation = errors.New("a guarantee was broken")
+)
+
+const (
+	histogramMax    = int64(2 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+	// zoneReturn is how long after its return a zone's effect on service is still measured.
+	zoneReturn = 5 * time.Second
+	// keyLimit is how long a withdrawn key may still work (limit for a configuration to be in force, P12).
+	keyLimit = 4 * time.Second
+	// rateTolerance is in requests; it covers rounding of floating-point sums only.
+	rateTolerance = 1e-6
+	maxShown      = 10
+)
+
+// Latency is in milliseconds, counted from the scheduled arrival.
+type Latency struct {
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Service is how a set of requests was served.
+type Service struct {
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+	Answered int    `json:"answered"`
+	Whole    int    `json:"whole"`
+	// Coverage is the part of shards that answered, over the answered requests.
+	Coverage float64        `json:"coverage"`
+	Refusals map[string]int `json:"refusals"`
+	Latency
+	// Served is the mean coverage over the requests within the rate, those without an answer counted as zero.
+	// It is set for organisations.
+	Served float64 `json:"served,omitempty"`
+	// RefusedInRate counts requests of any refusal code within the organisation's rate, RateLimitedInRate those
+	// refused with rate_limited.
+	RefusedInRate     int `json:"refused_in_rate,omitempty"`
+	RateLimitedInRate int `json:"rate_limited_in_rate,omitempty"`
+	// RateExcess is the most requests above rate*w + burst in any window; the guarantee is at most zero.
+	RateExcess float64 `json:"rate_excess,omitempty"`
+}
+
+// Measures are the six measures of the design page (1.2).
+type Measures struct {
+	TailP99       float64 `json:"tail_p99_ms"`
+	TailP999      float64 `json:"tail_p999_ms"`
+	Coverage      float64 `json:"coverage"`
+	ExtraLoad     float64 `json:"extra_load"` // legs sent over legs needed, less 1
+	ZoneServed    float64 `json:"zone_served"`
+	ZoneP99       float64 `json:"zone_p99_ms"`
+	WorstServed   float64 `json:"worst_served"`
+	WorstName     string  `json:"worst_served_organisation"`
+	RefusedInRate float64 `json:"refused_in_rate"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Experiment string    `json:"experiment"`
+	Seed       uint64    `json:"seed"`
+	Measures   Measures  `json:"measures"`
+	Classes    []Service `json:"classes"`
+	// Organisations are in the order of the experiment.
+	Organisations []Service `json:"organisations"`
+	// SurgeP99Ratio is the p99 of the other organisations during surges over that at other times; 0 without.
+	SurgeP99Ratio float64                  `json:"surge_p99_ratio,omitempty"`
+	Targets       TargetTotals             `json:"targets"`
+	Platform      standin.PlatformCounters `json:"platform"`
+	Untruthful    []string                 `json:"untruthful"`
+	Violations    []string                 `json:"violations"`
+}
+
+// TargetTotals sums the counters of all targets. Most* are the greatest of any target.
+type TargetTotals struct {
+	Legs               int `json:"legs"`
+	LegsNeeded         int `json:"legs_needed"`
+	Shed               int `json:"shed"`
+	Crashes            int `json:"crashes"`
+	ConnectionsRefused int `json:"connections_refused"`
+	ConnectionsOpened  int `json:"connections_opened"`
+	MostConnections    int `json:"most_connections"`
+	ColdOverloads      int `json:"cold_overloads"`
+	ColdViolations     int `json:"cold_violations"`
+	LateOutArrivals    int `json:"late_out_arrivals"`
+	LateDrainArrivals  int `json:"late_drain_arrivals"`
+	KeysSeen           int `json:"keys_seen"`
+}
+
+// Err returns ErrUntruthful or ErrViolation when a check failed.
+func (r *Report) Err() error {
+	var errs []error
+	if len(r.Untruthful) > 0 {
+		errs = append(errs, fmt.Errorf("%w: %d findings", ErrUntruthful, len(r.Untruthful)))
+	}
+	if len(r.Violations) > 0 {
+		errs = append(errs, fmt.Errorf("%w: %d findings", ErrViolation, len(r.Violations)))
+	}
+	return errors.Join(errs...)
+}
+
+// group collects requests that are reported together.
+type group struct {
+	Service
+	histogram *hdrhistogram.Histogram
+	covered   int
+	total     int
+}
+
+func newGroup(name string) *group {
+	return &group{Service: Service{Name: name, Refusals: map[string]int{}}, histogram: hdrhistogram.New(1, histogramMax, histogramDigits)}
+}
+
+func (g *group) count(o *outcome) {
+	g.Requests++
+	if !o.ok() {
+		g.Refusals[o.code]++
+		return
+	}
+	g.Answered++
+	g.covered += o.covered
+	g.total += o.total
+	if o.covered == o.total {
+		g.Whole++
+	}
+	_ = g.histogram.RecordValue(min(histogramMax, max(1, o.latency.Microseconds())))
+}
+
+func (g *group) finish() Service {
+	g.Coverage = ratio(g.covered, g.total)
+	ms := func(q float64) float64 { return float64(g.histogram.ValueAtQuantile(q)) / 1000 }
+	g.Latency = Latency{P50: ms(50), P99: ms(99), P999: ms(99.9), Max: float64(g.histogram.Max()) / 1000}
+	return g.Service
+}
+
+// ratio is a part of a whole, 1 when there is none.
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+func (r *run) report() *Report {
+	report := &Report{Experiment: r.x.Name, Seed: r.x.Seed, Platform: r.deployment.Platform.Counters()}
+	all, zone := newGroup("all"), newGroup("zone")
+	classes := map[string]*group{}
+	zoneServed := 0.0
+	surge, calm := newGroup("surge"), newGroup("calm")
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		for _, w := range o.wrong {
+			report.Untruthful = append(report.Untruthful, fmt.Sprintf("%s %s: %s", o.service, o.text, w))
+		}
+		if o.at < r.x.Warmup || o.repeat {
+			continue
+		}
+		all.count(o)
+		if classes[o.service] == nil {
+			classes[o.service] = newGroup(o.service)
+		}
+		classes[o.service].count(o)
+		if r.duringZoneFault(o.at) {
+			zone.count(o)
+			zoneServed += o.coverage()
+		}
+		switch surging, own := r.surge(o); {
+		case own:
+		case surging:
+			surge.count(o)
+		default:
+			calm.count(o)
+		}
+	}
+	for _, s := range r.x.Services {
+		if g := classes[s.Name]; g != nil {
+			report.Classes = append(report.Classes, g.finish())
+		}
+	}
+	r.organisations(report)
+	r.totals(report)
+	r.changes(report)
+	r.lateWork(report)
+	overall, inZone := all.finish(), zone.finish()
+	m := &report.Measures
+	m.TailP99, m.TailP999, m.Coverage = overall.P99, overall.P999, overall.Coverage
+	m.ZoneServed, m.ZoneP99 = 1, inZone.P99
+	if zone.Requests > 0 {
+		m.ZoneServed = zoneServed / float64(zone.Requests)
+	}
+	if before := calm.finish().P99; surge.Requests > 0 && before > 0 {
+		report.SurgeP99Ratio = surge.finish().P99 / before
+	}
+	m.ExtraLoad = ratio(report.Targets.Legs, report.Targets.LegsNeeded) - 1
+	return report
+}
+
+// duringZoneFault reports whether a zone was out of service, cut off, or lately back.
+func (r *run) duringZoneFault(at time.Duration) bool {
+	return slices.ContainsFunc(r.x.Faults, func(f Fault) bool {
+		return (f.ZoneOut != "" || f.Links != nil) && at >= f.At && at < f.At+f.For+zoneReturn
+	})
+}
+
+// surge reports whether some organisation sends more than usual, and whether the request is of such a one.
+func (r *run) surge(o *outcome) (surging, own bool) {
+	for _, f := range r.x.Faults {
+		if f.Surge == nil {
+			continue
+		}
+		surging = surging || o.at >= f.At && o.at < f.At+f.For
+		own = own || f.Surge.Organisation == r.x.Organisations[o.organisation].Name
+	}
+	return surging, own
+}
+
+// withdrawn returns when the organisation's key was withdrawn.
+func (r *run) withdrawn(organisation string) (time.Duration, bool) {
+	for _, f := range r.x.Faults {
+		if f.WithdrawKey == organisation {
+			return f.At, true
+		}
+	}
+	return 0, false
+}
+
+// spentNothing holds the codes of refusals before a request is counted against its rate.
+var spentNothing = []string{
+	"rate_limited", "unauthenticated", "forbidden", "draining", "not_configured", "isolated", "bad_request", "unknown_service",
+	"overloaded", codeNoInstance,
+}
+
+// organisations measures how each organisation was served, and checks its rate.
+func (r *run) organisations(report *Report) {
+	served, sent := make([]float64, len(r.x.Organisations)), make([]int, len(r.x.Organisations))
+	refused, inRate := 0, 0
+	for i, org := range r.x.Organisations {
+		g, a := newGroup(org.Name), newAllowance(org.Rate, org.Burst)
+		var admitted []event
+		withdrawnAt, withdrawn := r.withdrawn(org.Name)
+		for j := range r.outcomes {
+			o := &r.outcomes[j]
+			if o.organisation != i {
+				continue
+			}
+			if o.ok() {
+				admitted = append(admitted, event{o.sent, o.answered})
+				if withdrawn && o.sent > withdrawnAt+keyLimit {
+					report.Violations = append(report.Violations, fmt.Sprintf("P5: key of %s worked %v after its withdrawal", org.Name, o.sent-withdrawnAt))
+				}
+			}
+			available := a.available(o.at)
+			if o.ok() || !slices.Contains(spentNothing, o.code) {
+				a.spend()
+			}
+			if o.at < r.x.Warmup || o.repeat || withdrawn && o.at >= withdrawnAt {
+				continue
+			}
+			g.count(o)
+			if o.ok() || available {
+				sent[i]++
+				served[i] += o.coverage()
+			}
+			if available && !o.ok() && o.code != "duplicate" {
+				g.RefusedInRate++
+				if o.code == "rate_limited" {
+					g.RateLimitedInRate++
+				}
+			}
+		}
+		g.RateExcess = rateExcess(admitted, org.Rate, org.Burst)
+		if g.RateExcess > rateTolerance {
+			report.Violations = append(report.Violations, fmt.Sprintf("P6: %s has %.2f requests above rate*w + burst in a window", org.Name, g.RateExcess))
+		}
+		if sent[i] > 0 {
+			served[i] /= float64(sent[i])
+		}
+		g.Served = served[i]
+		refused += g.RefusedInRate
+		inRate += sent[i]
+		report.Organisations = append(report.Organisations, g.finish())
+	}
+	m := &report.Measures
+	if w := worstServed(served, sent); w >= 0 {
+		m.WorstServed, m.WorstName = served[w], r.x.Organisations[w].Name
+	}
+	if inRate > 0 {
+		m.RefusedInRate = float64(refused) / float64(inRate)
+	}
+}
+
+// totals sums what the targets counted.
+func (r *run) totals(report *Report) {
+	t := &report.Targets
+	for _, c := range r.deployment.Fleet.Counters() {
+		t.Legs += c.Searches
+		t.Shed += c.Shed
+		t.Crashes += c.Crashes
+		t.ConnectionsRefused += c.ConnectionsRefused
+		t.ConnectionsOpened += c.ConnectionsAccepted
+		t.MostConnections = max(t.MostConnections, c.MostConnections)
+		t.ColdOverloads += c.ColdOverloads
+		t.ColdViolations += c.ColdViolations
+		t.LateOutArrivals += c.LateOutArrivals
+		t.LateDrainArrivals += c.LateDrainArrivals
+		t.KeysSeen += c.KeysSeen
+	}
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		if s := r.x.service(o.service); s.Shards > 0 && (o.ok() || o.ran != "no") {
+			t.LegsNeeded += max(o.total, s.Shards*btoi(!o.ok()))
+		}
+	}
+	for _, v := range []struct {
+		n    int
+		what string
+	}{
+		{t.ColdViolations, "P3: requests above what a cold target bears, after it was known to be cold"},
+		{t.LateOutArrivals, "P4: requests at targets out of service for more than 3 s"},
+		{t.LateDrainArrivals, "P10: requests at targets that drain for more than 3 s"},
+		{t.KeysSeen, "P5: requests at targets with a caller's key"},
+	} {
+		if v.n > 0 {
+			report.Violations = append(report.Violations, fmt.Sprintf("%s: %d", v.what, v.n))
+		}
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// changes compares what callers learned of their changes with what ran.
+func (r *run) changes(report *Report) {
+	runs := r.deployment.Fleet.Changes()
+	results := map[string]changeResult{}
+	for _, o := range slices.Concat(r.outcomes, r.crashes) {
+		if o.text == "" || r.x.service(o.service).Shards > 0 {
+			continue
+		}
+		k := standin.ChangeKey(r.x.Organisations[o.organisation].Name, o.text)
+		c := results[k]
+		c.sent++
+		if o.ok() {
+			c.answered++
+		} else if o.ran == "no" {
+			c.notRun++
+		}
+		results[k] = c
+	}
+	for _, k := range slices.Sorted(maps.Keys(results)) {
+		report.Untruthful = append(report.Untruthful, untruthfulChange(k, results[k], runs[k])...)
+	}
+}
+
+// lateWork finds answers of entry instances in zones that were out of service for too long.
+func (r *run) lateWork(report *Report) {
+	for _, f := range r.x.Faults {
+		if f.ZoneOut == "" {
+			continue
+		}
+		late := 0
+		for i := range r.outcomes {
+			o := &r.outcomes[i]
+			if o.ok() && o.entry.Zone == f.ZoneOut && o.sent > f.At+standin.LeaveLimit && o.sent < f.At+f.For {
+				late++
+			}
+		}
+		if late > 0 {
+			report.Violations = append(report.Violations,
+				fmt.Sprintf("P4: entry instances in zone %s, out of service for more than 3 s, answered %d requests", f.ZoneOut, late))
+		}
+	}
+}
+
+// WriteJSON writes the report as JSON.
+func (r *Report) WriteJSON(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// WriteClasses writes a table of the query classes.
+func (r *Report) WriteClasses(out io.Writer) { writeServices(out, "class", r.Classes) }
+
+func writeServices(out io.Writer, kind string, services []Service) {
+	_, _ = fmt.Fprintf(out, "%-18s %8s %8s %10s %9s %9s  %s\n", kind, "requests", "whole", "coverage", "p50", "p99", "refusals")
+	for _, s := range services {
+		_, _ = fmt.Fprintf(out, "%-18s %8d %8d %9.3f%% %7.1fms %7.1fms  %s\n",
+			s.Name, s.Requests, s.Whole, 100*s.Coverage, s.P50, s.P99, refusals(s.Refusals))
+	}
+}
+
+func refusals(m map[string]int) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", code, m[code]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// WriteFindings writes what was untruthful or broke a guarantee, shortened.
+func (r *Report) WriteFindings(out io.Writer) {
+	for _, f := range []struct {
+		kind string
+		list []string
+	}{{"untruthful", r.Untruthful}, {"violation", r.Violations}} {
+		for i, text := range f.list {
+			if i == maxShown {
+				_, _ = fmt.Fprintf(out, "%s: %d more\n", f.kind, len(f.list)-maxShown)
+				break
+			}
+			_, _ = fmt.Fprintf(out, "%s: %s\n", f.kind, text)
+		}
+	}
+}
+
+// WriteTable writes the whole report for people.
+func (r *Report) WriteTable(out io.Writer) {
+	_, _ = fmt.Fprintf(out, "experiment %s, seed %d\n\n", r.Experiment, r.Seed)
+	r.WriteClasses(out)
+	_, _ = fmt.Fprintln(out)
+	writeServices(out, "organisation", r.Organisations)
+	_, _ = fmt.Fprintln(out)
+	for _, row := range r.Measures.rows() {
+		_, _ = fmt.Fprintf(out, "%-34s %12.4f %s\n", row.name, row.value, row.note)
+	}
+	t := r.Targets
+	_, _ = fmt.Fprintf(out, "\nlegs %d of %d needed, shed %d, crashes %d, cold overloads %d (violations %d)\n",
+		t.Legs, t.LegsNeeded, t.Shed, t.Crashes, t.ColdOverloads, t.ColdViolations)
+	_, _ = fmt.Fprintf(out, "connections opened %d, refused %d, most at a target %d; platform calls %d, peak %d a second\n",
+		t.ConnectionsOpened, t.ConnectionsRefused, t.MostConnections, r.Platform.Calls, r.Platform.PeakRate)
+	if r.SurgeP99Ratio > 0 {
+		_, _ = fmt.Fprintf(out, "p99 of other organisations during a surge, relative to other times: %.2f\n", r.SurgeP99Ratio)
+	}
+	r.WriteFindings(out)
+}
+
+type row struct {
+	name  string
+	value float64
+	note  string
+}
+
+func (m Measures) rows() []row {
+	return []row{
+		{"tail latency p99 (ms)", m.TailP99, ""},
+		{"tail latency p99.9 (ms)", m.TailP999, ""},
+		{"coverage", m.Coverage, ""},
+		{"extra load (legs sent/needed - 1)", m.ExtraLoad, ""},
+		{"served while a zone leaves", m.ZoneServed, ""},
+		{"p99 while a zone leaves (ms)", m.ZoneP99, ""},
+		{"worst-served organisation", m.WorstServed, m.WorstName},
+		{"refused inside the rate", m.RefusedInRate, ""},
+	}
+}
+
+// WriteComparison writes the measures of a run and its baseline with their ratios.
+func WriteComparison(out io.Writer, r, baseline *Report) {
+	_, _ = fmt.Fprintf(out, "\n%-34s %12s %12s %8s\n", "measure", "this", "baseline", "ratio")
+	ours, theirs := r.Measures.rows(), baseline.Measures.rows()
+	for i := range ours {
+		text := "-"
+		if theirs[i].value != 0 {
+			text = fmt.Sprintf("%.3f", ours[i].value/theirs[i].value)
+		}
+		_, _ = fmt.Fprintf(out, "%-34s %12.4f %12.4f %8s\n", ours[i].name, ours[i].value, theirs[i].value, text)
+	}
+}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -52,22 +52,45 @@
 	readHeaderTimeout        = 5 * time.Second
 )
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes how New builds a node.
+type Option func(*options)
+
+type options struct{ dial Dial }
+
+// WithDial makes the node open all its connections with dial. Deployments in one process use it to emulate the
+// network between zones.
+func WithDial(dial Dial) Option { return func(o *options) { o.dial = dial } }
+
 // New binds the addresses of the settings and returns a node that is ready to run.
-func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+func New(s settings.Settings, log zerolog.Logger, opts ...Option) (*Node, error) {
+	o := options{dial: (&net.Dialer{}).DialContext}
+	for _, option := range opts {
+		option(&o)
+	}
+	dial := o.dial
 	n := &Node{
 		settings: s,
 		log:      log.With().Str("instance", s.ID).Logger(),
-		siblings: siblinggrpc.NewClient(),
-		metrics:  newMetrics(),
+		siblings: siblinggrpc.NewClient(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, "tcp", address)
+		})),
+		metrics: newMetrics(),
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 		MaxIdleConnsPerHost: idleConnectionsPerTarget,
 		IdleConnTimeout:     idleConnectionTimeout,
 	}
 	client := &http.Client{Transport: transport}
 	n.targets = targethttp.New(client)
-	n.platform = platformhttp.New(s.Platform, &http.Client{})
+	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
 	n.tier = traffic.New(n.loop, n.targets)
@@ -95,6 +118,9 @@
 // CallersAddress returns the address that callers use.
 func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
 
+// SiblingsAddress returns the address that siblings use.
+func (n *Node) SiblingsAddress() string { return n.peers.Addr().String() }
+
 // OperatorsAddress returns the address that operators use.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -27,6 +27,18 @@
 	Listen   Listen `yaml:"listen"`
 	Drain    Drain  `yaml:"drain"`
 	Log      Log    `yaml:"log"`
+	Policy   Policy `yaml:"policy"`
+}
+
+// Policy selects between mechanisms. It is experimental and serves comparisons by the load tool only;
+// deployments leave it out.
+type Policy struct {
+	// Replica is how a replica of a shard is chosen: by measured load, or at random.
+	Replica string `yaml:"replica" validate:"oneof=measured random"`
+	// Hedge says whether late legs are sent a second time.
+	Hedge string `yaml:"hedge" validate:"oneof=on off"`
+	// Rates is how an organisation's rate is split over instances: with transfers between them, or static.
+	Rates string `yaml:"rates" validate:"oneof=transfer static"`
 }
 
 // Listen holds the addresses of the instance, each an IP number with a port.
@@ -56,8 +68,9 @@
 // Default returns the settings that a file need not name.
 func Default() Settings {
 	return Settings{
-		Drain: Drain{Notice: 2 * time.Second, Limit: 60 * time.Second},
-		Log:   Log{Level: "info"},
+		Drain:  Drain{Notice: 2 * time.Second, Limit: 60 * time.Second},
+		Log:    Log{Level: "info"},
+		Policy: Policy{Replica: "measured", Hedge: "on", Rates: "transfer"},
 	}
 }
 
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -18,12 +18,17 @@
 
 // Client talks to siblings, over one connection each. It is safe for concurrent use.
 type Client struct {
+	options []grpc.DialOption
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*grpc.ClientConn{}} }
+// NewClient returns a client without connections. The options apply to each connection.
+func NewClient(options ...grpc.DialOption) *Client {
+	options = append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, options...)
+	return &Client{options: options, conns: map[string]*grpc.ClientConn{}}
+}
 
 // Close closes all connections.
 func (c *Client) Close() {
@@ -41,7 +46,7 @@
 	conn := c.conns[address]
 	if conn == nil {
 		var err error
-		if conn, err = grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
+		if conn, err = grpc.NewClient(address, c.options...); err != nil {
 			return nil, oops.In("sibling").Wrapf(sibling.ErrNotSent, "connect %s: %v", address, err)
 		}
 		c.conns[address] = conn
