--- a/caller/callerhttp/design/design.go
+++ b/caller/callerhttp/design/design.go
@@ -36,7 +36,10 @@
 			POST("/v1/services/{service}/query")
 			Header("key:Authorization")
 			Header("timeout_ms:Drift-Timeout-Ms")
-			Body(func() { Attribute("query") })
+			Body(func() {
+				Attribute("query")
+				Required("query")
+			})
 			Response(StatusOK)
 			refusedResponses()
 		})
@@ -65,7 +68,10 @@
 			Header("key:Authorization")
 			Header("timeout_ms:Drift-Timeout-Ms")
 			Header("idempotency_key:Idempotency-Key")
-			Body(func() { Attribute("change") })
+			Body(func() {
+				Attribute("change")
+				Required("change")
+			})
 			Response(StatusOK)
 			refusedResponses()
 		})
--- a/caller/callerhttp/gen/http/query_tier/server/encode_decode.go
+++ b/caller/callerhttp/gen/http/query_tier/server/encode_decode.go
@@ -55,6 +55,9 @@
 			}
 			return payload, goa.DecodePayloadError(err.Error())
 		}
+		if body.Query == nil {
+			err = goa.MergeErrors(err, goa.MissingFieldError("query", "body"))
+		}
 		if body.Query != nil {
 			if utf8.RuneCountInString(*body.Query) > 65536 {
 				err = goa.MergeErrors(err, goa.InvalidLengthError("body.query", *body.Query, utf8.RuneCountInString(*body.Query), 65536, false))
@@ -316,6 +319,9 @@
 			}
 			return payload, goa.DecodePayloadError(err.Error())
 		}
+		if body.Change == nil {
+			err = goa.MergeErrors(err, goa.MissingFieldError("change", "body"))
+		}
 		if body.Change != nil {
 			if utf8.RuneCountInString(*body.Change) > 65536 {
 				err = goa.MergeErrors(err, goa.InvalidLengthError("body.change", *body.Change, utf8.RuneCountInString(*body.Change), 65536, false))
--- a/caller/callerhttp/refusal.go
+++ b/caller/callerhttp/refusal.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -45,8 +47,8 @@
 	return b
 }
 
-// invalid is the response to a request that goa could not decode. Nothing ran.
-type invalid struct {
+// body is the JSON body of every refusal.
+type body struct {
 	Code         string `json:"code"`
 	Ran          string `json:"ran"`
 	Message      string `json:"message"`
@@ -55,16 +57,18 @@
 }
 
 // StatusCode returns the HTTP status of the response.
-func (i *invalid) StatusCode() int { return i.status }
+func (b *body) StatusCode() int { return b.status }
 
-// format turns errors of goa itself into the same shape as refusals.
+// format renders refusals, and turns errors of goa itself into the same shape. The status of a refusal is set by
+// the generated encoder.
 func format(_ context.Context, err error) goahttp.Statuser {
-	out := &invalid{Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo), Message: err.Error(), status: http.StatusBadRequest}
-	var tooLarge *http.MaxBytesError
+	var refused *querytier.RefusalBody
+	if errors.As(err, &refused) {
+		return &body{Code: refused.Code, Ran: refused.Ran, Message: refused.Message, RetryAfterMs: refused.RetryAfterMs}
+	}
+	out := &body{Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo), Message: err.Error(), status: http.StatusBadRequest}
 	var decoded *goa.ServiceError
 	switch {
-	case errors.As(err, &tooLarge):
-		out.status = http.StatusRequestEntityTooLarge
 	case errors.As(err, &decoded) && decoded.Name == "unready":
 		out.Code, out.status = string(caller.CodeNotConfigured), http.StatusServiceUnavailable
 	case errors.As(err, &decoded) && decoded.Fault:
@@ -72,3 +76,12 @@
 	}
 	return out
 }
+
+func writeTooLarge(w http.ResponseWriter, size int64) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusRequestEntityTooLarge)
+	_ = json.NewEncoder(w).Encode(&body{
+		Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo),
+		Message: fmt.Sprintf("the body has %d bytes, at most %d are allowed", size, maxBodyBytes),
+	})
+}
--- a/caller/callerhttp/server.go
+++ b/caller/callerhttp/server.go
@@ -34,7 +34,19 @@
 	mux := goahttp.NewMuxer()
 	endpoints := querytier.NewEndpoints(&service{tier: tier})
 	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, format))
-	return http.MaxBytesHandler(mux, maxBodyBytes)
+	return limitBody(mux)
+}
+
+// limitBody refuses a request that announces too large a body, and cuts off one that turns out too large.
+func limitBody(next http.Handler) http.Handler {
+	limited := http.MaxBytesHandler(next, maxBodyBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > maxBodyBytes {
+			writeTooLarge(w, r.ContentLength)
+			return
+		}
+		limited.ServeHTTP(w, r)
+	})
 }
 
 type service struct{ tier Tier }
--- /dev/null
+++ b/caller/callerhttp/server_test.go
@@ -0,0 +1,81 @@
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/traffic"
+)
+
+type refusingTier struct{ refusal *caller.Refusal }
+
+func (r refusingTier) Query(context.Context, traffic.Query) (*traffic.Answer, *caller.Refusal) {
+	return nil, r.refusal
+}
+
+func (r refusingTier) Change(context.Context, traffic.Change) (*traffic.Outcome, *caller.Refusal) {
+	return nil, r.refusal
+}
+
+func (r refusingTier) Ready() bool { return false }
+
+func post(handler http.Handler, body string) (int, http.Header, map[string]any) {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/v1/services/s/query", strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	handler.ServeHTTP(w, r)
+	var decoded map[string]any
+	_ = json.Unmarshal(w.Body.Bytes(), &decoded)
+	return w.Code, w.Header(), decoded
+}
+
+// Guards against refusals that lose their code or say "not run" of a request that may have run. The formatter
+// for goa's own errors also sees refusals and once replaced every code by bad_request.
+func TestRefusalReachesCaller(t *testing.T) {
+	for code, status := range map[caller.Code]int{
+		caller.CodeRateLimited:    http.StatusTooManyRequests,
+		caller.CodeOutcomeUnknown: http.StatusInternalServerError,
+		caller.CodeNoTarget:       http.StatusServiceUnavailable,
+	} {
+		refusal := &caller.Refusal{Code: code, Ran: caller.RanUnknown, Message: "m", RetryAfter: 1500 * time.Millisecond}
+		got, header, body := post(NewHandler(refusingTier{refusal}), `{"query":"q"}`)
+		if got != status || header.Get("Retry-After") != "2" {
+			t.Errorf("%s: status %d, Retry-After %q, want %d and 2", code, got, header.Get("Retry-After"), status)
+		}
+		if body["code"] != string(code) || body["ran"] != "unknown" || body["retry_after_ms"] != 1500.0 {
+			t.Errorf("%s: body is %v", code, body)
+		}
+	}
+}
+
+// Guards against refusal codes without an HTTP status.
+func TestEveryCodeHasAGroup(t *testing.T) {
+	if len(groups) != 16 {
+		t.Errorf("%d codes have a group, want 16", len(groups))
+	}
+}
+
+// Guards against unclear errors on bad input and against unlimited bodies.
+func TestBadInput(t *testing.T) {
+	for name, c := range map[string]struct {
+		body   string
+		status int
+	}{
+		"not JSON":      {`{`, http.StatusBadRequest},
+		"wrong type":    {`{"query":5}`, http.StatusBadRequest},
+		"missing field": {`{}`, http.StatusBadRequest},
+		"too long text": {`{"query":"` + strings.Repeat("a", 70000) + `"}`, http.StatusBadRequest},
+		"too large":     {`{"query":"` + strings.Repeat("a", maxBodyBytes) + `"}`, http.StatusRequestEntityTooLarge},
+	} {
+		got, _, body := post(NewHandler(refusingTier{}), c.body)
+		if got != c.status || body["code"] != "bad_request" || body["ran"] != "no" || body["message"] == "" {
+			t.Errorf("%s: status %d, body %v, want status %d", name, got, body, c.status)
+		}
+	}
+}
--- a/cmd/driftctl/check.go
+++ b/cmd/driftctl/check.go
@@ -2,35 +2,61 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/urfave/cli/v3"
 
 	"dogwooddrift.org/drift/cmd/internal/settings"
+	"dogwooddrift.org/drift/operator"
 	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/platform/platformhttp"
 )
 
+// platformTimeout bounds one read of the platform.
+const platformTimeout = 5 * time.Second
+
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "check",
 		Usage: "check a document or settings before use",
 		Commands: []*cli.Command{
 			{
-				Name: "document", Usage: "check a document in JSON or YAML", ArgsUsage: "FILE",
-				Action: func(_ context.Context, c *cli.Command) error {
-					return checkDocument(c.Root().Writer, c.Args().First())
+				Name:      "document",
+				Usage:     "check a document in JSON or YAML, and say what it changes",
+				ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "in-force", Usage: "path of the document in force, to compare with"},
+					&cli.StringFlag{Name: "platform", Usage: "base URL of the platform to read the document in force from, in place of --in-force"},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					path, err := fileArgument(c)
+					if err != nil {
+						return err
+					}
+					inForce, err := loadInForce(ctx, c.String("in-force"), c.String("platform"))
+					if err != nil {
+						return err
+					}
+					return checkDocument(c.Root().Writer, path, inForce)
 				},
 			},
 			{
 				Name: "settings", Usage: "check the settings of an entry instance", ArgsUsage: "FILE",
 				Action: func(_ context.Context, c *cli.Command) error {
-					if _, err := settings.Load(c.Args().First()); err != nil {
+					path, err := fileArgument(c)
+					if err != nil {
 						return err
 					}
-					_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
+					if _, err := settings.Load(path); err != nil {
+						return err
+					}
+					_, err = fmt.Fprintln(c.Root().Writer, "settings are valid")
 					return err
 				},
 			},
@@ -38,19 +64,67 @@
 	}
 }
 
-func checkDocument(out io.Writer, path string) error {
-	text, err := os.ReadFile(path)
+func fileArgument(c *cli.Command) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", fmt.Errorf("%s takes one file, got %d arguments", c.Name, c.Args().Len())
+	}
+	return c.Args().First(), nil
+}
+
+// checkDocument prints the verdict on a document and, with a document in force, what the new one changes.
+func checkDocument(out io.Writer, path string, inForce *platform.Document) error {
+	doc, err := loadDocument(path)
 	if err != nil {
 		return err
 	}
-	var doc platform.Document
-	// JSON is a subset of YAML.
-	if err := yaml.UnmarshalWithOptions(text, &doc, yaml.Strict()); err != nil {
-		return fmt.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+	if _, err := fmt.Fprintf(out, "document is valid, revision %d\n", doc.Revision); err != nil {
+		return err
+	}
+	if inForce == nil {
+		return nil
+	}
+	changes := operator.Effects(inForce, doc)
+	if len(changes) == 0 {
+		_, err := fmt.Fprintf(out, "it changes nothing compared with revision %d\n", inForce.Revision)
+		return err
+	}
+	for _, e := range changes {
+		if _, err := fmt.Fprintln(out, e); err != nil {
+			return err
+		}
+	}
+	if !doc.Revision.Supersedes(inForce.Revision) {
+		return fmt.Errorf("%s: revision %d is not above %d, which is in force", path, doc.Revision, inForce.Revision)
+	}
+	return nil
+}
+
+// loadDocument reads a document in JSON or YAML and validates it.
+func loadDocument(path string) (*platform.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	doc := &platform.Document{}
+	// JSON is a subset of YAML, so one decoder reads both and names line and column of a mistake.
+	if err := yaml.UnmarshalWithOptions(text, doc, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
 	}
 	if err := doc.Validate(); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return doc, nil
+}
+
+func readPlatform(ctx context.Context, url string) (*platform.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	doc, err := platformhttp.New(url, http.DefaultClient).Document(ctx, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	if doc == nil {
+		return nil, errors.New("the platform has no document")
 	}
-	_, err = fmt.Fprintf(out, "document is valid, revision %d\n", doc.Revision)
-	return err
+	return doc, nil
 }
--- /dev/null
+++ b/cmd/driftctl/console.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/cmd/internal/console"
+	"dogwooddrift.org/drift/platform"
+)
+
+func consoleCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "console",
+		Usage: "serve forms that edit a document; the only output is the document to publish",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Usage: "IP number and port; keep it on loopback, the console asks for no password", Value: "127.0.0.1:8090"},
+			&cli.StringFlag{Name: "document", Usage: "path of the document in force, JSON or YAML; empty starts a new one"},
+			&cli.StringFlag{Name: "platform", Usage: "base URL of the platform to read the document in force from, in place of --document"},
+		},
+		Action: runConsole,
+	}
+}
+
+func runConsole(ctx context.Context, c *cli.Command) error {
+	inForce, err := loadInForce(ctx, c.String("document"), c.String("platform"))
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c.Root().Writer, "console at http://%s/\n", listener.Addr()); err != nil {
+		return err
+	}
+	server := &http.Server{Handler: console.New(inForce), ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// loadInForce returns the document in force from a file or the platform, or nil when neither is named.
+func loadInForce(ctx context.Context, path, platformURL string) (*platform.Document, error) {
+	switch {
+	case path != "" && platformURL != "":
+		return nil, fmt.Errorf("name either a file or the platform as the source of the document in force, not both")
+	case path != "":
+		return loadDocument(path)
+	case platformURL != "":
+		return readPlatform(ctx, platformURL)
+	default:
+		return nil, nil
+	}
+}
--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -11,12 +11,15 @@
 	"github.com/urfave/cli/v3"
 )
 
-func main() {
+func main() { os.Exit(run()) }
+
+func run() int {
 	cmd := &cli.Command{
 		Name:  "driftctl",
 		Usage: "operate dogwooddrift: check documents, read dumps, run stand-ins and demonstrations",
 		Commands: []*cli.Command{
 			checkCommand(),
+			consoleCommand(),
 			dumpCommand(),
 			demoCommand(),
 			standinCommand(),
@@ -26,6 +29,7 @@
 	defer stop()
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "driftctl:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
--- a/cmd/internal/node/metrics.go
+++ b/cmd/internal/node/metrics.go
@@ -19,9 +19,11 @@
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "dogwooddrift",
-		CachedReporter: reporter,
-		Separator:      tallyprom.DefaultSeparator,
+		Prefix:                 "dogwooddrift",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, 0)
 	return &metrics{scope: scope, registry: registry}
 }
--- /dev/null
+++ b/operator/draft.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// ErrUnknown means that an edit names something that the draft does not contain.
+var ErrUnknown = errors.New("not in the document")
+
+// ErrExists means that an edit adds something that the draft contains already.
+var ErrExists = errors.New("already in the document")
+
+// Draft is a document that an operator edits. Each edit changes the draft only if it can be applied; whether
+// the result is valid is decided by Document.
+type Draft struct {
+	base platform.Document
+	doc  platform.Document
+}
+
+// NewDraft starts from the document in force, or from an empty one when that is nil.
+func NewDraft(inForce *platform.Document) *Draft {
+	d := &Draft{}
+	if inForce != nil {
+		d.base, d.doc = copyDocument(*inForce), copyDocument(*inForce)
+	}
+	return d
+}
+
+func copyDocument(d platform.Document) platform.Document {
+	d.Organisations = slices.Clone(d.Organisations)
+	for i := range d.Organisations {
+		d.Organisations[i].Keys = slices.Clone(d.Organisations[i].Keys)
+	}
+	d.Services = slices.Clone(d.Services)
+	d.Zones = slices.Clone(d.Zones)
+	d.InstancesOut = slices.Clone(d.InstancesOut)
+	return d
+}
+
+// Current returns a copy of the draft as it stands, valid or not, with the revision that it would be
+// published under.
+func (d *Draft) Current() platform.Document {
+	out := copyDocument(d.doc)
+	out.Revision = d.base.Revision + 1
+	return out
+}
+
+// Document returns the document to publish, or an *platform.InvalidError.
+func (d *Draft) Document() (*platform.Document, error) {
+	out := d.Current()
+	if err := out.Validate(); err != nil {
+		return nil, err
+	}
+	return &out, nil
+}
+
+// Effects lists what the draft does compared with the document that it started from.
+func (d *Draft) Effects() []Effect {
+	next := d.Current()
+	return Effects(&d.base, &next)
+}
+
+// PutOrganisation adds an organisation, or replaces all of an existing one but its keys.
+func (d *Draft) PutOrganisation(o platform.Organisation) {
+	if existing := d.organisation(o.Name); existing != nil {
+		o.Keys = existing.Keys
+		*existing = o
+		return
+	}
+	o.Keys = nil
+	d.doc.Organisations = append(d.doc.Organisations, o)
+}
+
+// RemoveOrganisation removes an organisation with its keys.
+func (d *Draft) RemoveOrganisation(name string) error {
+	return remove(&d.doc.Organisations, "organisation", name, func(o platform.Organisation) string { return o.Name })
+}
+
+// GrantKey adds a key to an organisation.
+func (d *Draft) GrantKey(organisation string, key platform.Key) error {
+	o := d.organisation(organisation)
+	if o == nil {
+		return fmt.Errorf("organisation %q: %w", organisation, ErrUnknown)
+	}
+	if slices.ContainsFunc(o.Keys, func(k platform.Key) bool { return k.ID == key.ID }) {
+		return fmt.Errorf("key %q of organisation %q: %w", key.ID, organisation, ErrExists)
+	}
+	o.Keys = append(o.Keys, key)
+	return nil
+}
+
+// WithdrawKey removes a key of an organisation.
+func (d *Draft) WithdrawKey(organisation, id string) error {
+	o := d.organisation(organisation)
+	if o == nil {
+		return fmt.Errorf("organisation %q: %w", organisation, ErrUnknown)
+	}
+	return remove(&o.Keys, "key", id, func(k platform.Key) string { return k.ID })
+}
+
+// PutService adds or replaces a service.
+func (d *Draft) PutService(s platform.Service) {
+	put(&d.doc.Services, s, func(s platform.Service) string { return s.Name })
+}
+
+// RemoveService removes a service.
+func (d *Draft) RemoveService(name string) error {
+	return remove(&d.doc.Services, "service", name, func(s platform.Service) string { return s.Name })
+}
+
+// PutZone adds or replaces an availability zone.
+func (d *Draft) PutZone(z platform.Zone) {
+	put(&d.doc.Zones, z, func(z platform.Zone) string { return z.Name })
+}
+
+// RemoveZone removes an availability zone.
+func (d *Draft) RemoveZone(name string) error {
+	return remove(&d.doc.Zones, "zone", name, func(z platform.Zone) string { return z.Name })
+}
+
+// TakeInstanceOut marks an instance or target as out of service.
+func (d *Draft) TakeInstanceOut(id string) {
+	if !slices.Contains(d.doc.InstancesOut, id) {
+		d.doc.InstancesOut = append(d.doc.InstancesOut, id)
+	}
+}
+
+// ReturnInstance marks an instance or target as in service.
+func (d *Draft) ReturnInstance(id string) error {
+	return remove(&d.doc.InstancesOut, "instance", id, func(id string) string { return id })
+}
+
+// SetLimits sets the times that hold for the whole deployment.
+func (d *Draft) SetLimits(isolation platform.Isolation, changeWindow platform.Seconds) {
+	d.doc.Isolation, d.doc.ChangeWindow = isolation, changeWindow
+}
+
+func (d *Draft) organisation(name string) *platform.Organisation {
+	for i := range d.doc.Organisations {
+		if d.doc.Organisations[i].Name == name {
+			return &d.doc.Organisations[i]
+		}
+	}
+	return nil
+}
+
+func put[T any](list *[]T, value T, name func(T) string) {
+	for i := range *list {
+		if name((*list)[i]) == name(value) {
+			(*list)[i] = value
+			return
+		}
+	}
+	*list = append(*list, value)
+}
+
+func remove[T any](list *[]T, what, wanted string, name func(T) string) error {
+	i := slices.IndexFunc(*list, func(v T) bool { return name(v) == wanted })
+	if i < 0 {
+		return fmt.Errorf("%s %q: %w", what, wanted, ErrUnknown)
+	}
+	*list = slices.Delete(*list, i, i+1)
+	return nil
+}
