Count requests, shards and control state in metrics

Cause: the metrics address answered without any metric.

Unknown services share one tag, since callers choose the name.

--- /dev/null
+++ b/cmd/internal/node/metered.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/caller/callerhttp"
+	"dogwooddrift.org/drift/traffic"
+)
+
+// The names of metrics. docs/metrics.md describes each.
+const (
+	metricRequests         = "requests"
+	metricLatency          = "request_latency"
+	metricShardsAnswered   = "shards_answered"
+	metricShardsMissing    = "shards_missing"
+	metricDocumentRevision = "document_revision"
+	metricListRevision     = "list_revision"
+	metricTokensSpent      = "tokens_spent"
+	metricTokensRefused    = "tokens_refused"
+	metricEventsDropped    = "control_events_dropped"
+	metricTargetsUsable    = "targets_usable"
+)
+
+// The names of tags.
+const (
+	tagService      = "service"
+	tagResult       = "result"
+	tagReason       = "reason"
+	tagOrganisation = "organisation"
+)
+
+// resultOK is the result tag of a request that got an answer; a refused one is tagged with its code.
+const resultOK = "ok"
+
+// latencyBuckets doubles from 1 ms to 16 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// metered counts the requests of a tier.
+type metered struct {
+	callerhttp.Tier
+	scope tally.Scope
+}
+
+// Query counts a query, its latency and its shards.
+func (m metered) Query(ctx context.Context, q traffic.Query) (*traffic.Answer, *caller.Refusal) {
+	start := time.Now()
+	answer, refusal := m.Tier.Query(ctx, q)
+	service := m.request(q.Service, refusal, time.Since(start))
+	if refusal != nil {
+		return nil, refusal
+	}
+	service.Counter(metricShardsAnswered).Inc(int64(len(answer.Results)))
+	for _, missing := range answer.Missing {
+		service.Tagged(map[string]string{tagReason: string(missing.Reason)}).Counter(metricShardsMissing).Inc(1)
+	}
+	return answer, nil
+}
+
+// Change counts a change and its latency.
+func (m metered) Change(ctx context.Context, c traffic.Change) (*traffic.Outcome, *caller.Refusal) {
+	start := time.Now()
+	outcome, refusal := m.Tier.Change(ctx, c)
+	m.request(c.Service, refusal, time.Since(start))
+	return outcome, refusal
+}
+
+// request counts one request and returns the scope of its service. Services that do not exist share one tag,
+// since callers choose the name and each value of a tag costs memory.
+func (m metered) request(service string, refusal *caller.Refusal, latency time.Duration) tally.Scope {
+	result := resultOK
+	if refusal != nil {
+		result = string(refusal.Code)
+		if refusal.Code == caller.CodeUnknownService {
+			service = ""
+		}
+	}
+	scope := m.scope.Tagged(map[string]string{tagService: service})
+	scope.Tagged(map[string]string{tagResult: result}).Counter(metricRequests).Inc(1)
+	scope.Histogram(metricLatency, latencyBuckets).RecordDuration(latency)
+	return scope
+}
+
+// sample sets the gauges that show the control state.
+func (n *Node) sample() {
+	scope, s := n.metrics.scope, n.loop.Snapshot()
+	scope.Gauge(metricEventsDropped).Update(float64(n.loop.Dropped()))
+	if s.Document != nil {
+		scope.Gauge(metricDocumentRevision).Update(float64(s.Document.Revision))
+	}
+	if s.List != nil {
+		scope.Gauge(metricListRevision).Update(float64(s.List.Revision))
+	}
+	for name, pool := range s.Pools {
+		organisation := scope.Tagged(map[string]string{tagOrganisation: name})
+		organisation.Gauge(metricTokensSpent).Update(float64(pool.Spent()))
+		organisation.Gauge(metricTokensRefused).Update(float64(pool.Refused()))
+	}
+	for name, service := range s.Targets {
+		scope.Tagged(map[string]string{tagService: name}).Gauge(metricTargetsUsable).Update(float64(len(service.Targets)))
+	}
+}
--- a/cmd/internal/node/metrics.go
+++ b/cmd/internal/node/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
@@ -12,20 +14,24 @@
 // metrics holds the process's metrics scope and its Prometheus registry.
 type metrics struct {
 	scope    tally.Scope
+	closer   io.Closer
 	registry *prometheus.Registry
 }
 
+// reportInterval is how often tally hands its values to the registry, and so how old a metric may be.
+const reportInterval = time.Second
+
 func newMetrics() *metrics {
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "dogwooddrift",
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
-	}, 0)
-	return &metrics{scope: scope, registry: registry}
+	}, reportInterval)
+	return &metrics{scope: scope, closer: closer, registry: registry}
 }
 
 func (m *metrics) text() ([]byte, error) {
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -104,7 +104,7 @@
 	work, stopWork := context.WithCancel(abort)
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: callerhttp.NewHandler(n.tier), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.scope}), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop)
@@ -131,6 +131,7 @@
 	n.log.Info().Str("callers", n.CallersAddress()).Str("operators", n.OperatorsAddress()).Msg("node: started")
 	err := group.Wait()
 	exec.wait()
+	_ = n.metrics.closer.Close()
 	n.log.Info().Msg("node: stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -175,4 +176,7 @@
 }
 
 // Metrics returns the metrics in the Prometheus text format.
-func (n *Node) Metrics() ([]byte, error) { return n.metrics.text() }
+func (n *Node) Metrics() ([]byte, error) {
+	n.sample()
+	return n.metrics.text()
+}
