Sample gauges before each report

Cause: gauges were set when metrics were read, and tally reports once a second, so each read showed the value of the read before (revision 0 with document 1 in force).

Change: a goroutine samples before each report.

--- a/cmd/internal/node/metered.go
+++ b/cmd/internal/node/metered.go
@@ -84,6 +84,21 @@
 	return scope
 }
 
+// sampleMetrics sets the gauges before each report until ctx ends. A gauge set only when metrics are read would
+// show the value of the read before.
+func (n *Node) sampleMetrics(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		n.sample()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // sample sets the gauges that show the control state.
 func (n *Node) sample() {
 	scope, s := n.metrics.scope, n.loop.Snapshot()
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -113,6 +113,7 @@
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
 	group.Go(func() error { return n.watchDocument(work) })
 	group.Go(func() error { return n.watchInstances(work) })
+	group.Go(func() error { n.sampleMetrics(work); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
 	group.Go(func() error { return peers.Serve(n.peers) })
@@ -177,6 +178,5 @@
 
 // Metrics returns the metrics in the Prometheus text format.
 func (n *Node) Metrics() ([]byte, error) {
-	n.sample()
 	return n.metrics.text()
 }
