--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -130,7 +130,7 @@
 	work, stopWork := context.WithCancel(abort)
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: callerhttp.NewHandler(n.tier), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.scope}), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop)
@@ -139,6 +139,7 @@
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
 	group.Go(func() error { return n.watchDocument(work) })
 	group.Go(func() error { return n.watchInstances(work) })
+	group.Go(func() error { n.sampleMetrics(work); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
 	group.Go(func() error { return peers.Serve(n.peers) })
@@ -157,6 +158,7 @@
 	n.log.Info().Str("callers", n.CallersAddress()).Str("operators", n.OperatorsAddress()).Msg("node: started")
 	err := group.Wait()
 	exec.wait()
+	_ = n.metrics.closer.Close()
 	n.log.Info().Msg("node: stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -201,4 +203,6 @@
 }
 
 // Metrics returns the metrics in the Prometheus text format.
-func (n *Node) Metrics() ([]byte, error) { return n.metrics.text() }
+func (n *Node) Metrics() ([]byte, error) {
+	return n.metrics.text()
+}
