--- a/cmd/driftctl/load.go
+++ b/cmd/driftctl/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 
 	"github.com/urfave/cli/v3"
 
@@ -40,6 +41,8 @@
 // runExperiment prints the reports even when a check failed. Only the checks of the run itself count; the
 // baseline is there to be worse.
 func runExperiment(ctx context.Context, out io.Writer, x load.Experiment, asJSON, compare bool) error {
+	// net/http reports each repeated reply of a target on the standard logger; the stand-ins repeat them on purpose.
+	log.SetOutput(io.Discard)
 	report, err := load.Run(ctx, x, x.Policy)
 	if report == nil {
 		return err
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -85,7 +85,8 @@
 	Classes    []Service `json:"classes"`
 	// Organisations are in the order of the experiment.
 	Organisations []Service `json:"organisations"`
-	// SurgeP99Ratio is the p99 of the other organisations during surges over that at other times; 0 without.
+	// SurgeP99Ratio is the p99 of the other organisations during surges over that in the time of the same length
+	// before; 0 without.
 	SurgeP99Ratio float64                  `json:"surge_p99_ratio,omitempty"`
 	Targets       TargetTotals             `json:"targets"`
 	Platform      standin.PlatformCounters `json:"platform"`
@@ -186,12 +187,12 @@
 			zone.count(o)
 			zoneServed += o.coverage()
 		}
-		switch surging, own := r.surge(o); {
-		case own:
-		case surging:
+		switch r.surge(o) {
+		case duringSurge:
 			surge.count(o)
-		default:
+		case beforeSurge:
 			calm.count(o)
+		case elsewhere:
 		}
 	}
 	for _, s := range r.x.Services {
@@ -224,16 +225,28 @@
 	})
 }
 
-// surge reports whether some organisation sends more than usual, and whether the request is of such a one.
-func (r *run) surge(o *outcome) (surging, own bool) {
+// period is a part of the run around a surge.
+type period int
+
+const (
+	elsewhere period = iota
+	beforeSurge
+	duringSurge
+)
+
+// surge places a request of another organisation in the time of a surge, or in the time of the same length
+// before it. Requests of the organisation that surges are elsewhere.
+func (r *run) surge(o *outcome) period {
 	for _, f := range r.x.Faults {
-		if f.Surge == nil {
-			continue
+		switch {
+		case f.Surge == nil || f.Surge.Organisation == r.x.Organisations[o.organisation].Name:
+		case o.at >= f.At && o.at < f.At+f.For:
+			return duringSurge
+		case o.at >= f.At-f.For && o.at < f.At:
+			return beforeSurge
 		}
-		surging = surging || o.at >= f.At && o.at < f.At+f.For
-		own = own || f.Surge.Organisation == r.x.Organisations[o.organisation].Name
 	}
-	return surging, own
+	return elsewhere
 }
 
 // withdrawn returns when the organisation's key was withdrawn.
@@ -459,7 +472,7 @@
 	_, _ = fmt.Fprintf(out, "connections opened %d, refused %d, most at a target %d; platform calls %d, peak %d a second\n",
 		t.ConnectionsOpened, t.ConnectionsRefused, t.MostConnections, r.Platform.Calls, r.Platform.PeakRate)
 	if r.SurgeP99Ratio > 0 {
-		_, _ = fmt.Fprintf(out, "p99 of other organisations during a surge, relative to other times: %.2f\n", r.SurgeP99Ratio)
+		_, _ = fmt.Fprintf(out, "p99 of other organisations during a surge, relative to the time before: %.2f\n", r.SurgeP99Ratio)
 	}
 	r.WriteFindings(out)
 }
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -361,7 +361,7 @@
 			func() error { d.SetZoneLinks(f.Links.Zone, f.Links.State, f.Links.Platform); return nil },
 			func() error { d.SetZoneLinks(f.Links.Zone, deploy.LinkOpen, true); return nil })
 	case f.Instance != nil:
-		return begin(func(context.Context) error { return r.changeInstance(*f.Instance) })
+		return begin(func(ctx context.Context) error { return r.changeInstance(ctx, *f.Instance) })
 	case f.WithdrawKey != "":
 		return begin(func(context.Context) error { return d.WithdrawKeys(f.WithdrawKey) })
 	case f.Crash != nil:
@@ -371,7 +371,10 @@
 	}
 }
 
-func (r *run) changeInstance(f InstanceFault) error {
+// listLag is how long the platform lists an instance that ended without a planned stop.
+const listLag = 2 * time.Second
+
+func (r *run) changeInstance(ctx context.Context, f InstanceFault) error {
 	entries := r.deployment.Entries()
 	if f.Index >= len(entries) {
 		return fmt.Errorf("instance %d of %d", f.Index, len(entries))
@@ -379,7 +382,9 @@
 	id := entries[f.Index].ID
 	switch f.Do {
 	case "kill":
-		return r.deployment.Kill(id)
+		err := r.deployment.Kill(id)
+		pause(ctx, listLag)
+		return errors.Join(err, r.deployment.Unlist(id))
 	case "stop":
 		return r.deployment.Stop(id)
 	default:
--- a/cmd/internal/standin/standin_test.go
+++ b/cmd/internal/standin/standin_test.go
@@ -325,3 +325,35 @@
 		t.Errorf("read %+v, %v, want revision 2 while 9 lags", d, err)
 	}
 }
+
+// Guards against a fault over HTTP that reaches other targets than those selected, or is ignored in silence.
+func TestFaultsOverHTTP(t *testing.T) {
+	f := testFleet(t, ServiceOptions{Replicas: 2, Slots: 2, Connections: 5})
+	server := httptest.NewServer(f.FaultHandler())
+	defer server.Close()
+	for body, want := range map[string]int{
+		`{"target":"svc-1-0","action":"cold"}`:  http.StatusNotFound,
+		`{"target":"svc-0-1","action":"cold"}`:  http.StatusOK,
+		`{"target":"svc-0-1","action":"thaw"}`:  http.StatusBadRequest,
+		`{"target":"svc-0-1","actions":"cold"}`: http.StatusBadRequest,
+		`{"service":"svc","faults":{"shed":1}}`: http.StatusOK,
+	} {
+		req, _ := http.NewRequestWithContext(context.Background(), http.MethodPut, server.URL+"/fault", strings.NewReader(body))
+		resp, err := server.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", body, resp.StatusCode, want)
+		}
+	}
+	for i, want := range []string{"svc-0-0/1", "svc-0-1/2"} {
+		resp, _, err := send(client(t), f.Instances[i].Address, targethttp.ChangePath, "a")
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(targethttp.HeaderRan) != targethttp.RanNo {
+			t.Errorf("%s: %v, %v, want shed and not run", f.Instances[i].ID, resp, err)
+		} else if got := resp.Header.Get(targethttp.HeaderIncarnation); got != want {
+			t.Errorf("%s has incarnation %s, want %s", f.Instances[i].ID, got, want)
+		}
+	}
+}
