--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -87,11 +87,14 @@
 	Organisations []Service `json:"organisations"`
 	// SurgeP99Ratio is the p99 of the other organisations during surges over that in the time of the same length
 	// before; 0 without.
-	SurgeP99Ratio float64                  `json:"surge_p99_ratio,omitempty"`
-	Targets       TargetTotals             `json:"targets"`
-	Platform      standin.PlatformCounters `json:"platform"`
-	Untruthful    []string                 `json:"untruthful"`
-	Violations    []string                 `json:"violations"`
+	SurgeP99Ratio float64 `json:"surge_p99_ratio,omitempty"`
+	// GeneratorLag is the p99 of how late the tool itself sent requests. When it is not small against the
+	// latencies, the machine was too busy for the figures to say much.
+	GeneratorLag float64                  `json:"generator_lag_p99_ms"`
+	Targets      TargetTotals             `json:"targets"`
+	Platform     standin.PlatformCounters `json:"platform"`
+	Untruthful   []string                 `json:"untruthful"`
+	Violations   []string                 `json:"violations"`
 }
 
 // TargetTotals sums the counters of all targets. Most* are the greatest of any target.
@@ -170,8 +173,10 @@
 	classes := map[string]*group{}
 	zoneServed := 0.0
 	surge, calm := newGroup("surge"), newGroup("calm")
+	lag := hdrhistogram.New(1, histogramMax, histogramDigits)
 	for i := range r.outcomes {
 		o := &r.outcomes[i]
+		_ = lag.RecordValue(min(histogramMax, max(1, (o.sent-o.at).Microseconds())))
 		for _, w := range o.wrong {
 			report.Untruthful = append(report.Untruthful, fmt.Sprintf("%s %s: %s", o.service, o.text, w))
 		}
@@ -214,6 +219,7 @@
 	if before := calm.finish().P99; surge.Requests > 0 && before > 0 {
 		report.SurgeP99Ratio = surge.finish().P99 / before
 	}
+	report.GeneratorLag = float64(lag.ValueAtQuantile(99)) / 1000
 	m.ExtraLoad = ratio(report.Targets.Legs, report.Targets.LegsNeeded) - 1
 	return report
 }
@@ -471,6 +477,7 @@
 		t.Legs, t.LegsNeeded, t.Shed, t.Crashes, t.ColdOverloads, t.ColdViolations)
 	_, _ = fmt.Fprintf(out, "connections opened %d, refused %d, most at a target %d; platform calls %d, peak %d a second\n",
 		t.ConnectionsOpened, t.ConnectionsRefused, t.MostConnections, r.Platform.Calls, r.Platform.PeakRate)
+	_, _ = fmt.Fprintf(out, "p99 of the tool's own delay in sending: %.1f ms\n", r.GeneratorLag)
 	if r.SurgeP99Ratio > 0 {
 		_, _ = fmt.Fprintf(out, "p99 of other organisations during a surge, relative to the time before: %.2f\n", r.SurgeP99Ratio)
 	}
