Check that planned stops cut off no request

Cause: a broken connection counted as a refusal code only (P11). Change: connections that break at an instance that was not killed are a violation; a caller that waits in vain is no_reply; outcomes of crashing requests are listed. Conclusion: go test -race ./cmd/internal/load passes.

--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -93,8 +94,10 @@
 	GeneratorLag float64                  `json:"generator_lag_p99_ms"`
 	Targets      TargetTotals             `json:"targets"`
 	Platform     standin.PlatformCounters `json:"platform"`
-	Untruthful   []string                 `json:"untruthful"`
-	Violations   []string                 `json:"violations"`
+	// CrashRequests are the outcomes of the requests that crash targets, in order: a refusal's code or "answered".
+	CrashRequests []string `json:"crash_requests,omitempty"`
+	Untruthful    []string `json:"untruthful"`
+	Violations    []string `json:"violations"`
 }
 
 // TargetTotals sums the counters of all targets. Most* are the greatest of any target.
@@ -209,6 +212,10 @@
 	r.totals(report)
 	r.changes(report)
 	r.lateWork(report)
+	r.cutOff(report)
+	for _, o := range r.crashes {
+		report.CrashRequests = append(report.CrashRequests, cmp.Or(o.code, "answered"))
+	}
 	overall, inZone := all.finish(), zone.finish()
 	m := &report.Measures
 	m.TailP99, m.TailP999, m.Coverage = overall.P99, overall.P999, overall.Coverage
@@ -417,6 +424,19 @@
 	}
 }
 
+// cutOff finds requests whose connection broke at an instance that was not killed.
+func (r *run) cutOff(report *Report) {
+	n := 0
+	for i := range r.outcomes {
+		if o := &r.outcomes[i]; o.code == codeCutOff && !r.killed[o.entry.ID] {
+			n++
+		}
+	}
+	if n > 0 {
+		report.Violations = append(report.Violations, fmt.Sprintf("P11: requests cut off at instances that were not killed: %d", n))
+	}
+}
+
 // WriteJSON writes the report as JSON.
 func (r *Report) WriteJSON(out io.Writer) error {
 	encoder := json.NewEncoder(out)
@@ -481,6 +501,9 @@
 	if r.SurgeP99Ratio > 0 {
 		_, _ = fmt.Fprintf(out, "p99 of other organisations during a surge, relative to the time before: %.2f\n", r.SurgeP99Ratio)
 	}
+	if len(r.CrashRequests) > 0 {
+		_, _ = fmt.Fprintf(out, "requests that crash targets: %s\n", strings.Join(r.CrashRequests, ", "))
+	}
 	r.WriteFindings(out)
 }
 
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -38,7 +38,9 @@
 // The outcomes of requests that got no response.
 const (
 	codeNoInstance = "no_instance"
-	codeCutOff     = "cut_off"
+	// codeCutOff is a connection that broke, codeNoReply a caller that waited in vain.
+	codeCutOff  = "cut_off"
+	codeNoReply = "no_reply"
 )
 
 // outcome is what happened to one request.
@@ -82,6 +84,7 @@
 	mu      sync.Mutex
 	faults  []error
 	crashes []outcome // requests of crash faults
+	killed  map[string]bool
 }
 
 // Run runs the experiment under the policy and returns its report. Checks that fail are in the report; the error
@@ -91,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{x: &x, deployment: d}
+	r := &run{x: &x, deployment: d, killed: map[string]bool{}}
 	err = r.prepare(ctx)
 	if err == nil {
 		r.drive(ctx)
@@ -220,6 +223,9 @@
 	out.latency = out.answered - a.at
 	if err != nil {
 		out.code = codeCutOff
+		if errors.Is(err, context.DeadlineExceeded) {
+			out.code = codeNoReply
+		}
 		return out
 	}
 	r.judge(&out, body)
@@ -382,6 +388,9 @@
 	id := entries[f.Index].ID
 	switch f.Do {
 	case "kill":
+		r.mu.Lock()
+		r.killed[id] = true
+		r.mu.Unlock()
 		err := r.deployment.Kill(id)
 		pause(ctx, listLag)
 		return errors.Join(err, r.deployment.Unlist(id))
