--- a/cmd/driftctl/load.go
+++ b/cmd/driftctl/load.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"log"
+	"os"
+	"runtime/pprof"
 
 	"github.com/urfave/cli/v3"
 
@@ -20,6 +22,7 @@
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.BoolFlag{Name: "compare", Usage: "run again with the experiment's baseline and print the ratios"},
+			&cli.StringFlag{Name: "cpuprofile", Usage: "write a processor profile of the whole process, stand-ins included, to this file"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed in place of the experiment's; 0 keeps it"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -33,6 +36,17 @@
 			if seed := c.Uint64("seed"); seed != 0 {
 				x.Seed = seed
 			}
+			if path := c.String("cpuprofile"); path != "" {
+				file, err := os.Create(path)
+				if err != nil {
+					return err
+				}
+				defer func() { _ = file.Close() }()
+				if err := pprof.StartCPUProfile(file); err != nil {
+					return err
+				}
+				defer pprof.StopCPUProfile()
+			}
 			return runExperiment(ctx, c.Root().Writer, x, c.Bool("json"), c.Bool("compare"))
 		},
 	}
