--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -12,7 +12,6 @@
 	statusInterval  = 250 * time.Millisecond
 	statusTimeout   = time.Second
 	exchangeTimeout = 500 * time.Millisecond
-	fetchTimeout    = 2 * time.Second
 )
 
 // executor carries out control's effects on goroutines of their own.
@@ -44,8 +43,12 @@
 		x.forget(e.ID)
 	case control.Exchange:
 		x.start(func() { n.exchange(x.ctx, e) })
-	case control.FetchDocument:
+	case control.Announce:
+		x.start(func() { n.announce(x.ctx, e) })
+	case control.Fetch:
 		x.start(func() { n.fetch(x.ctx, e) })
+	case control.ReadPlatform:
+		x.start(func() { n.readPlatform(x.ctx, e) })
 	case control.Refused:
 		n.log.Warn().Err(e.Err).Msg("platform: value refused")
 	}
@@ -86,26 +89,11 @@
 func (n *Node) exchange(ctx context.Context, e control.Exchange) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sent := time.Now()
 	h, err := n.siblings.Exchange(ctx, e.To, e.Heartbeat)
 	if err != nil {
 		n.log.Debug().Str("sibling", e.To.ID).Err(err).Msg("sibling: no heartbeat")
 		return
 	}
-	n.loop.Post(control.HeartbeatHeard{Heartbeat: h})
-}
-
-func (n *Node) fetch(ctx context.Context, e control.FetchDocument) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	c, err := n.siblings.Fetch(ctx, e.From)
-	if err != nil {
-		n.log.Debug().Str("sibling", e.From.ID).Err(err).Msg("sibling: no configuration")
-		return
-	}
-	if c.Document != nil {
-		n.loop.Post(control.DocumentRead{Document: c.Document})
-	}
-	if c.List != nil {
-		n.loop.Post(control.InstancesRead{List: c.List})
-	}
+	n.loop.Post(control.HeartbeatAnswered{Heartbeat: h, Sent: sent})
 }
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -37,6 +37,7 @@
 	tier     *traffic.Tier
 	targets  *targethttp.Client
 	siblings *siblinggrpc.Client
+	receiver *siblinggrpc.Receiver
 	platform *platformhttp.Client
 	metrics  *metrics
 
@@ -70,6 +71,7 @@
 	n.platform = platformhttp.New(s.Platform, &http.Client{})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.targets)
 	for _, l := range []struct {
 		listener *net.Listener
@@ -107,12 +109,10 @@
 	callers := &http.Server{Handler: callerhttp.NewHandler(n.tier), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
-	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.Register(peers, n.loop, n.receiver)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
-	group.Go(func() error { return n.watchDocument(work) })
-	group.Go(func() error { return n.watchInstances(work) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
 	group.Go(func() error { return peers.Serve(n.peers) })
--- a/cmd/internal/node/watch.go
+++ b/cmd/internal/node/watch.go
@@ -2,64 +2,95 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/sibling"
 )
 
 const (
-	watchWait       = 10 * time.Second
-	watchRetry      = 200 * time.Millisecond
-	watchCallMargin = 2 * time.Second
+	announceTimeout = 2 * time.Second
+	fetchTimeout    = 2 * time.Second
 )
 
-func (n *Node) watchDocument(ctx context.Context) error {
-	return watch(ctx, n, "document", n.platform.Document, func(d *platform.Document) platform.Revision {
-		n.loop.Post(control.DocumentRead{Document: d})
-		return d.Revision
-	})
-}
-
-func (n *Node) watchInstances(ctx context.Context) error {
-	return watch(ctx, n, "instances", n.platform.Instances, func(l *platform.InstanceList) platform.Revision {
-		n.loop.Post(control.InstancesRead{List: l})
-		return l.Revision
-	})
+// readPlatform performs one read of the platform and posts its outcome. Control decides when the next one is due.
+func (n *Node) readPlatform(ctx context.Context, e control.ReadPlatform) {
+	sent := time.Now()
+	event, err := n.readValue(ctx, e, sent)
+	if err != nil {
+		n.log.Debug().Stringer("value", e.Value).Err(err).Msg("platform: read failed")
+		event = control.PlatformFailed{Value: e.Value}
+	}
+	n.loop.Post(event)
 }
 
-type read[T any] func(ctx context.Context, after platform.Revision, wait time.Duration) (*T, error)
-
-// watch reads a value of the platform again and again, each time waiting for a newer revision.
-func watch[T any](ctx context.Context, n *Node, what string, read read[T], deliver func(*T) platform.Revision) error {
-	var seen platform.Revision
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchCallMargin)
-		value, err := read(callCtx, seen, watchWait)
-		cancel()
+func (n *Node) readValue(ctx context.Context, e control.ReadPlatform, sent time.Time) (control.Event, error) {
+	if e.Value == sibling.Document {
+		document, content, err := n.platform.Document(ctx, e.After, e.Wait, e.Limit)
 		if err != nil {
-			n.log.Debug().Str("value", what).Err(err).Msg("platform: read failed")
-			pause(ctx, watchRetry)
-			continue
-		}
-		if value == nil {
-			continue
+			return nil, err
 		}
-		if revision := deliver(value); revision.Supersedes(seen) {
-			seen = revision
-		} else {
-			pause(ctx, watchRetry)
+		if document == nil || !document.Revision.Supersedes(e.After) {
+			return control.PlatformWaited{Value: e.Value, Sent: sent, Stale: document != nil}, nil
 		}
+		return control.DocumentRead{Document: document, Source: n.source(n.loop.Snapshot().DocumentHeld, content, sent)}, nil
+	}
+	list, content, err := n.platform.Instances(ctx, e.After, e.Wait, e.Limit)
+	if err != nil {
+		return nil, err
+	}
+	if list == nil || !list.Revision.Supersedes(e.After) {
+		return control.PlatformWaited{Value: e.Value, Sent: sent, Stale: list != nil}, nil
+	}
+	return control.InstancesRead{List: list, Source: n.source(n.loop.Snapshot().ListHeld, content, sent)}, nil
+}
+
+// source makes the difference that siblings get, on the goroutine of the read: it takes some milliseconds.
+func (n *Node) source(held platform.Held, content platform.Content, sent time.Time) control.Source {
+	source := control.Source{Content: content, Sent: sent}
+	if held.Revision == 0 || !content.Revision.Supersedes(held.Revision) {
+		return source
+	}
+	d, err := platform.Diff(held.Content, content)
+	if err != nil {
+		n.log.Warn().Err(err).Msg("platform: no difference made, siblings get the whole value")
+		return source
+	}
+	source.Differences = []platform.Difference{d}
+	return source
+}
+
+func (n *Node) announce(ctx context.Context, e control.Announce) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if err := n.siblings.Announce(ctx, n.settings.ID, e.Announce); err != nil {
+		n.log.Debug().Str("sibling", e.To.ID).Err(err).Msg("sibling: announcement failed")
+	}
+}
+
+// fetch brings a newer value from a sibling. A difference that does not match what is in force here is followed by
+// a fetch of the whole value.
+func (n *Node) fetch(ctx context.Context, e control.Fetch) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	err := n.fetchOnce(ctx, e.Fetch)
+	if errors.Is(err, platform.ErrMismatch) && e.After != 0 {
+		whole := e.Fetch
+		whole.After = 0
+		err = n.fetchOnce(ctx, whole)
+	}
+	if err != nil {
+		n.log.Debug().Str("sibling", e.From.ID).Err(err).Msg("sibling: no configuration")
 	}
-	return nil
+	n.loop.Post(control.FetchEnded{Fetch: e})
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+func (n *Node) fetchOnce(ctx context.Context, f sibling.Fetch) error {
+	differences, err := n.siblings.Fetch(ctx, f)
+	if err != nil {
+		return err
 	}
+	return n.receiver.Receive(f.From.ID, f.Value, differences)
 }
--- a/control/config.go
+++ b/control/config.go
@@ -8,41 +8,167 @@
 	"dogwooddrift.org/drift/sibling"
 )
 
+// Source says how a value was read. The zero value stands for a read of the platform at the time of the event.
+type Source struct {
+	// Content is the published text of the value; siblings get the value only if it is set.
+	Content platform.Content
+	// Differences, if any, led to the value from the one in force.
+	Differences []platform.Difference
+	// Sibling is the ID of the sibling that the value came from; empty for the platform.
+	Sibling string
+	// Sent is when the read of the platform was sent.
+	Sent time.Time
+}
+
 // DocumentRead is a document that was read from the platform or a sibling.
-type DocumentRead struct{ Document *platform.Document }
+type DocumentRead struct {
+	Document *platform.Document
+	Source   Source
+}
 
 // InstancesRead is a list that was read from the platform or a sibling.
-type InstancesRead struct{ List *platform.InstanceList }
+type InstancesRead struct {
+	List   *platform.InstanceList
+	Source Source
+}
+
+// PlatformWaited is a read of the platform that ended without a newer value.
+type PlatformWaited struct {
+	Value sibling.Value
+	Sent  time.Time
+	// Stale is set if the platform served a value that is not newer than the one in force.
+	Stale bool
+}
+
+// PlatformFailed is a read of the platform that failed.
+type PlatformFailed struct{ Value sibling.Value }
 
 // Refused reports a value that failed its checks. The value in force stays.
 type Refused struct{ Err error }
 
-func (Refused) effect() {}
+// ReadPlatform asks for one read of the platform.
+type ReadPlatform struct{ sibling.ReadPlatform }
+
+func (Refused) effect()      {}
+func (ReadPlatform) effect() {}
 
-func (e DocumentRead) apply(s *State, _ time.Time) {
+func (e DocumentRead) apply(s *State, now time.Time) {
+	s.platformAnswered(sibling.Document, e.Source, now)
 	if s.document != nil && !e.Document.Revision.Supersedes(s.document.Revision) {
 		return
 	}
 	if err := e.Document.Validate(); err != nil {
-		s.emit(Refused{Err: err})
+		s.refuse(sibling.Document, e.Document.Revision, err, now)
 		return
 	}
 	s.document, s.accounts = e.Document, caller.NewAccounts(e.Document)
+	s.adopt(sibling.Document, e.Document.Revision, e.Source, now)
 	s.configure()
 }
 
-func (e InstancesRead) apply(s *State, _ time.Time) {
+func (e InstancesRead) apply(s *State, now time.Time) {
+	s.platformAnswered(sibling.InstanceList, e.Source, now)
 	if s.list != nil && !e.List.Revision.Supersedes(s.list.Revision) {
 		return
 	}
 	if err := e.List.Validate(); err != nil {
-		s.emit(Refused{Err: err})
+		s.refuse(sibling.InstanceList, e.List.Revision, err, now)
 		return
 	}
 	s.list, s.members = e.List, sibling.MembersOf(e.List)
+	s.roster.Keep(s.members)
+	s.spreadStep(sibling.Listed{Members: s.members}, now)
+	s.adopt(sibling.InstanceList, e.List.Revision, e.Source, now)
 	s.configure()
 }
 
+func (e PlatformWaited) apply(s *State, now time.Time) {
+	if e.Stale {
+		s.spreadStep(sibling.PlatformStale{Value: e.Value, Sent: e.Sent}, now)
+		return
+	}
+	s.spreadStep(sibling.PlatformAnswered{Value: e.Value, Sent: e.Sent}, now)
+}
+
+func (e PlatformFailed) apply(s *State, now time.Time) {
+	s.spreadStep(sibling.PlatformFailed{Value: e.Value}, now)
+}
+
+func (s *State) platformAnswered(v sibling.Value, source Source, now time.Time) {
+	if source.Sibling != "" {
+		return
+	}
+	sent := source.Sent
+	if sent.IsZero() {
+		sent = now
+	}
+	s.spread.Note(sibling.PlatformAnswered{Value: v, Sent: sent}, now)
+}
+
+func (s *State) refuse(v sibling.Value, revision platform.Revision, err error, now time.Time) {
+	s.emit(Refused{Err: err})
+	s.spreadStep(sibling.Refused{Value: v, Revision: revision}, now)
+}
+
+func (s *State) adopt(v sibling.Value, revision platform.Revision, source Source, now time.Time) {
+	content := source.Content
+	content.Revision = revision
+	s.spreadStep(sibling.Adopted{Value: v, Content: content, Differences: source.Differences}, now)
+}
+
+// spreadStep applies a message to the spread of values and emits what it asks for.
+func (s *State) spreadStep(m sibling.Message, now time.Time) {
+	ready := s.spread.Step(m, now)
+	for _, a := range ready.Announce {
+		s.emit(Announce{a})
+	}
+	for _, to := range ready.Exchange {
+		s.emit(Exchange{To: to, Heartbeat: s.spread.Heartbeat(now)})
+	}
+	for _, f := range ready.Fetch {
+		s.emit(Fetch{f})
+	}
+	for _, r := range ready.Read {
+		s.emit(ReadPlatform{r})
+	}
+}
+
+// configured reports whether this instance may become ready.
+func (s *State) configured() bool { return s.document != nil && s.list != nil && s.spread.Joined() }
+
+// keyedUntil returns until when requests with a key are served if no further proof of contact with the platform
+// or other zones comes. It is zero only before a document is in force.
+func (s *State) keyedUntil() time.Time {
+	if s.document == nil {
+		return time.Time{}
+	}
+	contact := s.spread.Outside()
+	if contact.IsZero() {
+		contact = time.Unix(0, 0)
+	}
+	return contact.Add(s.document.Isolation.KeyedLimit.Duration())
+}
+
+// deadlineSteps bounds how often the deadline of keyed requests is published: when it moved by this part of the
+// limit. It is at most that much early.
+const deadlineSteps = 20
+
+// publishSpread marks the snapshot as due when the spread's part of it changed.
+func (s *State) publishSpread() {
+	if s.configured() != s.published.configured {
+		s.changed = true
+	}
+	if s.document != nil {
+		step := s.document.Isolation.KeyedLimit.Duration() / deadlineSteps
+		if s.keyedUntil().Sub(s.published.keyedUntil) >= step {
+			s.changed = true
+		}
+	}
+	if s.changed {
+		s.published.configured, s.published.keyedUntil = s.configured(), s.keyedUntil()
+	}
+}
+
 // configure applies the document and the list in force to the other parts of the state.
 func (s *State) configure() {
 	s.changed = true
--- a/control/control.go
+++ b/control/control.go
@@ -41,8 +41,14 @@
 	Targets  target.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
-	// Configured says that a document and a list are in force.
+	// DocumentHeld and ListHeld are the published texts of the values in force, for siblings that are behind.
+	DocumentHeld, ListHeld platform.Held
+	// Configured says that a document and a list are in force and that siblings were asked for newer ones.
 	Configured bool
+	// KeyedUntil is until when requests with a key may be served; they are checked against the clock at that
+	// moment, since a process that was frozen wakes with an old snapshot. Zero means without limit, which State
+	// never publishes together with a document.
+	KeyedUntil time.Time
 	Draining   bool
 }
 
@@ -63,23 +69,25 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	spread   *sibling.Spread
 	draining bool
 
-	nextHeartbeat time.Time
-	effects       []Effect
-	changed       bool
+	published struct {
+		configured bool
+		keyedUntil time.Time
+	}
+	effects []Effect
+	changed bool
 }
 
-const (
-	refillInterval    = 20 * time.Millisecond
-	heartbeatInterval = time.Second
-)
+const refillInterval = 20 * time.Millisecond
 
 // NewState returns the state of an instance that knows nothing yet. rng chooses siblings.
 func NewState(self Identity, rng *rand.Rand) *State {
 	return &State{
 		self:   self,
 		rng:    rng,
+		spread: sibling.NewSpread(self.ID, self.Zone, rng),
 		fleet:  target.NewFleet(),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
@@ -91,7 +99,8 @@
 	s.effects, s.changed = nil, false
 	e.apply(s, now)
 	s.rates.refill(now)
-	s.heartbeat(now)
+	s.spreadStep(sibling.Tick{}, now)
+	s.publishSpread()
 	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
 }
 
@@ -105,14 +114,17 @@
 // Snapshot builds the snapshot that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	return &Snapshot{
-		Document:   s.document,
-		List:       s.list,
-		Accounts:   s.accounts,
-		Targets:    s.fleet.View(),
-		Members:    s.members,
-		Pools:      s.rates.pools(),
-		Configured: s.document != nil && s.list != nil,
-		Draining:   s.draining,
+		Document:     s.document,
+		List:         s.list,
+		DocumentHeld: s.spread.Held(sibling.Document),
+		ListHeld:     s.spread.Held(sibling.InstanceList),
+		KeyedUntil:   s.keyedUntil(),
+		Accounts:     s.accounts,
+		Targets:      s.fleet.View(),
+		Members:      s.members,
+		Pools:        s.rates.pools(),
+		Configured:   s.configured(),
+		Draining:     s.draining,
 	}
 }
 
@@ -129,7 +141,7 @@
 func (s *State) dump(now time.Time) operator.Dump {
 	d := operator.Dump{
 		Instance: s.self.ID, Zone: s.self.Zone, Taken: now,
-		Ready:   s.document != nil && s.list != nil && !s.draining,
+		Ready:   s.configured() && !s.draining,
 		Targets: s.fleet.Dump(),
 	}
 	if s.list != nil {
--- a/control/siblings.go
+++ b/control/siblings.go
@@ -13,62 +13,54 @@
 	Heartbeat sibling.Heartbeat
 }
 
-// FetchDocument asks a sibling for its document.
-type FetchDocument struct{ From sibling.Member }
+// Announce asks to tell a sibling of a revision.
+type Announce struct{ sibling.Announce }
 
-func (Exchange) effect()      {}
-func (FetchDocument) effect() {}
+// Fetch asks a sibling for a newer value.
+type Fetch struct{ sibling.Fetch }
 
-// HeartbeatHeard is a heartbeat of a sibling, received or returned.
+func (Exchange) effect() {}
+func (Announce) effect() {}
+func (Fetch) effect()    {}
+
+// HeartbeatHeard is a heartbeat that a sibling sent.
 type HeartbeatHeard struct{ Heartbeat sibling.Heartbeat }
 
-func (e HeartbeatHeard) apply(s *State, now time.Time) {
-	s.roster.Hear(e.Heartbeat, now)
-	if id, ok := s.roster.Newest(s.documentRevision()); ok {
-		if m, ok := s.member(id); ok {
-			s.emit(FetchDocument{From: m})
-		}
-	}
+// HeartbeatAnswered is a sibling's heartbeat in reply to one that was sent at Sent.
+type HeartbeatAnswered struct {
+	Heartbeat sibling.Heartbeat
+	Sent      time.Time
 }
 
-// OwnHeartbeat asks for the heartbeat that this instance sends. Reply must have room for one value.
-type OwnHeartbeat struct{ Reply chan<- sibling.Heartbeat }
+// RevisionAnnounced is a revision that a sibling has in force.
+type RevisionAnnounced struct {
+	From     string
+	Value    sibling.Value
+	Revision platform.Revision
+}
 
-func (e OwnHeartbeat) apply(s *State, _ time.Time) { e.Reply <- s.ownHeartbeat() }
+// FetchEnded says that a fetch is over. What it brought was posted before.
+type FetchEnded struct{ Fetch Fetch }
 
-func (s *State) ownHeartbeat() sibling.Heartbeat {
-	h := sibling.Heartbeat{ID: s.self.ID, Zone: s.self.Zone, DocumentRevision: s.documentRevision()}
-	if s.list != nil {
-		h.ListRevision = s.list.Revision
-	}
-	return h
+func (e HeartbeatHeard) apply(s *State, now time.Time) {
+	s.roster.Hear(e.Heartbeat, now)
+	s.spreadStep(sibling.Heard{Heartbeat: e.Heartbeat}, now)
 }
 
-func (s *State) documentRevision() platform.Revision {
-	if s.document == nil {
-		return 0
-	}
-	return s.document.Revision
+func (e HeartbeatAnswered) apply(s *State, now time.Time) {
+	s.roster.Hear(e.Heartbeat, now)
+	s.spreadStep(sibling.Answered{Heartbeat: e.Heartbeat, Sent: e.Sent}, now)
 }
 
-func (s *State) member(id string) (sibling.Member, bool) {
-	for _, m := range s.members {
-		if m.ID == id {
-			return m, true
-		}
-	}
-	return sibling.Member{}, false
+func (e RevisionAnnounced) apply(s *State, now time.Time) {
+	s.spreadStep(sibling.Announced{From: e.From, Value: e.Value, Revision: e.Revision}, now)
 }
 
-// heartbeat sends a heartbeat to one random sibling when it is due.
-func (s *State) heartbeat(now time.Time) {
-	if now.Before(s.nextHeartbeat) || len(s.members) == 0 {
-		return
-	}
-	s.nextHeartbeat = now.Add(heartbeatInterval)
-	m := s.members[s.rng.IntN(len(s.members))]
-	if m.ID == s.self.ID {
-		return
-	}
-	s.emit(Exchange{To: m, Heartbeat: s.ownHeartbeat()})
+func (e FetchEnded) apply(s *State, now time.Time) {
+	s.spreadStep(sibling.FetchEnded{From: e.Fetch.From.ID, Value: e.Fetch.Value}, now)
 }
+
+// OwnHeartbeat asks for the heartbeat that this instance sends. Reply must have room for one value.
+type OwnHeartbeat struct{ Reply chan<- sibling.Heartbeat }
+
+func (e OwnHeartbeat) apply(s *State, now time.Time) { e.Reply <- s.spread.Heartbeat(now) }
--- /dev/null
+++ b/sibling/roster.go
@@ -0,0 +1,131 @@
+package sibling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// Member is an entry instance as this instance knows it.
+type Member struct {
+	ID          string
+	Zone        string
+	PeerAddress string
+	Leaving     bool
+}
+
+// Members is the view of the listed entry instances, ordered by ID. It is immutable.
+type Members []Member
+
+// MembersOf returns the entry instances of a list.
+func MembersOf(list *platform.InstanceList) Members {
+	var out Members
+	for _, in := range list.Entries() {
+		out = append(out, Member{ID: in.ID, Zone: in.Zone, PeerAddress: in.PeerAddress, Leaving: in.State == platform.StateLeaving})
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Find returns the member of that ID.
+func (m Members) Find(id string) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(m, id, func(x Member, id string) int { return cmp.Compare(x.ID, id) })
+	if !ok {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+// InZone returns the members of one zone.
+func (m Members) InZone(zone string) Members {
+	var out Members
+	for _, x := range m {
+		if x.Zone == zone {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Rank orders members by rendezvous hashing for a key, the highest first, and returns at most n. A join or
+// departure moves only the keys of the instance that joins or departs.
+func (m Members) Rank(key string, n int) Members {
+	type scored struct {
+		member Member
+		score  uint64
+	}
+	scores := make([]scored, len(m))
+	var d xxhash.Digest
+	for i, x := range m {
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(x.ID)
+		scores[i] = scored{member: x, score: d.Sum64()}
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.member.ID, b.member.ID)
+	})
+	out := make(Members, 0, min(n, len(scores)))
+	for _, s := range scores[:min(n, len(scores))] {
+		out = append(out, s.member)
+	}
+	return out
+}
+
+// Heartbeat is what an instance tells a sibling about itself.
+type Heartbeat struct {
+	ID               string
+	Zone             string
+	DocumentRevision platform.Revision
+	ListRevision     platform.Revision
+	// DirectAge is how long ago the sender itself reached the platform, ZoneAge how long ago some instance of its
+	// zone did, as far as it knows, and OutsideAge how long ago its zone reached the platform or another zone.
+	// NoContact means never.
+	DirectAge, ZoneAge, OutsideAge time.Duration
+}
+
+// NoContact is the age of a contact that never was.
+const NoContact time.Duration = -1
+
+// Peer is what this instance heard from a sibling.
+type Peer struct {
+	Heartbeat Heartbeat
+	Heard     time.Time
+}
+
+// Roster keeps what each sibling last said. It belongs to the control goroutine.
+type Roster struct {
+	peers map[string]Peer
+}
+
+// NewRoster returns an empty roster.
+func NewRoster() *Roster { return &Roster{peers: map[string]Peer{}} }
+
+// Hear takes a sibling's heartbeat, received or returned by it.
+func (r *Roster) Hear(h Heartbeat, now time.Time) { r.peers[h.ID] = Peer{Heartbeat: h, Heard: now} }
+
+// Keep forgets the siblings that are not listed, so that replaced instances take no memory.
+func (r *Roster) Keep(m Members) {
+	for id := range r.peers {
+		if _, ok := m.Find(id); !ok {
+			delete(r.peers, id)
+		}
+	}
+}
+
+// Peers returns a copy of what is known, by ID of the sibling.
+func (r *Roster) Peers() map[string]Peer {
+	out := make(map[string]Peer, len(r.peers))
+	for id, p := range r.peers {
+		out[id] = p
+	}
+	return out
+}
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
@@ -11,87 +11,134 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"dogwooddrift.org/drift/platform"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
 
+// idleLimit is after how long an unused connection is closed. An instance talks to random siblings, and a
+// connection to each of 1,200 would take more memory than control work may.
+const idleLimit = 20 * time.Second
+
 // Client talks to siblings, over one connection each. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu     sync.Mutex
+	conns  map[string]*connection
+	swept  time.Time
+	closed bool
+}
+
+type connection struct {
+	*grpc.ClientConn
+	calls int
+	used  time.Time
+	// retired connections are closed by their last call.
+	retired bool
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*grpc.ClientConn{}} }
+func NewClient() *Client { return &Client{conns: map[string]*connection{}} }
 
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, conn := range c.conns {
 		_ = conn.Close()
 		delete(c.conns, address)
 	}
 }
 
-func (c *Client) sibling(address string) (siblingpb.SiblingClient, error) {
+// acquire returns the connection to an address. Each call needs one release.
+func (c *Client) acquire(address string) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return nil, oops.In("sibling").Wrapf(sibling.ErrNotSent, "the client is closed")
+	}
+	now := time.Now()
+	c.sweep(now)
 	conn := c.conns[address]
 	if conn == nil {
-		var err error
-		if conn, err = grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
+		cc, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
 			return nil, oops.In("sibling").Wrapf(sibling.ErrNotSent, "connect %s: %v", address, err)
 		}
+		conn = &connection{ClientConn: cc}
 		c.conns[address] = conn
 	}
-	return siblingpb.NewSiblingClient(conn), nil
+	conn.calls++
+	conn.used = now
+	return conn, nil
 }
 
-// Exchange sends a heartbeat and returns the sibling's.
-func (c *Client) Exchange(ctx context.Context, to sibling.Member, h sibling.Heartbeat) (sibling.Heartbeat, error) {
-	s, err := c.sibling(to.PeerAddress)
-	if err != nil {
-		return sibling.Heartbeat{}, err
+// sweep closes the connections that were not used for idleLimit.
+func (c *Client) sweep(now time.Time) {
+	if now.Sub(c.swept) < idleLimit/4 {
+		return
 	}
-	reply, err := s.Exchange(ctx, &siblingpb.ExchangeRequest{Heartbeat: encodeHeartbeat(h)})
-	if err != nil {
-		return sibling.Heartbeat{}, translate(err)
+	c.swept = now
+	for address, conn := range c.conns {
+		if conn.calls == 0 && now.Sub(conn.used) >= idleLimit {
+			_ = conn.Close()
+			delete(c.conns, address)
+		}
+	}
+}
+
+// release ends a call. A connection that failed is not used again, since an open connection can go silent while
+// new ones work.
+func (c *Client) release(address string, conn *connection, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.calls--
+	if code := status.Code(err); !conn.retired && (code == codes.DeadlineExceeded || code == codes.Unavailable) {
+		conn.retired = true
+		if c.conns[address] == conn {
+			delete(c.conns, address)
+		}
+	}
+	if conn.retired && conn.calls == 0 {
+		_ = conn.Close()
 	}
-	return decodeHeartbeat(reply.GetHeartbeat()), nil
 }
 
-// Configuration is what a sibling has in force. Either part may be nil.
-type Configuration struct {
-	Document *platform.Document
-	List     *platform.InstanceList
+// Connection is a call's use of the connection to a sibling. Done must be called once with the call's error.
+type Connection struct {
+	grpc.ClientConnInterface
+	Done func(error)
 }
 
-// Fetch returns the configuration in force at a sibling.
-func (c *Client) Fetch(ctx context.Context, from sibling.Member) (Configuration, error) {
-	s, err := c.sibling(from.PeerAddress)
+// connect returns the connection to a sibling for one call.
+func (c *Client) connect(address string) (Connection, error) {
+	conn, err := c.acquire(address)
 	if err != nil {
-		return Configuration{}, err
+		return Connection{}, err
 	}
-	reply, err := s.Fetch(ctx, &siblingpb.FetchRequest{})
+	return Connection{ClientConnInterface: conn, Done: func(err error) { c.release(address, conn, err) }}, nil
+}
+
+// sibling returns a stub of the sibling service for one call.
+func (c *Client) sibling(address string) (siblingpb.SiblingClient, func(error), error) {
+	conn, err := c.connect(address)
 	if err != nil {
-		return Configuration{}, translate(err)
+		return nil, nil, err
 	}
-	var out Configuration
-	if len(reply.GetDocument()) > 0 {
-		out.Document = &platform.Document{}
-		if err := json.Unmarshal(reply.GetDocument(), out.Document); err != nil {
-			return Configuration{}, oops.In("sibling").Wrapf(sibling.ErrNoReply, "decode document: %v", err)
-		}
+	return siblingpb.NewSiblingClient(conn), conn.Done, nil
+}
+
+// Exchange sends a heartbeat and returns the sibling's.
+func (c *Client) Exchange(ctx context.Context, to sibling.Member, h sibling.Heartbeat) (sibling.Heartbeat, error) {
+	s, done, err := c.sibling(to.PeerAddress)
+	if err != nil {
+		return sibling.Heartbeat{}, err
 	}
-	if len(reply.GetList()) > 0 {
-		out.List = &platform.InstanceList{}
-		if err := json.Unmarshal(reply.GetList(), out.List); err != nil {
-			return Configuration{}, oops.In("sibling").Wrapf(sibling.ErrNoReply, "decode instance list: %v", err)
-		}
+	reply, err := s.Exchange(ctx, &siblingpb.ExchangeRequest{Heartbeat: encodeHeartbeat(h)})
+	done(err)
+	if err != nil {
+		return sibling.Heartbeat{}, translate(err)
 	}
-	return out, nil
+	return decodeHeartbeat(reply.GetHeartbeat()), nil
 }
 
 // translate turns a gRPC error into one of package sibling. No status of gRPC proves that a message was not
--- /dev/null
+++ b/sibling/siblinggrpc/config.go
@@ -0,0 +1,190 @@
+package siblinggrpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/platform/platformjson"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+)
+
+// Announce tells a sibling which revision of a value is in force here.
+func (c *Client) Announce(ctx context.Context, self string, a sibling.Announce) error {
+	conn, err := c.connect(a.To.PeerAddress)
+	if err != nil {
+		return err
+	}
+	request := &siblingpb.AnnounceRequest{Id: self, Value: encodeValue(a.Value), Revision: uint64(a.Revision)}
+	if a.Difference != nil {
+		request.Difference = encodeDifference(*a.Difference)
+	}
+	_, err = siblingpb.NewConfigurationClient(conn).Announce(ctx, request)
+	conn.Done(err)
+	if err != nil {
+		return translate(err)
+	}
+	return nil
+}
+
+// Fetch returns the differences that lead from a revision to the one in force at the sibling.
+func (c *Client) Fetch(ctx context.Context, f sibling.Fetch) ([]platform.Difference, error) {
+	conn, err := c.connect(f.From.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := siblingpb.NewConfigurationClient(conn).Fetch(ctx, &siblingpb.FetchRequest{
+		Value: encodeValue(f.Value), After: uint64(f.After),
+	})
+	conn.Done(err)
+	if err != nil {
+		return nil, translate(err)
+	}
+	out := make([]platform.Difference, 0, len(reply.GetDifferences()))
+	for _, d := range reply.GetDifferences() {
+		out = append(out, decodeDifference(d))
+	}
+	return out, nil
+}
+
+// Receiver turns differences from siblings into events of the control goroutine. It applies one at a time, since
+// several siblings push the same difference at nearly the same time and a value can have a megabyte.
+type Receiver struct {
+	loop *control.Loop
+
+	mu     sync.Mutex
+	posted map[sibling.Value]platform.Revision
+}
+
+// NewReceiver returns a receiver that posts to loop.
+func NewReceiver(loop *control.Loop) *Receiver {
+	return &Receiver{loop: loop, posted: map[sibling.Value]platform.Revision{}}
+}
+
+// Receive applies differences to the value in force and posts the result. The error is platform.ErrMismatch if
+// they do not lead on from that value.
+func (r *Receiver) Receive(from string, value sibling.Value, differences []platform.Difference) error {
+	if len(differences) == 0 {
+		return nil
+	}
+	last := differences[len(differences)-1]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := held(r.loop.Snapshot(), value)
+	if !last.To.Supersedes(max(held.Revision, r.posted[value])) {
+		return nil
+	}
+	content, err := held.Follow(differences)
+	if err != nil {
+		return err
+	}
+	source := control.Source{Content: content, Differences: differences, Sibling: from}
+	event, err := decodeEvent(value, content, source)
+	if err != nil {
+		return err
+	}
+	if r.loop.Post(event) {
+		r.posted[value] = last.To
+	}
+	return nil
+}
+
+func held(s *control.Snapshot, value sibling.Value) platform.Held {
+	if value == sibling.Document {
+		return s.DocumentHeld
+	}
+	return s.ListHeld
+}
+
+func decodeEvent(value sibling.Value, content platform.Content, source control.Source) (control.Event, error) {
+	if value == sibling.Document {
+		document, err := platformjson.Document(content.Bytes)
+		if err != nil {
+			return nil, err
+		}
+		if document.Revision != content.Revision {
+			return nil, fmt.Errorf("%w: revision %d in the text of %d", platform.ErrMismatch, document.Revision, content.Revision)
+		}
+		return control.DocumentRead{Document: document, Source: source}, nil
+	}
+	list, err := platformjson.InstanceList(content.Bytes)
+	if err != nil {
+		return nil, err
+	}
+	if list.Revision != content.Revision {
+		return nil, fmt.Errorf("%w: revision %d in the text of %d", platform.ErrMismatch, list.Revision, content.Revision)
+	}
+	return control.InstancesRead{List: list, Source: source}, nil
+}
+
+type configServer struct {
+	siblingpb.UnimplementedConfigurationServer
+	loop     *control.Loop
+	receiver *Receiver
+}
+
+// Announce takes the difference if it applies, and lets control fetch what is missing otherwise.
+func (s *configServer) Announce(_ context.Context, r *siblingpb.AnnounceRequest) (*siblingpb.AnnounceReply, error) {
+	value, ok := decodeValue(r.GetValue())
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "unknown value")
+	}
+	if d := r.GetDifference(); d != nil {
+		// A difference that does not apply leaves this instance behind, and control then fetches.
+		_ = s.receiver.Receive(r.GetId(), value, []platform.Difference{decodeDifference(d)})
+	}
+	s.loop.Post(control.RevisionAnnounced{From: r.GetId(), Value: value, Revision: platform.Revision(r.GetRevision())})
+	return &siblingpb.AnnounceReply{}, nil
+}
+
+// Fetch answers from the published snapshot.
+func (s *configServer) Fetch(_ context.Context, r *siblingpb.FetchRequest) (*siblingpb.FetchReply, error) {
+	value, ok := decodeValue(r.GetValue())
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "unknown value")
+	}
+	differences, err := held(s.loop.Snapshot(), value).Since(platform.Revision(r.GetAfter()))
+	if err != nil {
+		return nil, status.Error(codes.Internal, oops.In("sibling").Wrap(err).Error())
+	}
+	reply := &siblingpb.FetchReply{}
+	for _, d := range differences {
+		reply.Differences = append(reply.Differences, encodeDifference(d))
+	}
+	return reply, nil
+}
+
+func encodeValue(v sibling.Value) siblingpb.Value {
+	if v == sibling.Document {
+		return siblingpb.Value_VALUE_DOCUMENT
+	}
+	return siblingpb.Value_VALUE_INSTANCE_LIST
+}
+
+func decodeValue(v siblingpb.Value) (sibling.Value, bool) {
+	switch v {
+	case siblingpb.Value_VALUE_DOCUMENT:
+		return sibling.Document, true
+	case siblingpb.Value_VALUE_INSTANCE_LIST:
+		return sibling.InstanceList, true
+	default:
+		return 0, false
+	}
+}
+
+func encodeDifference(d platform.Difference) *siblingpb.Difference {
+	return &siblingpb.Difference{From: uint64(d.From), To: uint64(d.To), Sum: d.Sum, Patch: d.Patch}
+}
+
+func decodeDifference(d *siblingpb.Difference) platform.Difference {
+	return platform.Difference{
+		From: platform.Revision(d.GetFrom()), To: platform.Revision(d.GetTo()), Sum: d.GetSum(), Patch: d.GetPatch(),
+	}
+}
--- a/sibling/siblinggrpc/server.go
+++ b/sibling/siblinggrpc/server.go
@@ -1,11 +1,11 @@
 // Package siblinggrpc connects entry instances over gRPC.
 package siblinggrpc
 
-//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/sibling.proto
+//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/sibling.proto siblingpb/config.proto
 
 import (
 	"context"
-	"encoding/json"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -17,9 +17,11 @@
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
 
-// Register adds the sibling service to a gRPC server. Its handlers talk to the control goroutine by events.
-func Register(s grpc.ServiceRegistrar, loop *control.Loop) {
+// Register adds the sibling and configuration services to a gRPC server. Their handlers talk to the control
+// goroutine by events.
+func Register(s grpc.ServiceRegistrar, loop *control.Loop, receiver *Receiver) {
 	siblingpb.RegisterSiblingServer(s, &server{loop: loop})
+	siblingpb.RegisterConfigurationServer(s, &configServer{loop: loop, receiver: receiver})
 }
 
 type server struct {
@@ -39,27 +41,10 @@
 	return &siblingpb.ExchangeReply{Heartbeat: encodeHeartbeat(own)}, nil
 }
 
-// Fetch returns the configuration in force.
-func (s *server) Fetch(context.Context, *siblingpb.FetchRequest) (*siblingpb.FetchReply, error) {
-	snapshot := s.loop.Snapshot()
-	reply := &siblingpb.FetchReply{}
-	var err error
-	if snapshot.Document != nil {
-		if reply.Document, err = json.Marshal(snapshot.Document); err != nil {
-			return nil, status.Error(codes.Internal, err.Error())
-		}
-	}
-	if snapshot.List != nil {
-		if reply.List, err = json.Marshal(snapshot.List); err != nil {
-			return nil, status.Error(codes.Internal, err.Error())
-		}
-	}
-	return reply, nil
-}
-
 func encodeHeartbeat(h sibling.Heartbeat) *siblingpb.Heartbeat {
 	return &siblingpb.Heartbeat{
 		Id: h.ID, Zone: h.Zone, DocumentRevision: uint64(h.DocumentRevision), ListRevision: uint64(h.ListRevision),
+		DirectAgeMs: encodeAge(h.DirectAge), ZoneAgeMs: encodeAge(h.ZoneAge), OutsideAgeMs: encodeAge(h.OutsideAge),
 	}
 }
 
@@ -67,5 +52,25 @@
 	return sibling.Heartbeat{
 		ID: h.GetId(), Zone: h.GetZone(),
 		DocumentRevision: platform.Revision(h.GetDocumentRevision()), ListRevision: platform.Revision(h.GetListRevision()),
+		DirectAge: decodeAge(h.DirectAgeMs), ZoneAge: decodeAge(h.ZoneAgeMs), OutsideAge: decodeAge(h.OutsideAgeMs),
+	}
+}
+
+// encodeAge rounds up, so that a contact never looks newer than it is.
+func encodeAge(age time.Duration) *uint64 {
+	if age == sibling.NoContact {
+		return nil
+	}
+	ms := uint64((age + time.Millisecond - 1) / time.Millisecond)
+	return &ms
+}
+
+// maxAge is reported for every older contact. It keeps ages that a sibling sends within time.Duration.
+const maxAge = 365 * 24 * time.Hour
+
+func decodeAge(ms *uint64) time.Duration {
+	if ms == nil {
+		return sibling.NoContact
 	}
+	return time.Duration(min(*ms, uint64(maxAge/time.Millisecond))) * time.Millisecond
 }
--- /dev/null
+++ b/sibling/spread.go
@@ -0,0 +1,417 @@
+package sibling
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// Value names one of the two values that the platform publishes and instances spread.
+type Value int
+
+// The values.
+const (
+	Document Value = iota
+	InstanceList
+	valueCount
+)
+
+// String returns the name used in logs and metrics.
+func (v Value) String() string { return [...]string{"document", "instances"}[v] }
+
+// Message is an input of Spread.Step.
+type Message interface {
+	step(s *Spread, now time.Time)
+}
+
+// Adopted says that a value came into force. The differences, which may be empty, led to it.
+type Adopted struct {
+	Value       Value
+	Content     platform.Content
+	Differences []platform.Difference
+}
+
+// Refused says that a newer value failed its checks. It is not asked for again.
+type Refused struct {
+	Value    Value
+	Revision platform.Revision
+}
+
+// Listed gives the listed entry instances, ordered by ID.
+type Listed struct{ Members Members }
+
+// Announced says that a sibling has a revision in force.
+type Announced struct {
+	From     string
+	Value    Value
+	Revision platform.Revision
+}
+
+// Heard is a heartbeat that a sibling sent. It may have been under way for any time, so it proves no contact.
+type Heard struct{ Heartbeat Heartbeat }
+
+// Answered is a sibling's heartbeat in reply to one that was sent at Sent.
+type Answered struct {
+	Heartbeat Heartbeat
+	Sent      time.Time
+}
+
+// FetchEnded says that a fetch from a sibling is over, successful or not.
+type FetchEnded struct {
+	From  string
+	Value Value
+}
+
+// PlatformAnswered says that the platform answered a read that was sent at Sent.
+type PlatformAnswered struct {
+	Value Value
+	Sent  time.Time
+}
+
+// PlatformFailed says that a read of the platform failed.
+type PlatformFailed struct{ Value Value }
+
+// Tick is the message of a timer.
+type Tick struct{}
+
+func (Tick) step(*Spread, time.Time) {}
+
+// Announce asks to tell a sibling which revision is in force here.
+type Announce struct {
+	To       Member
+	Value    Value
+	Revision platform.Revision
+	// Difference, if any, is what led to the revision from the one before.
+	Difference *platform.Difference
+}
+
+// Fetch asks a sibling for what leads from the revision in force here to the one in force there.
+type Fetch struct {
+	From  Member
+	Value Value
+	After platform.Revision
+}
+
+// ReadPlatform asks for one read of the platform, which waits for a revision above After for at most Wait. The
+// answer must begin within Limit.
+type ReadPlatform struct {
+	Value       Value
+	After       platform.Revision
+	Wait, Limit time.Duration
+}
+
+// SpreadReady is the outcome of one Step.
+type SpreadReady struct {
+	Announce []Announce
+	// Exchange lists the siblings to send a heartbeat to.
+	Exchange []Member
+	Fetch    []Fetch
+	Read     []ReadPlatform
+	// Wake is when Step needs a Tick at the latest.
+	Wake time.Time
+}
+
+const (
+	exchangeInterval = time.Second
+
+	// One announcement to 4 siblings by each receiver leaves 2% of the instances to the periodic exchange, three
+	// leave 0.001%. They are apart so that the later ones go out where the value was lost on the way.
+	pushInZone    = 3
+	pushElsewhere = 1
+	pushRounds    = 3
+	pushInterval  = 150 * time.Millisecond
+	// maxPushedBytes bounds a difference that goes with an announcement; receivers fetch a larger one, once.
+	maxPushedBytes = 8 << 10
+
+	// fetchLimit is after how long a fetch without an outcome is repeated at another sibling.
+	fetchLimit = 2500 * time.Millisecond
+	// claimLifetime bounds how long the word of a sibling counts that cannot be fetched from.
+	claimLifetime = 5 * time.Second
+	maxClaims     = 8
+)
+
+// Spread is the state machine that brings the newest published values to this instance and passes them on. It
+// belongs to the control goroutine.
+type Spread struct {
+	id, zone string
+	rng      *rand.Rand
+
+	listed            bool
+	members           Members
+	inZone, elsewhere []int32 // indexes of members, without this instance
+
+	values  [valueCount]spreadValue
+	contact contact
+	readers readers
+	joining joining
+
+	nextExchange time.Time
+	ready        SpreadReady
+}
+
+type spreadValue struct {
+	held       platform.Held
+	refused    platform.Revision
+	difference *platform.Difference
+	rounds     int // announcements still to make
+	nextRound  time.Time
+	claims     map[string]claim // by ID of the sibling
+	fetching   bool
+	fetchEnds  time.Time
+	read       platformRead
+}
+
+// claim is the word of a sibling that it has a newer revision.
+type claim struct {
+	revision platform.Revision
+	heard    time.Time
+}
+
+// NewSpread returns the machine of an instance that knows nothing yet.
+func NewSpread(id, zone string, rng *rand.Rand) *Spread {
+	return &Spread{id: id, zone: zone, rng: rng}
+}
+
+// Step applies one message and whatever is due at now.
+func (s *Spread) Step(m Message, now time.Time) SpreadReady {
+	s.ready = SpreadReady{Wake: now.Add(exchangeInterval)}
+	m.step(s, now)
+	s.announce(now)
+	s.exchange(now)
+	s.join(now)
+	s.probe(now)
+	s.readPlatform(now)
+	for v := range s.values {
+		s.fetch(Value(v), now)
+	}
+	return s.ready
+}
+
+// Note applies a message without doing what is due, for a caller that knows of a second message about the same
+// event.
+func (s *Spread) Note(m Message, now time.Time) { m.step(s, now) }
+
+func (s *Spread) wakeAt(t time.Time) {
+	if t.Before(s.ready.Wake) {
+		s.ready.Wake = t
+	}
+}
+
+// Revision returns the revision in force.
+func (s *Spread) Revision(v Value) platform.Revision { return s.values[v].held.Revision }
+
+// Held returns the content in force with its history.
+func (s *Spread) Held(v Value) platform.Held { return s.values[v].held }
+
+// Heartbeat returns what this instance tells a sibling now.
+func (s *Spread) Heartbeat(now time.Time) Heartbeat {
+	return Heartbeat{
+		ID: s.id, Zone: s.zone,
+		DocumentRevision: s.Revision(Document), ListRevision: s.Revision(InstanceList),
+		DirectAge: age(s.contact.direct, now), ZoneAge: age(s.contact.zone, now), OutsideAge: age(s.contact.outside, now),
+	}
+}
+
+func (m Adopted) step(s *Spread, now time.Time) {
+	v := &s.values[m.Value]
+	if !m.Content.Revision.Supersedes(v.held.Revision) {
+		return
+	}
+	v.held = v.held.Adopt(m.Content, m.Differences)
+	v.difference = nil
+	if n := len(m.Differences); n > 0 && len(m.Differences[n-1].Patch) <= maxPushedBytes {
+		v.difference = &m.Differences[n-1]
+	}
+	v.rounds, v.nextRound = pushRounds, now
+	v.dropClaims()
+}
+
+func (m Refused) step(s *Spread, _ time.Time) {
+	v := &s.values[m.Value]
+	v.refused = max(v.refused, m.Revision)
+	v.dropClaims()
+}
+
+// seen returns the newest revision that was checked here, refused or not.
+func (v *spreadValue) seen() platform.Revision { return max(v.held.Revision, v.refused) }
+
+func (v *spreadValue) dropClaims() {
+	for id, c := range v.claims {
+		if !c.revision.Supersedes(v.seen()) {
+			delete(v.claims, id)
+		}
+	}
+}
+
+func (m Listed) step(s *Spread, now time.Time) {
+	s.members, s.listed = m.Members, true
+	s.inZone, s.elsewhere = nil, nil
+	for i, x := range m.Members {
+		switch {
+		case x.ID == s.id:
+		case x.Zone == s.zone:
+			s.inZone = append(s.inZone, int32(i))
+		default:
+			s.elsewhere = append(s.elsewhere, int32(i))
+		}
+	}
+	s.rankReaders(now)
+}
+
+func (m Announced) step(s *Spread, now time.Time) { s.claim(m.From, m.Value, m.Revision, now) }
+
+func (m Heard) step(s *Spread, now time.Time) { s.claims(m.Heartbeat, now) }
+
+func (m Answered) step(s *Spread, now time.Time) {
+	s.claims(m.Heartbeat, now)
+	s.contact.answered(s, m)
+	s.joining.answered(m.Heartbeat)
+	s.readers.answered(m)
+}
+
+func (m FetchEnded) step(s *Spread, _ time.Time) {
+	v := &s.values[m.Value]
+	v.fetching = false
+	delete(v.claims, m.From)
+}
+
+func (s *Spread) claims(h Heartbeat, now time.Time) {
+	s.claim(h.ID, Document, h.DocumentRevision, now)
+	s.claim(h.ID, InstanceList, h.ListRevision, now)
+}
+
+// claim notes that a sibling has a revision, if it is newer than the one in force here.
+func (s *Spread) claim(id string, value Value, revision platform.Revision, now time.Time) {
+	v := &s.values[value]
+	if !revision.Supersedes(v.seen()) {
+		return
+	}
+	if _, listed := s.members.Find(id); !listed {
+		return
+	}
+	if _, known := v.claims[id]; !known && len(v.claims) >= maxClaims {
+		lowest := id
+		for other, c := range v.claims {
+			if c.revision < revision && (lowest == id || c.revision < v.claims[lowest].revision) {
+				lowest = other
+			}
+		}
+		if lowest == id {
+			return
+		}
+		delete(v.claims, lowest)
+	}
+	if v.claims == nil {
+		v.claims = map[string]claim{}
+	}
+	v.claims[id] = claim{revision: revision, heard: now}
+}
+
+// behind reports whether a sibling is known to have a newer revision, and expires old claims.
+func (s *Spread) behind(value Value, now time.Time) bool {
+	v := &s.values[value]
+	for id, c := range v.claims {
+		if now.Sub(c.heard) >= claimLifetime {
+			delete(v.claims, id)
+		}
+	}
+	return len(v.claims) > 0
+}
+
+// fetch asks the sibling with the highest claim, one at a time.
+func (s *Spread) fetch(value Value, now time.Time) {
+	v := &s.values[value]
+	if !s.behind(value, now) {
+		return
+	}
+	if v.fetching && now.Before(v.fetchEnds) {
+		s.wakeAt(v.fetchEnds)
+		return
+	}
+	best := ""
+	for id, c := range v.claims {
+		if b := v.claims[best]; best == "" || c.revision > b.revision || c.revision == b.revision && id < best {
+			best = id
+		}
+	}
+	from, ok := s.members.Find(best)
+	if !ok {
+		delete(v.claims, best)
+		return
+	}
+	v.fetching, v.fetchEnds = true, now.Add(fetchLimit)
+	s.wakeAt(v.fetchEnds)
+	s.ready.Fetch = append(s.ready.Fetch, Fetch{From: from, Value: value, After: v.held.Revision})
+}
+
+// announce pushes values that came into force lately to random siblings.
+func (s *Spread) announce(now time.Time) {
+	for i := range s.values {
+		v := &s.values[i]
+		if v.rounds == 0 || !s.listed {
+			continue
+		}
+		if now.Before(v.nextRound) {
+			s.wakeAt(v.nextRound)
+			continue
+		}
+		v.rounds--
+		v.nextRound = now.Add(pushInterval)
+		s.wakeAt(v.nextRound)
+		for _, to := range append(s.pick(s.inZone, pushInZone), s.pick(s.elsewhere, pushElsewhere)...) {
+			s.ready.Announce = append(s.ready.Announce, Announce{
+				To: to, Value: Value(i), Revision: v.held.Revision, Difference: v.difference,
+			})
+		}
+	}
+}
+
+// exchange sends a heartbeat to one random sibling when it is due, in the own zone and elsewhere in turn by chance,
+// so that either side of a cut hears of itself.
+func (s *Spread) exchange(now time.Time) {
+	if now.Before(s.nextExchange) {
+		s.wakeAt(s.nextExchange)
+		return
+	}
+	if len(s.inZone)+len(s.elsewhere) == 0 {
+		return
+	}
+	s.nextExchange = now.Add(s.jitter(exchangeInterval))
+	s.wakeAt(s.nextExchange)
+	from := s.inZone
+	if len(from) == 0 || len(s.elsewhere) > 0 && s.rng.IntN(2) == 0 {
+		from = s.elsewhere
+	}
+	s.ready.Exchange = append(s.ready.Exchange, s.pick(from, 1)...)
+}
+
+// pick returns up to n distinct random members.
+func (s *Spread) pick(from []int32, n int) Members {
+	if len(from) <= n {
+		out := make(Members, 0, len(from)+pushElsewhere)
+		for _, i := range from {
+			out = append(out, s.members[i])
+		}
+		return out
+	}
+	out := make(Members, 0, n+pushElsewhere)
+	chosen := make([]int32, 0, n)
+next:
+	for len(out) < n {
+		i := from[s.rng.IntN(len(from))]
+		for _, c := range chosen {
+			if c == i {
+				continue next
+			}
+		}
+		chosen = append(chosen, i)
+		out = append(out, s.members[i])
+	}
+	return out
+}
+
+// jitter returns a random time from half to one and a half times d.
+func (s *Spread) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.rng.Int64N(int64(d)))
+}
