Refuse keyed requests at an instance that is cut off

Cause: an instance that hears of nothing cannot know that a key was withdrawn. Change: control publishes until when keys are served; traffic compares it with the clock at admission and when a request that waited is checked again. Conclusion: covered by TestIsolatedInstanceServesOpenRoutesOnly and TestWithdrawnKeyIsRefused.

--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -21,6 +21,8 @@
 
 // Client talks to siblings, over one connection each. It is safe for concurrent use.
 type Client struct {
+	options []grpc.DialOption
+
 	mu     sync.Mutex
 	conns  map[string]*connection
 	swept  time.Time
@@ -35,8 +37,11 @@
 	retired bool
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*connection{}} }
+// NewClient returns a client without connections. The options apply to each connection.
+func NewClient(options ...grpc.DialOption) *Client {
+	options = append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, options...)
+	return &Client{options: options, conns: map[string]*connection{}}
+}
 
 // Close closes all connections.
 func (c *Client) Close() {
@@ -60,7 +65,7 @@
 	c.sweep(now)
 	conn := c.conns[address]
 	if conn == nil {
-		cc, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		cc, err := grpc.NewClient(address, c.options...)
 		if err != nil {
 			return nil, oops.In("sibling").Wrapf(sibling.ErrNotSent, "connect %s: %v", address, err)
 		}
--- /dev/null
+++ b/traffic/isolation_test.go
@@ -0,0 +1,83 @@
+package traffic
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
+)
+
+// published is a control state whose snapshots the test publishes.
+type published struct{ state *control.State }
+
+func (p published) Snapshot() *control.Snapshot { return p.state.Snapshot() }
+
+func isolationDocument(revision platform.Revision, keys ...string) *platform.Document {
+	d := &platform.Document{
+		Revision: revision,
+		Organisations: []platform.Organisation{
+			{Name: "host", Host: true, Rate: 1000, Burst: 1000, Weight: 1},
+			{Name: "tenant", Rate: 1000, Burst: 1000, Weight: 1},
+		},
+		Services: []platform.Service{
+			{Name: "keyed", Sharded: true, Slots: 1, Connections: 1},
+			{Name: "open", Sharded: true, Open: true, Slots: 1, Connections: 1},
+		},
+		Zones:        []platform.Zone{{Name: "a", RateFraction: 1}},
+		Isolation:    platform.Isolation{KeyedLimit: 10},
+		ChangeWindow: 60,
+	}
+	for _, k := range keys {
+		d.Organisations[1].Keys = append(d.Organisations[1].Keys, platform.Key{ID: k, SHA256: caller.Digest(k)})
+	}
+	return d
+}
+
+func newPublished(read time.Time) published {
+	p := published{state: control.NewState(control.Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))}
+	source := control.Source{Sent: read}
+	p.state.Step(control.InstancesRead{List: &platform.InstanceList{Revision: 1}, Source: source}, time.Now())
+	p.state.Step(control.DocumentRead{Document: isolationDocument(1, "k1", "k2"), Source: source}, time.Now())
+	return p
+}
+
+// Guards against a process that wakes with an old snapshot, or is cut off, and serves a key that may have been
+// withdrawn.
+func TestIsolatedInstanceServesOpenRoutesOnly(t *testing.T) {
+	tier := New(newPublished(time.Now().Add(-11*time.Second)), nil)
+	if _, refusal := tier.authorise("keyed", "k1", time.Now()); refusal == nil || refusal.Code != caller.CodeIsolated || refusal.Ran != caller.RanNo {
+		t.Fatalf("keyed request 11 s after the last contact, limit 10 s: refusal %v, want isolated", refusal)
+	}
+	for _, key := range []string{"", "k1"} {
+		a, refusal := tier.authorise("open", key, time.Now())
+		if refusal != nil || a.organisation.Name != "host" {
+			t.Fatalf("open route with key %q: refusal %v", key, refusal)
+		}
+	}
+	if _, refusal := New(newPublished(time.Now()), nil).authorise("keyed", "k1", time.Now()); refusal != nil {
+		t.Fatalf("keyed request with a fresh contact: refusal %v", refusal)
+	}
+}
+
+// Guards against a withdrawn key that works on, for new requests or for one that waited.
+func TestWithdrawnKeyIsRefused(t *testing.T) {
+	p := newPublished(time.Now())
+	tier := New(p, nil)
+	waiting, refusal := tier.authorise("keyed", "k1", time.Now())
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	if _, refusal := tier.recheck(waiting); refusal != nil {
+		t.Fatalf("recheck with a valid key: %v", refusal)
+	}
+	p.state.Step(control.DocumentRead{Document: isolationDocument(2, "k2")}, time.Now())
+	if _, refusal := tier.recheck(waiting); refusal == nil || refusal.Code != caller.CodeUnauthenticated {
+		t.Errorf("waiting request with a withdrawn key: refusal %v, want unauthenticated", refusal)
+	}
+	if _, refusal := tier.authorise("keyed", "k1", time.Now()); refusal == nil || refusal.Code != caller.CodeUnauthenticated {
+		t.Errorf("new request with a withdrawn key: refusal %v, want unauthenticated", refusal)
+	}
+}
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -159,14 +159,40 @@
 	}
 }
 
+// admission is what a request may run with. A request that waits after it was admitted checks again with
+// Tier.recheck before it goes on.
 type admission struct {
 	snapshot     *control.Snapshot
 	service      platform.Service
+	key          string
 	organisation *platform.Organisation
 }
 
 // admit decides whether a request may run, on the newest snapshot, and spends its token.
 func (t *Tier) admit(service, key string) (admission, *caller.Refusal) {
+	a, refusal := t.authorise(service, key, time.Now())
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now()) {
+		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
+	}
+	return a, nil
+}
+
+// recheck decides again, on the newest snapshot, whether an admitted request that waited may still run: its key
+// may have been withdrawn or the instance cut off meanwhile. It spends no token.
+func (t *Tier) recheck(a admission) (admission, *caller.Refusal) {
+	next, refusal := t.authorise(a.service.Name, a.key, time.Now())
+	if refusal == nil && next.organisation.Name != a.organisation.Name {
+		return admission{}, caller.Refuse(caller.CodeUnauthenticated, 0, "the key was given to another organisation")
+	}
+	return next, refusal
+}
+
+// authorise decides for whom a request runs. now must have been read right before the call: a process that was
+// frozen wakes with an old snapshot.
+func (t *Tier) authorise(service, key string, now time.Time) (admission, *caller.Refusal) {
 	s := t.snapshots.Snapshot()
 	if !s.Configured {
 		return admission{}, caller.Refuse(caller.CodeNotConfigured, retryLater, "the instance has no configuration yet")
@@ -178,14 +204,18 @@
 	if !ok {
 		return admission{}, caller.Refuse(caller.CodeUnknownService, 0, "service %q does not exist", service)
 	}
+	if !s.KeyedUntil.IsZero() && !now.Before(s.KeyedUntil) {
+		if !svc.Open {
+			return admission{}, caller.Refuse(caller.CodeIsolated, retryLater,
+				"the instance is cut off and cannot know whether keys are still valid")
+		}
+		key = "" // an open route needs no key, and this one may have been withdrawn
+	}
 	organisation, refusal := s.Accounts.Identify(svc, key)
 	if refusal != nil {
 		return admission{}, refusal
 	}
-	if pool := s.Pools[organisation.Name]; pool == nil || !pool.Take(time.Now()) {
-		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", organisation.Name)
-	}
-	return admission{snapshot: s, service: svc, organisation: organisation}, nil
+	return admission{snapshot: s, service: svc, key: key, organisation: organisation}, nil
 }
 
 // Drain refuses new requests and waits until the running ones are done or ctx ends.
