Test the spread of configuration on a virtual clock

Change: a message pump over the state machines; the time of the answer decides whether a reader reaches the platform; exchanges go to the own zone and to others in turn.

--- a/sibling/contact.go
+++ b/sibling/contact.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// contact holds when this instance last had proof that the platform or other zones could be reached. Times are
-// those at which the proving call was sent, on this instance's own clock, so that neither a slow reply nor a
-// frozen process makes a contact look newer than it is.
+// contact holds when this instance last had proof that the platform or other zones could be reached. The times of
+// zone and outside are those at which the proving call was sent, on this instance's own clock, so that neither a
+// slow reply nor a frozen process makes a contact look newer than it is. direct only tells others whether to take
+// over reading, so it is the time of the answer: a read that waits is sent long before.
 type contact struct {
 	direct  time.Time // with the platform, by this instance
 	zone    time.Time // with the platform, by some instance of the zone
@@ -12,7 +13,7 @@
 }
 
 func (m PlatformAnswered) step(s *Spread, now time.Time) {
-	later(&s.contact.direct, m.Sent)
+	later(&s.contact.direct, now)
 	later(&s.contact.zone, m.Sent)
 	later(&s.contact.outside, m.Sent)
 	s.values[m.Value].read.done(now)
--- /dev/null
+++ b/sibling/pump_test.go
@@ -0,0 +1,399 @@
+package sibling
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// The pump carries messages between Spread machines on a virtual clock. Latencies follow docs/design.md 1.5, the
+// sizes what siblinggrpc and platformhttp put on the wire.
+const (
+	zoneLatency     = 500 * time.Microsecond
+	crossLatency    = 2 * time.Millisecond
+	platformLatency = 3 * time.Millisecond
+	applyTime       = 25 * time.Millisecond // decode, check and index a document of a megabyte
+	callTimeout     = 500 * time.Millisecond
+	fetchTimeout    = 2 * time.Second
+
+	exchangeBytes = 230 // request or reply, with the headers of gRPC
+	announceBytes = 400
+	wholeBytes    = 371 << 10
+	pollBytes     = 260
+)
+
+type due struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type queue []due
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(due)) }
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+type pump struct {
+	t     testing.TB
+	now   time.Time
+	seq   int
+	queue queue
+	rng   *rand.Rand
+	nodes map[string]*pumped
+	order []*pumped
+	lists map[platform.Revision]Members
+	// served is what the platform serves; waiters are the reads that wait.
+	served  [valueCount]platform.Revision
+	waiters map[int]*waiter
+	down    bool
+	calls   int
+	loss    float64
+	apart   func(a, b *pumped) bool
+}
+
+type waiter struct {
+	node *pumped
+	read ReadPlatform
+	sent time.Time
+}
+
+type pumped struct {
+	spread  *Spread
+	member  Member
+	alive   bool
+	frozen  bool
+	cut     bool // from the platform
+	old     bool // its platform serves stale values
+	stale   [valueCount]platform.Revision
+	pending []func()
+	tick    time.Time
+	read    time.Time // when it last sent a read to the platform
+	joined  time.Time
+	joinRev platform.Revision
+	bytes   int
+	sent    int
+}
+
+func newPump(t testing.TB, zones, perZone int, seed uint64) *pump {
+	p := &pump{
+		t: t, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*pumped{},
+		lists: map[platform.Revision]Members{}, waiters: map[int]*waiter{},
+	}
+	for z := range zones {
+		for i := range perZone {
+			p.add(fmt.Sprintf("%c-%04d", 'a'+z, i), fmt.Sprintf("%c", 'a'+z))
+		}
+	}
+	p.publishList()
+	p.publish(Document)
+	return p
+}
+
+func (p *pump) add(id, zone string) *pumped {
+	n := &pumped{member: Member{ID: id, Zone: zone, PeerAddress: id}, alive: true}
+	n.spread = NewSpread(id, zone, rand.New(rand.NewPCG(p.rng.Uint64(), 2)))
+	p.nodes[id] = n
+	p.order = append(p.order, n)
+	p.after(time.Duration(p.rng.Int64N(int64(time.Second))), func() { p.step(n, Tick{}) })
+	return n
+}
+
+func (p *pump) publishList() {
+	var list Members
+	for _, n := range p.order {
+		if n.alive {
+			list = append(list, n.member)
+		}
+	}
+	p.lists[p.served[InstanceList]+1] = MembersOf(listOf(list))
+	p.publish(InstanceList)
+}
+
+func listOf(members Members) *platform.InstanceList {
+	l := &platform.InstanceList{}
+	for _, m := range members {
+		l.Instances = append(l.Instances, platform.Instance{
+			ID: m.ID, Kind: platform.KindEntry, Zone: m.Zone, PeerAddress: m.PeerAddress, State: platform.StateLive,
+		})
+	}
+	return l
+}
+
+func (p *pump) publish(v Value) {
+	p.served[v]++
+	for id, w := range p.waiters {
+		if w.read.Value == v && p.reaches(w.node) && p.serves(w.node, v) > w.read.After {
+			delete(p.waiters, id)
+			p.answer(w)
+		}
+	}
+}
+
+func (p *pump) serves(n *pumped, v Value) platform.Revision {
+	if n.old {
+		return n.stale[v]
+	}
+	return p.served[v]
+}
+
+func (p *pump) reaches(n *pumped) bool { return !p.down && !n.cut }
+
+func (p *pump) after(d time.Duration, f func()) {
+	p.seq++
+	heap.Push(&p.queue, due{at: p.now.Add(d), seq: p.seq, run: f})
+}
+
+// run advances the clock by d, or until done reports true, which it returns.
+func (p *pump) run(d time.Duration, done func() bool) bool {
+	end := p.now.Add(d)
+	for len(p.queue) > 0 && !p.queue[0].at.After(end) {
+		next := heap.Pop(&p.queue).(due)
+		p.now = next.at
+		next.run()
+		if done != nil && done() {
+			return true
+		}
+	}
+	p.now = end
+	return done != nil && done()
+}
+
+// on runs f at a node, later if it is frozen, never if it is dead.
+func (n *pumped) on(f func()) {
+	switch {
+	case !n.alive:
+	case n.frozen:
+		n.pending = append(n.pending, f)
+	default:
+		f()
+	}
+}
+
+func (p *pump) thaw(n *pumped) {
+	n.frozen = false
+	pending := n.pending
+	n.pending = nil
+	for _, f := range pending {
+		f()
+	}
+}
+
+func (p *pump) step(n *pumped, m Message) {
+	before := n.spread.Revision(Document)
+	ready := n.spread.Step(m, p.now)
+	if n.spread.Revision(Document) < before {
+		p.t.Fatalf("%s reverted from revision %d to %d", n.member.ID, before, n.spread.Revision(Document))
+	}
+	if n.joined.IsZero() && n.spread.Joined() {
+		n.joined, n.joinRev = p.now, n.spread.Revision(Document)
+	}
+	for _, to := range ready.Exchange {
+		p.exchange(n, p.nodes[to.ID])
+	}
+	for _, a := range ready.Announce {
+		p.announce(n, p.nodes[a.To.ID], a)
+	}
+	for _, f := range ready.Fetch {
+		p.fetch(n, p.nodes[f.From.ID], f)
+	}
+	for _, r := range ready.Read {
+		p.read(n, r)
+	}
+	if n.tick.Before(p.now) || ready.Wake.Before(n.tick) || n.tick.Equal(p.now) {
+		n.tick = ready.Wake
+		at := n.tick
+		p.after(at.Sub(p.now), func() {
+			n.on(func() {
+				if n.tick.Equal(at) {
+					p.step(n, Tick{})
+				}
+			})
+		})
+	}
+}
+
+// send carries one message and counts it.
+func (p *pump) send(from, to *pumped, bytes int, f func()) {
+	from.bytes += bytes
+	from.sent++
+	if p.apart != nil && p.apart(from, to) || p.rng.Float64() < p.loss {
+		return
+	}
+	latency := zoneLatency
+	if from.member.Zone != to.member.Zone {
+		latency = crossLatency
+	}
+	p.after(latency, func() { to.on(func() { to.bytes += bytes; f() }) })
+}
+
+func (p *pump) exchange(n, to *pumped) {
+	h, sent := n.spread.Heartbeat(p.now), p.now
+	p.send(n, to, exchangeBytes, func() {
+		p.step(to, Heard{Heartbeat: h})
+		reply := to.spread.Heartbeat(p.now)
+		p.send(to, n, exchangeBytes, func() {
+			if p.now.Sub(sent) < callTimeout {
+				p.step(n, Answered{Heartbeat: reply, Sent: sent})
+			}
+		})
+	})
+}
+
+func (p *pump) announce(n, to *pumped, a Announce) {
+	p.send(n, to, announceBytes, func() {
+		if a.Difference != nil && a.Difference.From == to.spread.Revision(a.Value) {
+			p.after(applyTime, func() {
+				to.on(func() { p.adopt(to, a.Value, a.Revision, []platform.Difference{*a.Difference}) })
+			})
+			return
+		}
+		p.step(to, Announced{From: n.member.ID, Value: a.Value, Revision: a.Revision})
+	})
+}
+
+func (p *pump) fetch(n, from *pumped, f Fetch) {
+	ended := FetchEnded{From: f.From.ID, Value: f.Value}
+	done := false
+	finish := func() {
+		if !done {
+			done = true
+			p.step(n, ended)
+		}
+	}
+	p.after(fetchTimeout, func() { n.on(finish) })
+	p.send(n, from, exchangeBytes, func() {
+		held := from.spread.Held(f.Value)
+		var chain []platform.Difference
+		bytes := wholeBytes
+		for i, d := range held.History {
+			if d.From == f.After && f.After != 0 {
+				chain, bytes = held.History[i:], exchangeBytes+(len(held.History)-i)*announceBytes
+				break
+			}
+		}
+		p.send(from, n, bytes, func() {
+			p.after(applyTime, func() {
+				n.on(func() {
+					p.adopt(n, f.Value, held.Revision, chain)
+					finish()
+				})
+			})
+		})
+	})
+}
+
+func (p *pump) read(n *pumped, r ReadPlatform) {
+	p.calls++
+	n.read = p.now
+	n.bytes += pollBytes
+	w := &waiter{node: n, read: r, sent: p.now}
+	fail := func() { n.on(func() { p.step(n, PlatformFailed{Value: r.Value}) }) }
+	if p.down {
+		p.after(platformLatency, fail) // connections are refused
+		return
+	}
+	if !n.cut && p.serves(n, r.Value) > r.After {
+		p.answer(w)
+		return
+	}
+	p.seq++
+	id := p.seq
+	p.waiters[id] = w
+	p.after(r.Wait+platformLatency, func() {
+		if p.waiters[id] == nil {
+			return
+		}
+		delete(p.waiters, id)
+		if p.reaches(n) {
+			n.on(func() { p.step(n, PlatformAnswered{Value: r.Value, Sent: w.sent}) })
+			return
+		}
+		p.after(r.Limit-r.Wait, fail)
+	})
+}
+
+func (p *pump) answer(w *waiter) {
+	n, v, revision := w.node, w.read.Value, p.serves(w.node, w.read.Value)
+	p.after(platformLatency+applyTime, func() {
+		n.on(func() {
+			var chain []platform.Difference
+			if from := n.spread.Revision(v); from != 0 {
+				chain = []platform.Difference{{From: from, To: revision}}
+			}
+			n.spread.Note(PlatformAnswered{Value: v, Sent: w.sent}, p.now)
+			p.adopt(n, v, revision, chain)
+			p.step(n, Tick{})
+		})
+	})
+}
+
+// adopt does what control does with a value.
+func (p *pump) adopt(n *pumped, v Value, revision platform.Revision, chain []platform.Difference) {
+	if !revision.Supersedes(n.spread.Revision(v)) {
+		return
+	}
+	if v == InstanceList {
+		p.step(n, Listed{Members: p.lists[revision]})
+	}
+	p.step(n, Adopted{Value: v, Content: platform.Content{Revision: revision}, Differences: chain})
+}
+
+// everywhere reports whether the newest document is in force at all live nodes that pass the filter.
+func (p *pump) everywhere(filter func(*pumped) bool) func() bool {
+	return func() bool {
+		for _, n := range p.order {
+			if n.alive && !n.frozen && (filter == nil || filter(n)) && n.spread.Revision(Document) != p.served[Document] {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// settle runs until all nodes are ready.
+func (p *pump) settle() {
+	if !p.run(20*time.Second, func() bool {
+		for _, n := range p.order {
+			if n.alive && !n.spread.Joined() {
+				return false
+			}
+		}
+		return true
+	}) {
+		p.t.Fatal("not all instances became ready")
+	}
+	p.run(2*time.Second, nil)
+}
+
+// change publishes a document and returns the time until it is in force.
+func (p *pump) change(filter func(*pumped) bool) time.Duration {
+	start := p.now
+	p.publish(Document)
+	if !p.run(inForceLimit, p.everywhere(filter)) {
+		missing := 0
+		for _, n := range p.order {
+			if n.alive && n.spread.Revision(Document) != p.served[Document] && (filter == nil || filter(n)) {
+				missing++
+			}
+		}
+		p.t.Fatalf("revision %d is not in force at %d instances after %v", p.served[Document], missing, inForceLimit)
+	}
+	return p.now.Sub(start)
+}
+
+// inForceLimit is P12.
+const inForceLimit = 4 * time.Second
--- a/sibling/readers.go
+++ b/sibling/readers.go
@@ -12,13 +12,13 @@
 	// Instances of the ranks that follow probe those above them and take over from one that does not answer or
 	// does not reach the platform. Two of them survive the loss of a rack that holds a reader and the next in rank.
 	probingRanks = readersPerZone + 2
-	// The sum of probeInterval, probeLimit and one exchange of messages is the longest time until a lost reader
-	// is replaced; the limit is 1 s.
+	// A lost reader must be replaced within 1 s. One that gives no reply is noticed after probeLimit and at most
+	// one probeInterval, one that answers without a contact after directLimit and at most one probeInterval.
 	probeInterval = 200 * time.Millisecond
-	probeLimit    = 650 * time.Millisecond
-	// directLimit is the age of its contact up to which a reader counts as reaching the platform. A read that
-	// waits adds documentWait to it.
-	directLimit = documentWait + answerMargin + 50*time.Millisecond
+	probeLimit    = 500 * time.Millisecond
+	// directLimit is the age of its contact up to which a reader counts as reaching the platform. It exceeds the
+	// time between the answers of two reads that wait.
+	directLimit = documentWait + 150*time.Millisecond
 
 	// An instance of a lower rank reads the platform when it has heard of no contact of its zone with the platform
 	// for silenceLimit, and silenceStep more for each rank, so that not all of a zone begin at once.
@@ -52,7 +52,9 @@
 type probed struct {
 	member Member
 	fresh  time.Time // the last proof that it reaches the platform, or the start of probing
-	proved bool
+	proved bool      // by its last reply
+	// starting is set until its first reply that says whether it reaches the platform.
+	starting bool
 }
 
 // platformRead is the state of the reads of one value.
@@ -85,10 +87,11 @@
 		}
 	}
 	for _, m := range ranked[:min(s.readers.rank, probingRanks, len(ranked))] {
-		p := probed{member: m, fresh: now}
+		p := probed{member: m, fresh: now, starting: true}
 		for _, b := range before {
 			if b.member.ID == m.ID {
-				p.fresh, p.proved = b.fresh, b.proved
+				p = b
+				p.member = m
 			}
 		}
 		s.readers.above = append(s.readers.above, p)
@@ -98,19 +101,23 @@
 func (r *readers) answered(m Answered) {
 	for i := range r.above {
 		p := &r.above[i]
-		if a := m.Heartbeat.DirectAge; p.member.ID == m.Heartbeat.ID && a != NoContact && a <= directLimit {
+		if p.member.ID != m.Heartbeat.ID {
+			continue
+		}
+		p.proved = m.Heartbeat.DirectAge != NoContact && m.Heartbeat.DirectAge <= directLimit
+		p.starting = p.starting && !p.proved && m.Heartbeat.DirectAge == NoContact
+		if p.proved {
 			later(&p.fresh, m.Sent)
-			p.proved = true
 		}
 	}
 }
 
 // enough reports whether readersPerZone of the instances that rank above reach the platform. The first ones are
-// trusted until probeLimit after probing began, the others only once they have proved it.
+// trusted for probeLimit after probing began, the others only once they have proved it.
 func (r *readers) enough(now time.Time) bool {
 	count := 0
 	for i, p := range r.above {
-		if now.Sub(p.fresh) < probeLimit && (p.proved || i < readersPerZone) {
+		if now.Sub(p.fresh) < probeLimit && (p.proved || p.starting && i < readersPerZone) {
 			count++
 		}
 	}
--- a/sibling/spread.go
+++ b/sibling/spread.go
@@ -147,6 +147,7 @@
 	joining joining
 
 	nextExchange time.Time
+	outward      bool // the last exchange went to another zone
 	ready        SpreadReady
 }
 
@@ -367,8 +368,8 @@
 	}
 }
 
-// exchange sends a heartbeat to one random sibling when it is due, in the own zone and elsewhere in turn by chance,
-// so that either side of a cut hears of itself.
+// exchange sends a heartbeat to one random sibling when it is due, in the own zone and elsewhere in turn: the
+// instances of a zone that is cut off keep in touch, and the others prove contact every other time.
 func (s *Spread) exchange(now time.Time) {
 	if now.Before(s.nextExchange) {
 		s.wakeAt(s.nextExchange)
@@ -380,7 +381,8 @@
 	s.nextExchange = now.Add(s.jitter(exchangeInterval))
 	s.wakeAt(s.nextExchange)
 	from := s.inZone
-	if len(from) == 0 || len(s.elsewhere) > 0 && s.rng.IntN(2) == 0 {
+	s.outward = !s.outward
+	if len(from) == 0 || len(s.elsewhere) > 0 && s.outward {
 		from = s.elsewhere
 	}
 	s.ready.Exchange = append(s.ready.Exchange, s.pick(from, 1)...)
--- /dev/null
+++ b/sibling/spread_test.go
@@ -0,0 +1,310 @@
+package sibling
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// Guards against a change that does not reach every instance in time, also with lost messages.
+func TestInForceEverywhere(t *testing.T) {
+	for _, size := range [][2]int{{1, 8}, {3, 3}, {7, 9}, {7, 36}} {
+		t.Run(fmt.Sprintf("%d zones of %d", size[0], size[1]), func(t *testing.T) {
+			p := newPump(t, size[0], size[1], 1)
+			p.settle()
+			p.loss = 0.05
+			for range 10 {
+				p.change(nil)
+				p.run(time.Duration(p.rng.Int64N(int64(2*time.Second))), nil)
+			}
+		})
+	}
+}
+
+// Guards against instances that depend on their own way to the platform.
+func TestInForceWhilePlatformIsDownForSome(t *testing.T) {
+	p := newPump(t, 3, 8, 2)
+	p.settle()
+	for _, n := range p.order {
+		n.cut = n.member.Zone != "b"
+	}
+	for range 10 {
+		p.run(time.Second, nil)
+		p.change(nil)
+	}
+}
+
+// Guards against a zone that keeps the old document after its partition heals, or learns of the new one by nothing
+// but luck.
+func TestZoneCutOffAndHealed(t *testing.T) {
+	p := newPump(t, 4, 6, 3)
+	p.settle()
+	inA := func(n *pumped) bool { return n.member.Zone == "a" }
+	p.apart = func(a, b *pumped) bool { return inA(a) != inA(b) }
+	for _, n := range p.order {
+		n.cut = inA(n)
+	}
+	p.change(func(n *pumped) bool { return !inA(n) })
+	p.run(30*time.Second, nil)
+	for _, n := range p.order {
+		if age := p.now.Sub(n.spread.Outside()); inA(n) && age < 29*time.Second || !inA(n) && age > 5*time.Second {
+			t.Errorf("%s has a contact with the outside %v old after 30 s", n.member.ID, age)
+		}
+	}
+	p.apart = nil
+	if !p.run(inForceLimit, p.everywhere(nil)) {
+		t.Error("zone a is still behind after siblings of other zones could be reached again")
+	}
+}
+
+// Guards against a new instance that becomes ready with the old document of a stale platform.
+func TestReplacedInstancesWithStalePlatform(t *testing.T) {
+	p := newPump(t, 3, 8, 4)
+	p.settle()
+	stale := p.served
+	for i := range 40 {
+		p.change(nil)
+		old := p.order[i]
+		old.alive = false
+		n := p.add(fmt.Sprintf("%s-r%03d", old.member.Zone, i), old.member.Zone)
+		n.old, n.stale = true, [valueCount]platform.Revision{Document: stale[Document], InstanceList: p.served[InstanceList]}
+		p.publishList()
+		published := p.served[Document]
+		if !p.run(8*time.Second, func() bool { return n.spread.Joined() }) {
+			t.Fatalf("replacement %d did not become ready", i)
+		}
+		if n.joinRev != published {
+			t.Fatalf("replacement %d became ready with revision %d, in force is %d", i, n.joinRev, published)
+		}
+		n.old = false
+		p.run(300*time.Millisecond, nil)
+	}
+}
+
+// Guards against a new instance that never becomes ready because siblings cannot be reached.
+func TestNewInstanceWithoutSiblingsBecomesReady(t *testing.T) {
+	p := newPump(t, 2, 4, 5)
+	p.settle()
+	n := p.add("a-new", "a")
+	p.apart = func(a, b *pumped) bool { return a == n || b == n }
+	p.run(2*time.Second, nil)
+	if n.spread.Joined() {
+		t.Error("ready without having heard a sibling, before the time for that is over")
+	}
+	p.run(joinLimit+time.Second, nil)
+	if !n.spread.Joined() {
+		t.Error("not ready after the time for siblings to answer is over")
+	}
+}
+
+// Guards against a zone without a reader of the platform for longer than a second.
+func TestLostReaderIsReplaced(t *testing.T) {
+	lose := map[string]func(n *pumped){
+		"killed":                func(n *pumped) { n.alive = false },
+		"frozen":                func(n *pumped) { n.frozen = true },
+		"cut from the platform": func(n *pumped) { n.cut = true },
+	}
+	for name, f := range lose {
+		for _, ranks := range [][]int{{0}, {1}, {0, 1}, {0, 2}} {
+			t.Run(fmt.Sprintf("%s/%v", name, ranks), func(t *testing.T) {
+				for seed := range uint64(20) {
+					p := newPump(t, 3, 6, seed)
+					p.settle()
+					p.run(time.Duration(p.rng.Int64N(int64(time.Second))), nil)
+					lost := p.now
+					for _, r := range ranks {
+						f(p.ranked("a", r))
+					}
+					p.run(time.Second, nil)
+					readers := 0
+					for _, n := range p.order {
+						if n.member.Zone == "a" && n.alive && !n.frozen && !n.cut && n.read.After(lost) && n.spread.Reading(p.now) {
+							readers++
+						}
+					}
+					if readers < readersPerZone {
+						t.Fatalf("seed %d: %d readers 1 s after the loss, want %d", seed, readers, readersPerZone)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (p *pump) ranked(zone string, rank int) *pumped {
+	m := p.lists[p.served[InstanceList]].InZone(zone).Rank("platform readers", rank+1)
+	return p.nodes[m[rank].ID]
+}
+
+// Guards against a zone that stops reading when all ranks that watch each other are lost at once.
+func TestLowerRanksReadAfterSilence(t *testing.T) {
+	p := newPump(t, 1, 12, 6)
+	p.settle()
+	for r := range probingRanks {
+		p.ranked("a", r).alive = false
+	}
+	p.run(silenceLimit+2*time.Second, nil)
+	p.change(nil)
+}
+
+// Guards against calls at the platform that grow with the fleet, above all while it is down.
+func TestPlatformCallsAreBounded(t *testing.T) {
+	const budget = 500.0 // a quarter of what the platform allows
+	p := newPump(t, 7, 172, 7)
+	p.settle()
+	for _, down := range []bool{false, true} {
+		p.down = down
+		p.run(10*time.Second, nil)
+		p.calls = 0
+		p.run(10*time.Second, nil)
+		if rate := float64(p.calls) / 10; rate > budget {
+			t.Errorf("platform down %v: %.0f calls a second, budget %.0f", down, rate, budget)
+		}
+	}
+	p.down = false
+	p.change(nil)
+}
+
+// Guards against an instance that counts itself as cut off although its zone reaches the platform or another zone.
+func TestContactIsPassedOn(t *testing.T) {
+	const fresh = 30 * time.Second // half of the limit in the demo's document
+	check := func(name string, p *pump) {
+		p.run(2*fresh, nil)
+		for _, n := range p.order {
+			if age := p.now.Sub(n.spread.Outside()); age > fresh {
+				t.Errorf("%s: %s has a contact %v old", name, n.member.ID, age)
+			}
+		}
+	}
+	p := newPump(t, 1, 20, 8)
+	p.settle()
+	check("one zone", p)
+	p = newPump(t, 2, 10, 9)
+	p.settle()
+	p.down = true
+	check("platform down", p)
+	for _, n := range p.order[1:10] {
+		n := n
+		before := p.apart
+		p.apart = func(a, b *pumped) bool {
+			return before != nil && before(a, b) || (a == n || b == n) && a.member.Zone != b.member.Zone
+		}
+	}
+	check("one instance of zone a reaches zone b", p)
+}
+
+func newListed(zones ...string) (*Spread, Members, time.Time) {
+	s := NewSpread("self", "a", rand.New(rand.NewPCG(1, 1)))
+	members := Members{{ID: "self", Zone: "a"}}
+	for i, z := range zones {
+		members = append(members, Member{ID: fmt.Sprintf("sib-%d", i), Zone: z})
+	}
+	members = MembersOf(listOf(members))
+	now := time.Unix(1000, 0)
+	s.Step(Listed{Members: members}, now)
+	s.Step(Adopted{Value: Document, Content: platform.Content{Revision: 5}}, now)
+	return s, members, now
+}
+
+// Guards against a contact that is counted before the revision it names is in force, from a message that may have
+// been under way for long, or from the time of a late reply.
+func TestContactNeedsProof(t *testing.T) {
+	s, _, now := newListed("b")
+	h := Heartbeat{ID: "sib-0", Zone: "b", DocumentRevision: 6}
+	s.Step(Answered{Heartbeat: h, Sent: now}, now)
+	if !s.Outside().IsZero() {
+		t.Error("a reply that names a newer revision counted as contact")
+	}
+	h.DocumentRevision = 5
+	s.Step(Heard{Heartbeat: h}, now)
+	if !s.Outside().IsZero() {
+		t.Error("a received heartbeat counted as contact")
+	}
+	s.Step(Answered{Heartbeat: h, Sent: now}, now.Add(time.Hour))
+	if !s.Outside().Equal(now) {
+		t.Errorf("contact is %v after a late reply, want the time of sending %v", s.Outside(), now)
+	}
+	h = Heartbeat{ID: "sib-1", Zone: "a", DocumentRevision: 5, OutsideAge: 3 * time.Second, ZoneAge: NoContact}
+	later := now.Add(10 * time.Second)
+	s.Step(Answered{Heartbeat: h, Sent: later}, later)
+	if want := later.Add(-3 * time.Second); !s.Outside().Equal(want) {
+		t.Errorf("contact passed on is %v, want %v", s.Outside(), want)
+	}
+}
+
+// Guards against a value that failed its checks and is fetched again at every heartbeat.
+func TestRefusedValueIsNotFetchedAgain(t *testing.T) {
+	s, _, now := newListed("a")
+	h := Heartbeat{ID: "sib-0", Zone: "a", DocumentRevision: 6}
+	if ready := s.Step(Heard{Heartbeat: h}, now); len(ready.Fetch) != 1 || ready.Fetch[0].After != 5 {
+		t.Fatalf("fetches are %v, want one after revision 5", ready.Fetch)
+	}
+	s.Step(Refused{Value: Document, Revision: 6}, now)
+	now = now.Add(time.Minute)
+	if ready := s.Step(Heard{Heartbeat: h}, now); len(ready.Fetch) != 0 {
+		t.Errorf("a refused revision is fetched again: %v", ready.Fetch)
+	}
+	h.DocumentRevision = 7
+	if ready := s.Step(Heard{Heartbeat: h}, now); len(ready.Fetch) != 1 {
+		t.Errorf("the revision after a refused one is not fetched")
+	}
+}
+
+// Guards against a fetch that waits for ever at a sibling that does not answer.
+func TestFetchMovesToAnotherSibling(t *testing.T) {
+	s, _, now := newListed("a", "a")
+	first := s.Step(Announced{From: "sib-0", Value: Document, Revision: 6}, now).Fetch
+	s.Step(Announced{From: "sib-1", Value: Document, Revision: 6}, now)
+	second := s.Step(FetchEnded{From: "sib-0", Value: Document}, now.Add(time.Second)).Fetch
+	if len(first) != 1 || len(second) != 1 || second[0].From.ID != "sib-1" {
+		t.Fatalf("fetches are %v, then %v; want sib-0, then sib-1", first, second)
+	}
+}
+
+// BenchmarkSpread measures, on the virtual clock, the time until a change is in force everywhere and the cost of
+// spreading 3,800 changes a day.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range [][2]int{{2, 4}, {4, 16}, {4, 64}, {7, 172}} {
+		b.Run(fmt.Sprint(size[0]*size[1]), func(b *testing.B) {
+			for b.Loop() {
+				p := newPump(b, size[0], size[1], 11)
+				p.settle()
+				p.resetCounts()
+				start, worst, sum := p.now, time.Duration(0), time.Duration(0)
+				const changes = 10
+				for range changes {
+					d := p.change(nil)
+					worst, sum = max(worst, d), sum+d
+					p.run(86400*time.Second/3800-d, nil)
+				}
+				seconds := p.now.Sub(start).Seconds()
+				mean, most, sent := p.counts()
+				b.ReportMetric(sum.Seconds()/changes, "mean-s")
+				b.ReportMetric(worst.Seconds(), "worst-s")
+				b.ReportMetric(mean/seconds, "B/s-instance")
+				b.ReportMetric(most/seconds, "B/s-reader")
+				b.ReportMetric(sent/seconds, "msg/s-instance")
+				b.ReportMetric(float64(p.calls)/seconds, "calls/s")
+			}
+		})
+	}
+}
+
+func (p *pump) resetCounts() {
+	p.calls = 0
+	for _, n := range p.order {
+		n.bytes, n.sent = 0, 0
+	}
+}
+
+func (p *pump) counts() (mean, most, sent float64) {
+	for _, n := range p.order {
+		mean += float64(n.bytes)
+		most = max(most, float64(n.bytes))
+		sent += float64(n.sent)
+	}
+	return mean / float64(len(p.order)), most, sent / float64(len(p.order))
+}
