Prove configuration with real instances; send refusals with their own code

Cause: no test ran real instances against a platform that is down or stale. It found that every refusal went out as bad_request with ran: no, because goa passes designed errors to the formatter too; for outcome_unknown that was false. Change: integration test in cmd/internal/node; the formatter keeps refusals as they are.

--- a/caller/callerhttp/refusal.go
+++ b/caller/callerhttp/refusal.go
@@ -57,8 +57,13 @@
 // StatusCode returns the HTTP status of the response.
 func (i *invalid) StatusCode() int { return i.status }
 
-// format turns errors of goa itself into the same shape as refusals.
+// format turns errors of goa itself into the same shape as refusals. The generated code passes refusals too, for
+// which it sets the status itself.
 func format(_ context.Context, err error) goahttp.Statuser {
+	var refused *querytier.RefusalBody
+	if errors.As(err, &refused) {
+		return &invalid{Code: refused.Code, Ran: refused.Ran, Message: refused.Message, RetryAfterMs: refused.RetryAfterMs}
+	}
 	out := &invalid{Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo), Message: err.Error(), status: http.StatusBadRequest}
 	var tooLarge *http.MaxBytesError
 	var decoded *goa.ServiceError
--- /dev/null
+++ b/cmd/internal/node/config_test.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/cmd/internal/settings"
+	"dogwooddrift.org/drift/cmd/internal/standin"
+	"dogwooddrift.org/drift/platform"
+)
+
+// fleet is a set of real entry instances in this process, each with its own way to the platform.
+type fleet struct {
+	t        *testing.T
+	platform *standin.Platform
+	nodes    map[string]*member
+	listed   platform.Revision
+}
+
+type member struct {
+	node *Node
+	zone string
+	// down makes this instance's way to the platform fail; stale makes it serve another platform.
+	down   atomic.Bool
+	stale  atomic.Pointer[standin.Platform]
+	newest platform.Revision
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+func (m *member) ServeHTTP(w http.ResponseWriter, r *http.Request, p *standin.Platform) {
+	if m.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if stale := m.stale.Load(); stale != nil {
+		p = stale
+	}
+	p.ServeHTTP(w, r)
+}
+
+func (f *fleet) add(id, zone string, options ...func(*member)) *member {
+	m := &member{zone: zone, done: make(chan struct{})}
+	for _, option := range options {
+		option(m)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.ServeHTTP(w, r, f.platform) }))
+	s := settings.Default()
+	s.ID, s.Zone, s.Platform = id, zone, server.URL
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Siblings: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	s.Drain.Notice = 0
+	n, err := New(s, zerolog.Nop())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.node = n
+	ctx, cancel := context.WithCancel(context.Background())
+	abort, kill := context.WithCancel(context.Background())
+	var once sync.Once
+	m.stop = func() { once.Do(func() { cancel(); kill(); <-m.done; server.Close() }) }
+	f.nodes[id] = m
+	f.t.Cleanup(m.stop)
+	go func() {
+		defer close(m.done)
+		if err := n.Run(ctx, abort); err != nil {
+			f.t.Errorf("%s: %v", id, err)
+		}
+	}()
+	return m
+}
+
+func (f *fleet) publishList() {
+	f.listed++
+	list := &platform.InstanceList{Revision: f.listed}
+	for id, m := range f.nodes {
+		list.Instances = append(list.Instances, platform.Instance{
+			ID: id, Kind: platform.KindEntry, Zone: m.zone, Address: m.node.CallersAddress(),
+			PeerAddress: m.node.peers.Addr().String(), State: platform.StateLive,
+		})
+	}
+	if err := f.platform.PublishInstances(list); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func fleetDocument(revision platform.Revision, limit platform.Seconds, keys ...string) *platform.Document {
+	d := &platform.Document{
+		Revision:      revision,
+		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: 1e5, Burst: 1e5, Weight: 1}},
+		Services: []platform.Service{
+			{Name: "keyed", Sharded: true, Slots: 1, Connections: 1},
+			{Name: "open", Sharded: true, Open: true, Slots: 1, Connections: 1},
+		},
+		Isolation:    platform.Isolation{KeyedLimit: limit},
+		ChangeWindow: 60,
+	}
+	for _, k := range keys {
+		d.Organisations[0].Keys = append(d.Organisations[0].Keys, platform.Key{ID: k, SHA256: caller.Digest(k)})
+	}
+	for _, z := range []string{"a", "b", "c"} {
+		d.Zones = append(d.Zones, platform.Zone{Name: z, RateFraction: 0.33})
+	}
+	return d
+}
+
+func (f *fleet) publish(d *platform.Document) {
+	if err := f.platform.PublishDocument(d); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// await polls until done, and fails after the limit.
+func (f *fleet) await(limit time.Duration, what string, done func() bool) {
+	f.t.Helper()
+	start := time.Now()
+	for !done() {
+		if time.Since(start) > limit {
+			f.t.Fatalf("%s: not within %v", what, limit)
+		}
+		f.unreverted()
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Logf("%s: %v", what, time.Since(start).Round(time.Millisecond))
+}
+
+func (f *fleet) unreverted() {
+	f.t.Helper()
+	for id, m := range f.nodes {
+		r := m.node.loop.Snapshot().DocumentHeld.Revision
+		if r < m.newest {
+			f.t.Fatalf("%s reverted from revision %d to %d", id, m.newest, r)
+		}
+		m.newest = r
+	}
+}
+
+func (f *fleet) everywhere(revision platform.Revision) func() bool {
+	return func() bool {
+		for _, m := range f.nodes {
+			if m.node.loop.Snapshot().DocumentHeld.Revision != revision {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// code asks an instance and returns the code of its refusal.
+func (m *member) code(service, key string) string {
+	body, _ := json.Marshal(map[string]string{"query": "x"})
+	req, _ := http.NewRequest(http.MethodPost, "http://"+m.node.CallersAddress()+"/v1/services/"+service+"/query", bytes.NewReader(body))
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var reply struct {
+		Code string `json:"code"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&reply)
+	return reply.Code
+}
+
+// Guards, with real instances, against a change that is not in force everywhere in time, a withdrawn key that works
+// on, a new instance that starts with the old document of a stale platform, a lost reader that is not replaced,
+// and an instance that is cut off and still serves keys.
+func TestConfigurationOfRealInstances(t *testing.T) {
+	const inForce = 4 * time.Second
+	const admitted = "no_target" // there are no targets, so this is how far an admitted request gets
+	f := &fleet{t: t, platform: standin.NewPlatform(), nodes: map[string]*member{}}
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range 3 {
+			f.add(fmt.Sprintf("%s-%d", zone, i), zone)
+		}
+	}
+	f.publishList()
+	f.publish(fleetDocument(1, 60, "k1", "k2"))
+	f.await(10*time.Second, "ready", func() bool {
+		for _, m := range f.nodes {
+			if !m.node.tier.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	for id, m := range f.nodes {
+		f.await(inForce, id+" serves k1", func() bool { return m.code("keyed", "k1") == admitted })
+	}
+
+	for _, m := range f.nodes {
+		m.down.Store(m.zone != "b")
+	}
+	f.publish(fleetDocument(2, 60, "k2"))
+	f.await(inForce, "in force with the platform down for two zones", f.everywhere(2))
+	for id, m := range f.nodes {
+		if got := m.code("keyed", "k1"); got != string(caller.CodeUnauthenticated) {
+			t.Errorf("%s: withdrawn key: code %q", id, got)
+		}
+	}
+
+	stale := standin.NewPlatform()
+	if err := stale.PublishDocument(fleetDocument(1, 60, "k1", "k2")); err != nil {
+		t.Fatal(err)
+	}
+	entries := f.nodes["b-0"].node.loop.Snapshot().List.Instances
+	if err := stale.PublishInstances(&platform.InstanceList{Revision: 1, Instances: entries}); err != nil {
+		t.Fatal(err)
+	}
+	late := f.add("a-9", "a", func(m *member) { m.stale.Store(stale) })
+	f.publishList()
+	f.await(10*time.Second, "new instance with a stale platform ready", late.node.tier.Ready)
+	if got := late.node.loop.Snapshot().DocumentHeld.Revision; got != 2 {
+		t.Errorf("new instance became ready with revision %d, want 2", got)
+	}
+
+	for id, m := range f.nodes {
+		m.down.Store(false)
+		if id == "a-0" || id == "b-1" || id == "c-2" {
+			m.stop()
+			delete(f.nodes, id)
+		}
+	}
+	f.publish(fleetDocument(3, 2, "k2"))
+	f.await(inForce, "in force with an instance of each zone lost", f.everywhere(3))
+
+	var last *member
+	for id, m := range f.nodes {
+		m.down.Store(true)
+		if m.zone != "b" {
+			m.stop()
+			delete(f.nodes, id)
+		} else {
+			last = m
+		}
+	}
+	f.await(10*time.Second, "keyed requests refused in the zone cut off", func() bool {
+		return last.code("keyed", "k2") == string(caller.CodeIsolated)
+	})
+	if got := last.code("open", ""); got != admitted {
+		t.Errorf("open route in the zone cut off: code %q", got)
+	}
+}
--- a/sibling/pump_test.go
+++ b/sibling/pump_test.go
@@ -20,10 +20,14 @@
 	callTimeout     = 500 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
 
-	exchangeBytes = 230 // request or reply, with the headers of gRPC
-	announceBytes = 400
-	wholeBytes    = 371 << 10
-	pollBytes     = 260
+	// Bytes follow BenchmarkWire, with 52 for the TCP and IP headers of each packet: an exchange takes 221 bytes
+	// in 4 packets, an announcement 327, and a new connection 203 more in 6 packets.
+	exchangeBytes = (221 + 4*52) / 2 // request or reply
+	announceBytes = 327 + 4*52
+	connectBytes  = 203 + 6*52
+	wholeBytes    = 353 << 10
+	pollBytes     = 200 + 2*52
+	idleLimit     = 20 * time.Second // of siblinggrpc.Client
 )
 
 type due struct {
@@ -84,6 +88,7 @@
 	read    time.Time // when it last sent a read to the platform
 	joined  time.Time
 	joinRev platform.Revision
+	talked  map[*pumped]time.Time
 	bytes   int
 	sent    int
 }
@@ -104,7 +109,7 @@
 }
 
 func (p *pump) add(id, zone string) *pumped {
-	n := &pumped{member: Member{ID: id, Zone: zone, PeerAddress: id}, alive: true}
+	n := &pumped{member: Member{ID: id, Zone: zone, PeerAddress: id}, alive: true, talked: map[*pumped]time.Time{}}
 	n.spread = NewSpread(id, zone, rand.New(rand.NewPCG(p.rng.Uint64(), 2)))
 	p.nodes[id] = n
 	p.order = append(p.order, n)
@@ -228,6 +233,12 @@
 
 // send carries one message and counts it.
 func (p *pump) send(from, to *pumped, bytes int, f func()) {
+	if last, ok := from.talked[to]; !ok || p.now.Sub(last) > idleLimit {
+		if last, ok := to.talked[from]; !ok || p.now.Sub(last) > callTimeout { // not a reply
+			bytes += connectBytes
+		}
+	}
+	from.talked[to] = p.now
 	from.bytes += bytes
 	from.sent++
 	if p.apart != nil && p.apart(from, to) || p.rng.Float64() < p.loss {
--- a/sibling/readers.go
+++ b/sibling/readers.go
@@ -14,7 +14,7 @@
 	probingRanks = readersPerZone + 2
 	// A lost reader must be replaced within 1 s. One that gives no reply is noticed after probeLimit and at most
 	// one probeInterval, one that answers without a contact after directLimit and at most one probeInterval.
-	probeInterval = 200 * time.Millisecond
+	probeInterval = 400 * time.Millisecond
 	probeLimit    = 500 * time.Millisecond
 	// directLimit is the age of its contact up to which a reader counts as reaching the platform. It exceeds the
 	// time between the answers of two reads that wait.
--- a/sibling/spread.go
+++ b/sibling/spread.go
@@ -114,6 +114,9 @@
 
 const (
 	exchangeInterval = time.Second
+	// partnerUses exchanges in a row go to the same sibling while it answers. With one each, connections made up
+	// more than half of the bytes of exchanges at 1,200 instances.
+	partnerUses = 4
 
 	// One announcement to 4 siblings by each receiver leaves 2% of the instances to the periodic exchange, three
 	// leave 0.001%. They are apart so that the later ones go out where the value was lost on the way.
@@ -147,7 +150,8 @@
 	joining joining
 
 	nextExchange time.Time
-	outward      bool // the last exchange went to another zone
+	outward      bool       // the last exchange went to another zone
+	partners     [2]partner // in the own zone and in another one
 	ready        SpreadReady
 }
 
@@ -247,6 +251,7 @@
 
 func (m Listed) step(s *Spread, now time.Time) {
 	s.members, s.listed = m.Members, true
+	s.partners = [2]partner{}
 	s.inZone, s.elsewhere = nil, nil
 	for i, x := range m.Members {
 		switch {
@@ -269,6 +274,11 @@
 	s.contact.answered(s, m)
 	s.joining.answered(m.Heartbeat)
 	s.readers.answered(m)
+	for i := range s.partners {
+		if p := &s.partners[i]; p.member.ID == m.Heartbeat.ID {
+			p.answered = true
+		}
+	}
 }
 
 func (m FetchEnded) step(s *Spread, _ time.Time) {
@@ -382,10 +392,23 @@
 	s.wakeAt(s.nextExchange)
 	from := s.inZone
 	s.outward = !s.outward
+	p := &s.partners[0]
 	if len(from) == 0 || len(s.elsewhere) > 0 && s.outward {
-		from = s.elsewhere
+		from, p = s.elsewhere, &s.partners[1]
+	}
+	if p.uses == 0 || !p.answered {
+		*p = partner{member: s.pick(from, 1)[0], uses: partnerUses}
 	}
-	s.ready.Exchange = append(s.ready.Exchange, s.pick(from, 1)...)
+	p.uses--
+	p.answered = false
+	s.ready.Exchange = append(s.ready.Exchange, p.member)
+}
+
+// partner is a sibling that exchanges go to for some time.
+type partner struct {
+	member   Member
+	uses     int // exchanges left
+	answered bool
 }
 
 // pick returns up to n distinct random members.
