Pace reads of the platform; fetch the whole value after a mismatch

Cause: a platform that answers waiting reads at once would be called without pause; the fallback to the whole value had no test. Change: at least 100 ms between reads of a value; the fallback moved into siblinggrpc.Receiver, where it is tested; tests of readiness, of the deadline of keyed requests and of what operators take out.

--- a/cmd/internal/node/watch.go
+++ b/cmd/internal/node/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"dogwooddrift.org/drift/control"
@@ -70,27 +69,12 @@
 	}
 }
 
-// fetch brings a newer value from a sibling. A difference that does not match what is in force here is followed by
-// a fetch of the whole value.
+// fetch brings a newer value from a sibling.
 func (n *Node) fetch(ctx context.Context, e control.Fetch) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	err := n.fetchOnce(ctx, e.Fetch)
-	if errors.Is(err, platform.ErrMismatch) && e.After != 0 {
-		whole := e.Fetch
-		whole.After = 0
-		err = n.fetchOnce(ctx, whole)
-	}
-	if err != nil {
+	if err := n.receiver.Fetch(ctx, n.siblings, e.Fetch); err != nil {
 		n.log.Debug().Str("sibling", e.From.ID).Err(err).Msg("sibling: no configuration")
 	}
 	n.loop.Post(control.FetchEnded{Fetch: e})
 }
-
-func (n *Node) fetchOnce(ctx context.Context, f sibling.Fetch) error {
-	differences, err := n.siblings.Fetch(ctx, f)
-	if err != nil {
-		return err
-	}
-	return n.receiver.Receive(f.From.ID, f.Value, differences)
-}
--- a/control/config.go
+++ b/control/config.go
@@ -117,7 +117,8 @@
 }
 
 // spreadStep applies a message to the spread of values and emits what it asks for.
-func (s *State) spreadStep(m sibling.Message, now time.Time) {
+// The time is when it needs a Tick at the latest.
+func (s *State) spreadStep(m sibling.Message, now time.Time) time.Time {
 	ready := s.spread.Step(m, now)
 	for _, a := range ready.Announce {
 		s.emit(Announce{a})
@@ -131,6 +132,7 @@
 	for _, r := range ready.Read {
 		s.emit(ReadPlatform{r})
 	}
+	return ready.Wake
 }
 
 // configured reports whether this instance may become ready.
--- /dev/null
+++ b/control/config_test.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+)
+
+func configList(entries int) *platform.InstanceList {
+	l := &platform.InstanceList{Revision: 1}
+	for i := range entries {
+		l.Instances = append(l.Instances, platform.Instance{
+			ID: fmt.Sprintf("entry-%04d", i), Kind: platform.KindEntry, Zone: string(rune('a' + i%7)),
+			Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: platform.StateLive,
+		})
+	}
+	return l
+}
+
+// Guards against targets, zones and instances that operators took out and that stay in the next snapshot.
+func TestTakenOutWithTheNextSnapshot(t *testing.T) {
+	for name, take := range map[string]func(*platform.Document){
+		"target": func(d *platform.Document) { d.InstancesOut = []string{"t"} },
+		"zone":   func(d *platform.Document) { d.Zones[0].Out = true },
+	} {
+		s := NewState(Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+		now := time.Unix(1000, 0)
+		document := func(r platform.Revision) *platform.Document {
+			d := testDocument(r)
+			d.Services = []platform.Service{{Name: "s", Slots: 1, Connections: 1}}
+			return d
+		}
+		list := &platform.InstanceList{Revision: 1, Instances: []platform.Instance{{
+			ID: "t", Kind: platform.KindTarget, Service: "s", Zone: "a", Address: "127.0.0.1:1", State: platform.StateLive,
+		}}}
+		s.Step(DocumentRead{Document: document(1)}, now)
+		s.Step(InstancesRead{List: list}, now)
+		s.Step(TargetStatus{ID: "t", Status: target.Status{Incarnation: "t/1", State: target.StateWarm, Slots: 1}}, now)
+		if v := s.Snapshot().Targets["s"]; v == nil || len(v.Targets) != 1 {
+			t.Fatalf("%s: the target is not usable before it is taken out", name)
+		}
+		next := document(2)
+		take(next)
+		if ready := s.Step(DocumentRead{Document: next}, now); !ready.Changed {
+			t.Errorf("%s: no snapshot is due", name)
+		}
+		if v := s.Snapshot().Targets["s"]; v != nil && len(v.Targets) != 0 {
+			t.Errorf("%s: still usable in the next snapshot", name)
+		}
+	}
+}
+
+// Guards against an instance that is ready before it asked its siblings, and against a deadline of keyed requests
+// that does not move with the contacts, or is published without any contact.
+func TestConfiguredAndKeyedUntilFollowSiblings(t *testing.T) {
+	s := NewState(Identity{ID: "entry-0000", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	s.Step(InstancesRead{List: configList(2), Source: Source{Sibling: "entry-0001"}}, now)
+	s.Step(DocumentRead{Document: testDocument(5), Source: Source{Sibling: "entry-0001"}}, now)
+	if s.Snapshot().Configured {
+		t.Error("configured before a sibling answered")
+	}
+	if until := s.Snapshot().KeyedUntil; until.IsZero() || until.After(now) {
+		t.Errorf("keys are served until %v without proof of contact", until)
+	}
+	answer := HeartbeatAnswered{Sent: now, Heartbeat: sibling.Heartbeat{ID: "entry-0001", Zone: "b", DocumentRevision: 5}}
+	if ready := s.Step(answer, now); !ready.Changed || !s.Snapshot().Configured {
+		t.Error("not configured after the sibling answered")
+	}
+	limit := testDocument(5).Isolation.KeyedLimit.Duration()
+	if until := s.Snapshot().KeyedUntil; !until.Equal(now.Add(limit)) {
+		t.Errorf("keys are served until %v, want %v", until, now.Add(limit))
+	}
+	answer.Sent = now.Add(limit / 2)
+	if ready := s.Step(answer, answer.Sent); !ready.Changed {
+		t.Error("no snapshot is due after the deadline moved")
+	}
+}
+
+// BenchmarkConfigurationMemory measures the live heap of the configuration: the state with its document, its list
+// and the index of keys.
+func BenchmarkConfigurationMemory(b *testing.B) {
+	for _, size := range []struct{ entries, keys int }{{8, 0}, {64, 0}, {256, 0}, {1200, 0}, {8, 100}, {8, 1000}, {8, 10000}} {
+		b.Run(fmt.Sprintf("%d instances, %d keys", size.entries, size.keys), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := NewState(Identity{ID: "entry-0000", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+				d := testDocument(1)
+				for i := range size.keys {
+					d.Organisations[0].Keys = append(d.Organisations[0].Keys, platform.Key{ID: fmt.Sprint(i), SHA256: fmt.Sprintf("%064x", i)})
+				}
+				text := make([]byte, 94*size.keys)
+				now := time.Unix(1000, 0)
+				list := configList(size.entries)
+				s.Step(InstancesRead{List: list, Source: Source{Content: platform.Content{Bytes: make([]byte, 160*size.entries)}}}, now)
+				s.Step(DocumentRead{Document: d, Source: Source{Content: platform.Content{Bytes: text}}}, now)
+				for _, m := range s.members {
+					s.Step(HeartbeatHeard{Heartbeat: sibling.Heartbeat{ID: m.ID, Zone: m.Zone, DocumentRevision: 1, ListRevision: 1}}, now)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)), "live-bytes")
+		})
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -99,9 +99,12 @@
 	s.effects, s.changed = nil, false
 	e.apply(s, now)
 	s.rates.refill(now)
-	s.spreadStep(sibling.Tick{}, now)
+	wake := now.Add(refillInterval)
+	if due := s.spreadStep(sibling.Tick{}, now); due.Before(wake) {
+		wake = due
+	}
 	s.publishSpread()
-	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
+	return Ready{Effects: s.effects, Changed: s.changed, Wake: wake}
 }
 
 // Tick is the event of a timer.
--- a/sibling/contact.go
+++ b/sibling/contact.go
@@ -16,7 +16,7 @@
 	later(&s.contact.direct, now)
 	later(&s.contact.zone, m.Sent)
 	later(&s.contact.outside, m.Sent)
-	s.values[m.Value].read.done(now)
+	s.values[m.Value].read.done(m.Sent)
 }
 
 // answered takes the proof that a reply holds. Siblings of the zone pass on theirs, since most instances neither
--- a/sibling/readers.go
+++ b/sibling/readers.go
@@ -35,6 +35,9 @@
 	// lostReadLimit is after how long a read without an outcome is given up; values of a megabyte take a while.
 	lostReadLimit = 10 * time.Second
 
+	// minReadInterval bounds the calls at a platform that answers reads that should wait at once.
+	minReadInterval = 100 * time.Millisecond
+
 	retryFirst       = 200 * time.Millisecond
 	retryLastReaders = time.Second
 	// With the platform down, 1,200 instances that all try both values make 300 calls a second.
@@ -65,8 +68,8 @@
 	failures int
 }
 
-func (r *platformRead) done(now time.Time) {
-	r.running, r.failures, r.next = false, 0, now
+func (r *platformRead) done(sent time.Time) {
+	r.running, r.failures, r.next = false, 0, sent.Add(minReadInterval)
 }
 
 // rankReaders ranks the zone's instances after the list changed.
--- a/sibling/siblinggrpc/config.go
+++ b/sibling/siblinggrpc/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -96,6 +97,25 @@
 	return nil
 }
 
+// Fetch brings a newer value from a sibling. A difference that does not match what is in force here is followed by a
+// fetch of the whole value.
+func (r *Receiver) Fetch(ctx context.Context, c *Client, f sibling.Fetch) error {
+	err := r.fetchOnce(ctx, c, f)
+	if errors.Is(err, platform.ErrMismatch) && f.After != 0 {
+		f.After = 0
+		err = r.fetchOnce(ctx, c, f)
+	}
+	return err
+}
+
+func (r *Receiver) fetchOnce(ctx context.Context, c *Client, f sibling.Fetch) error {
+	differences, err := c.Fetch(ctx, f)
+	if err != nil {
+		return err
+	}
+	return r.Receive(f.From.ID, f.Value, differences)
+}
+
 func held(s *control.Snapshot, value sibling.Value) platform.Held {
 	if value == sibling.Document {
 		return s.DocumentHeld
--- a/sibling/spread_test.go
+++ b/sibling/spread_test.go
@@ -253,6 +253,34 @@
 	}
 }
 
+// Guards against a busy loop at a platform that answers at once although it should let the read wait, or that serves
+// an old value.
+func TestReadsArePaced(t *testing.T) {
+	for name, answer := range map[string]func(sent time.Time) Message{
+		"at once": func(sent time.Time) Message { return PlatformAnswered{Value: Document, Sent: sent} },
+		"stale":   func(sent time.Time) Message { return PlatformStale{Value: Document, Sent: sent} },
+	} {
+		s, _, now := newListed()
+		reads, end := 0, now.Add(10*time.Second)
+		for m := Message(Tick{}); now.Before(end); {
+			ready := s.Step(m, now)
+			m = Tick{}
+			for _, r := range ready.Read {
+				if r.Value == Document {
+					reads++
+					m = answer(now)
+				}
+			}
+			if _, idle := m.(Tick); idle {
+				now = ready.Wake
+			}
+		}
+		if limit := int(10*time.Second/minReadInterval) + 1; reads > limit {
+			t.Errorf("%s: %d reads in 10 s, limit %d", name, reads, limit)
+		}
+	}
+}
+
 // Guards against a fetch that waits for ever at a sibling that does not answer.
 func TestFetchMovesToAnotherSibling(t *testing.T) {
 	s, _, now := newListed("a", "a")
