--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -37,6 +37,7 @@
 	tier     *traffic.Tier
 	targets  *targethttp.Client
 	siblings *siblinggrpc.Client
+	receiver *siblinggrpc.Receiver
 	platform *platformhttp.Client
 	metrics  *metrics
 
@@ -93,6 +94,7 @@
 	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.targets)
 	for _, l := range []struct {
 		listener *net.Listener
@@ -133,12 +135,10 @@
 	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.scope}), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
-	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.Register(peers, n.loop, n.receiver)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
-	group.Go(func() error { return n.watchDocument(work) })
-	group.Go(func() error { return n.watchInstances(work) })
 	group.Go(func() error { n.sampleMetrics(work); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
