--- a/control/config_test.go
+++ b/control/config_test.go
@@ -23,6 +23,19 @@
 	return l
 }
 
+// Guards against a stale read of the platform that reverts the instance list.
+func TestListRevisionsOnlyRise(t *testing.T) {
+	s := NewState(Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	newer := configList(3)
+	newer.Revision = 2
+	s.Step(InstancesRead{List: newer}, now)
+	s.Step(InstancesRead{List: configList(8)}, now)
+	if got := s.Snapshot(); got.List.Revision != 2 || len(got.Members) != 3 {
+		t.Fatalf("list of revision %d with %d members is in force, want 2 with 3", got.List.Revision, len(got.Members))
+	}
+}
+
 // Guards against targets, zones and instances that operators took out and that stay in the next snapshot.
 func TestTakenOutWithTheNextSnapshot(t *testing.T) {
 	for name, take := range map[string]func(*platform.Document){
--- a/sibling/spread_test.go
+++ b/sibling/spread_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// Guards against a process that wakes with old messages and goes back to what they say, or stays behind.
+func TestFrozenInstancesCatchUp(t *testing.T) {
+	p := newPump(t, 3, 6, 12)
+	p.settle()
+	frozen := []*pumped{p.ranked("a", 0), p.ranked("a", 4), p.ranked("b", 1)}
+	p.publish(Document)
+	p.run(5*time.Millisecond, nil) // announcements are under way
+	for _, n := range frozen {
+		n.frozen = true
+	}
+	for range 5 {
+		p.run(5*time.Second, nil)
+		p.change(nil)
+	}
+	for _, n := range frozen {
+		if age := p.now.Sub(n.spread.Outside()); age < 20*time.Second {
+			t.Errorf("%s was frozen for 25 s and counts a contact %v old", n.member.ID, age)
+		}
+		p.thaw(n)
+	}
+	if !p.run(inForceLimit, p.everywhere(nil)) {
+		t.Error("an instance is behind after it woke")
+	}
+}
+
 // Guards against a new instance that becomes ready with the old document of a stale platform.
 func TestReplacedInstancesWithStalePlatform(t *testing.T) {
 	p := newPump(t, 3, 8, 4)
@@ -235,6 +260,17 @@
 	}
 }
 
+// Guards against a value that reverts because a lower revision is put into force after a higher one.
+func TestRevisionsOnlyRise(t *testing.T) {
+	s, _, now := newListed("a")
+	for _, r := range []platform.Revision{4, 5} {
+		s.Step(Adopted{Value: Document, Content: platform.Content{Revision: r, Bytes: []byte("old")}}, now)
+		if held := s.Held(Document); held.Revision != 5 || len(held.Bytes) != 0 {
+			t.Errorf("revision %d replaced revision 5", r)
+		}
+	}
+}
+
 // Guards against a value that failed its checks and is fetched again at every heartbeat.
 func TestRefusedValueIsNotFetchedAgain(t *testing.T) {
 	s, _, now := newListed("a")
@@ -262,7 +298,8 @@
 	} {
 		s, _, now := newListed()
 		reads, end := 0, now.Add(10*time.Second)
-		for m := Message(Tick{}); now.Before(end); {
+		// newListed began a read, which this answers.
+		for m := answer(now); now.Before(end) && reads < 1000; {
 			ready := s.Step(m, now)
 			m = Tick{}
 			for _, r := range ready.Read {
@@ -275,7 +312,11 @@
 				now = ready.Wake
 			}
 		}
-		if limit := int(10*time.Second/minReadInterval) + 1; reads > limit {
+		limit := int(10*time.Second/minReadInterval) + 1
+		if name == "stale" {
+			limit = int(10*time.Second/staleReadPause) + 1
+		}
+		if reads > limit || reads < limit/2 {
 			t.Errorf("%s: %d reads in 10 s, limit %d", name, reads, limit)
 		}
 	}
