--- a/cmd/driftctl/load.go
+++ b/cmd/driftctl/load.go
@@ -22,6 +22,7 @@
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.BoolFlag{Name: "compare", Usage: "run again with the experiment's baseline and print the ratios"},
+			&cli.StringFlag{Name: "trace", Usage: "write every request of the run to this file, one JSON object a line"},
 			&cli.StringFlag{Name: "cpuprofile", Usage: "write a processor profile of the whole process, stand-ins included, to this file"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed in place of the experiment's; 0 keeps it"},
 		},
@@ -47,14 +48,20 @@
 				}
 				defer pprof.StopCPUProfile()
 			}
-			return runExperiment(ctx, c.Root().Writer, x, c.Bool("json"), c.Bool("compare"))
+			return runExperiment(ctx, c.Root().Writer, x, output{json: c.Bool("json"), compare: c.Bool("compare"), trace: c.String("trace")})
 		},
 	}
 }
 
+// output says what is written besides the table.
+type output struct {
+	json, compare bool
+	trace         string
+}
+
 // runExperiment prints the reports even when a check failed. Only the checks of the run itself count; the
 // baseline is there to be worse.
-func runExperiment(ctx context.Context, out io.Writer, x load.Experiment, asJSON, compare bool) error {
+func runExperiment(ctx context.Context, out io.Writer, x load.Experiment, o output) error {
 	// net/http reports each repeated reply of a target on the standard logger; the stand-ins repeat them on purpose.
 	log.SetOutput(io.Discard)
 	report, err := load.Run(ctx, x, x.Policy)
@@ -62,22 +69,33 @@
 		return err
 	}
 	write := func(r *load.Report) error {
-		if asJSON {
+		if o.json {
 			return r.WriteJSON(out)
 		}
 		r.WriteTable(out)
 		return nil
 	}
-	err = errors.Join(err, write(report))
-	if compare {
+	err = errors.Join(err, write(report), writeTrace(report, o.trace))
+	if o.compare {
 		baseline, baselineErr := load.Run(ctx, x, x.Baseline)
 		if baselineErr != nil {
 			return errors.Join(err, baselineErr)
 		}
 		err = errors.Join(err, write(baseline))
-		if !asJSON {
+		if !o.json {
 			load.WriteComparison(out, report, baseline)
 		}
 	}
 	return errors.Join(err, report.Err())
 }
+
+func writeTrace(r *load.Report, path string) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(r.WriteTrace(file), file.Close())
+}
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -98,6 +98,8 @@
 	CrashRequests []string `json:"crash_requests,omitempty"`
 	Untruthful    []string `json:"untruthful"`
 	Violations    []string `json:"violations"`
+
+	trace []Trace
 }
 
 // TargetTotals sums the counters of all targets. Most* are the greatest of any target.
@@ -116,6 +118,50 @@
 	KeysSeen           int `json:"keys_seen"`
 }
 
+// Trace is one request of a run, for the search of causes. Times are in milliseconds from the start.
+type Trace struct {
+	At           float64        `json:"at_ms"`
+	Latency      float64        `json:"latency_ms"`
+	Organisation string         `json:"organisation"`
+	Service      string         `json:"service"`
+	Text         string         `json:"text"`
+	Entry        string         `json:"entry"`
+	Zone         string         `json:"zone"`
+	Status       int            `json:"status"`
+	Code         string         `json:"code,omitempty"`
+	Ran          string         `json:"ran,omitempty"`
+	Covered      int            `json:"covered"`
+	Total        int            `json:"total"`
+	Missing      map[string]int `json:"missing,omitempty"`
+	Wrong        []string       `json:"wrong,omitempty"`
+}
+
+func (r *run) trace() []Trace {
+	out := make([]Trace, 0, len(r.outcomes))
+	for i := range r.outcomes {
+		o := &r.outcomes[i]
+		out = append(out, Trace{
+			At: ms(o.at), Latency: ms(o.latency), Organisation: r.x.Organisations[o.organisation].Name, Service: o.service,
+			Text: o.text, Entry: o.entry.ID, Zone: o.entry.Zone, Status: o.status, Code: o.code, Ran: o.ran,
+			Covered: o.covered, Total: o.total, Missing: o.missing, Wrong: o.wrong,
+		})
+	}
+	return out
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// WriteTrace writes every request of the run, one JSON object a line.
+func (r *Report) WriteTrace(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	for _, t := range r.trace {
+		if err := encoder.Encode(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Err returns ErrUntruthful or ErrViolation when a check failed.
 func (r *Report) Err() error {
 	var errs []error
@@ -157,8 +203,8 @@
 
 func (g *group) finish() Service {
 	g.Coverage = ratio(g.covered, g.total)
-	ms := func(q float64) float64 { return float64(g.histogram.ValueAtQuantile(q)) / 1000 }
-	g.Latency = Latency{P50: ms(50), P99: ms(99), P999: ms(99.9), Max: float64(g.histogram.Max()) / 1000}
+	quantile := func(q float64) float64 { return float64(g.histogram.ValueAtQuantile(q)) / 1000 }
+	g.Latency = Latency{P50: quantile(50), P99: quantile(99), P999: quantile(99.9), Max: float64(g.histogram.Max()) / 1000}
 	return g.Service
 }
 
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -55,6 +55,7 @@
 	latency  time.Duration // from the scheduled arrival
 	covered  int
 	total    int
+	missing  map[string]int // by reason
 	wrong    []string
 }
 
@@ -103,6 +104,7 @@
 		err = ctx.Err()
 	}
 	report := r.report()
+	report.trace = r.trace()
 	closed := d.Close()
 	if err != nil {
 		return nil, errors.Join(err, closed)
@@ -295,6 +297,12 @@
 		return
 	}
 	out.covered, out.total = body.Coverage.Answered, body.Coverage.Total
+	for _, m := range body.Coverage.Missing {
+		if out.missing == nil {
+			out.missing = map[string]int{}
+		}
+		out.missing[m.Reason]++
+	}
 	out.wrong = untruthfulAnswer(out.text, body, r.deployment.Fleet.Shards(out.service, body.Snapshot))
 }
 
