Ask siblings from the settings while the platform is down at start

Change: optional setting siblings; each is asked in turn until a list is known. Conclusion: replaced instances join while the platform is down.

--- a/cmd/internal/node/config_test.go
+++ b/cmd/internal/node/config_test.go
@@ -35,6 +35,7 @@
 	down   atomic.Bool
 	stale  atomic.Pointer[standin.Platform]
 	newest platform.Revision
+	seeds  []string
 	stop   context.CancelFunc
 	done   chan struct{}
 }
@@ -60,6 +61,7 @@
 	s.ID, s.Zone, s.Platform = id, zone, server.URL
 	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Siblings: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	s.Drain.Notice = 0
+	s.Siblings = m.seeds
 	n, err := New(s, zerolog.Nop())
 	if err != nil {
 		f.t.Fatal(err)
@@ -228,6 +230,13 @@
 		t.Errorf("new instance became ready with revision %d, want 2", got)
 	}
 
+	seeded := f.add("a-8", "a", func(m *member) {
+		m.down.Store(true)
+		m.seeds = []string{"127.0.0.1:1", f.nodes["b-0"].node.peers.Addr().String()}
+	})
+	f.await(15*time.Second, "new instance with the platform down ready by its seeds", seeded.node.tier.Ready)
+	f.publishList()
+
 	for id, m := range f.nodes {
 		m.down.Store(false)
 		if id == "a-0" || id == "b-1" || id == "c-2" {
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -93,7 +93,7 @@
 	n.targets = targethttp.New(client)
 	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings}, rng))
 	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.targets)
 	for _, l := range []struct {
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -24,10 +24,13 @@
 	Zone string `yaml:"zone" validate:"required,max=64"`
 	// Platform is the base URL of the platform's configuration service.
 	Platform string `yaml:"platform" validate:"required,url"`
-	Listen   Listen `yaml:"listen"`
-	Drain    Drain  `yaml:"drain"`
-	Log      Log    `yaml:"log"`
-	Policy   Policy `yaml:"policy"`
+	// Siblings are addresses of other entry instances, each an IP number with a port. An instance that starts while
+	// the platform is down asks them for the configuration. They need not all be live.
+	Siblings []string `yaml:"siblings" validate:"dive,ip_port"`
+	Listen   Listen   `yaml:"listen"`
+	Drain    Drain    `yaml:"drain"`
+	Log      Log      `yaml:"log"`
+	Policy   Policy   `yaml:"policy"`
 }
 
 // Policy selects between mechanisms. It is experimental and serves comparisons by the load tool only;
--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,8 @@
 type Identity struct {
 	ID   string
 	Zone string
+	// Seeds are addresses of siblings to ask while the platform is down and no list is known.
+	Seeds []string
 }
 
 // State is the control state of one instance. It belongs to one goroutine.
@@ -87,7 +89,7 @@
 	return &State{
 		self:   self,
 		rng:    rng,
-		spread: sibling.NewSpread(self.ID, self.Zone, rng),
+		spread: sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
 		fleet:  target.NewFleet(),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
--- a/sibling/joining.go
+++ b/sibling/joining.go
@@ -13,6 +13,8 @@
 	joinLimit    = 3 * time.Second
 	joinInterval = 200 * time.Millisecond
 	joinAsks     = 2
+	// seedInterval leaves a fetch of a megabyte the time to end.
+	seedInterval = time.Second
 )
 
 // joining decides when a new instance may become ready: when it has a document and a list, knows of no sibling
@@ -21,6 +23,7 @@
 	done    bool
 	began   time.Time // when a document and a list were first in force
 	nextAsk time.Time
+	seed    int // how many seeds were asked
 	zones   map[string]string // zone of each sibling that replied, by ID
 }
 
@@ -39,7 +42,11 @@
 
 func (s *Spread) join(now time.Time) {
 	j := &s.joining
-	if j.done || !s.listed {
+	if j.done {
+		return
+	}
+	if !s.listed {
+		s.askSeed(now)
 		return
 	}
 	if j.began.IsZero() && s.Revision(Document) != 0 {
@@ -58,6 +65,23 @@
 	s.wakeAt(j.nextAsk)
 }
 
+// askSeed fetches from a seed while no list is known. The platform is read at the same time.
+func (s *Spread) askSeed(now time.Time) {
+	if len(s.seeds) == 0 {
+		return
+	}
+	j := &s.joining
+	if !now.Before(j.nextAsk) {
+		j.nextAsk = now.Add(seedInterval)
+		address := s.seeds[j.seed%len(s.seeds)]
+		j.seed++
+		for v := range valueCount {
+			s.ready.Fetch = append(s.ready.Fetch, Fetch{From: Member{ID: address, PeerAddress: address}, Value: v, After: s.Revision(v)})
+		}
+	}
+	s.wakeAt(j.nextAsk)
+}
+
 func (s *Spread) heardEnough() bool {
 	others := len(s.inZone) + len(s.elsewhere)
 	elsewhere := len(s.elsewhere) == 0
--- a/sibling/pump_test.go
+++ b/sibling/pump_test.go
@@ -110,7 +110,7 @@
 
 func (p *pump) add(id, zone string) *pumped {
 	n := &pumped{member: Member{ID: id, Zone: zone, PeerAddress: id}, alive: true, talked: map[*pumped]time.Time{}}
-	n.spread = NewSpread(id, zone, rand.New(rand.NewPCG(p.rng.Uint64(), 2)))
+	n.spread = NewSpread(id, zone, nil, rand.New(rand.NewPCG(p.rng.Uint64(), 2)))
 	p.nodes[id] = n
 	p.order = append(p.order, n)
 	p.after(time.Duration(p.rng.Int64N(int64(time.Second))), func() { p.step(n, Tick{}) })
--- a/sibling/spread.go
+++ b/sibling/spread.go
@@ -138,6 +138,7 @@
 // belongs to the control goroutine.
 type Spread struct {
 	id, zone string
+	seeds    []string
 	rng      *rand.Rand
 
 	listed            bool
@@ -173,9 +174,10 @@
 	heard    time.Time
 }
 
-// NewSpread returns the machine of an instance that knows nothing yet.
-func NewSpread(id, zone string, rng *rand.Rand) *Spread {
-	return &Spread{id: id, zone: zone, rng: rng}
+// NewSpread returns the machine of an instance that knows nothing yet. Seeds are addresses of siblings, of which it
+// asks one at a time until it knows a list.
+func NewSpread(id, zone string, seeds []string, rng *rand.Rand) *Spread {
+	return &Spread{id: id, zone: zone, seeds: seeds, rng: rng, joining: joining{seed: rng.IntN(max(len(seeds), 1))}}
 }
 
 // Step applies one message and whatever is due at now.
--- a/sibling/spread_test.go
+++ b/sibling/spread_test.go
@@ -222,7 +222,7 @@
 }
 
 func newListed(zones ...string) (*Spread, Members, time.Time) {
-	s := NewSpread("self", "a", rand.New(rand.NewPCG(1, 1)))
+	s := NewSpread("self", "a", nil, rand.New(rand.NewPCG(1, 1)))
 	members := Members{{ID: "self", Zone: "a"}}
 	for i, z := range zones {
 		members = append(members, Member{ID: fmt.Sprintf("sib-%d", i), Zone: z})
