Run changes at a home instance with a witness, queue by organisation, drain gracefully

Cause: changes were sent by whichever instance received them, so a repeat at another instance ran again; the planned stop counted on a fixed sleep; nothing bounded the running requests. Change: caller.Change, caller.Queue, sibling.ChangeLog with its gRPC service, the package traffic in one file per job, and the planned stop in cmd/internal/node. targethttp counts a request as sent once it has a connection, follows no redirect and checks the request ID of a change's reply.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -104,12 +104,20 @@
 // open services and count against the host.
 func (a *Accounts) Identify(service platform.Service, key string) (*platform.Organisation, *Refusal) {
 	if key == "" {
+		return a.IdentifyDigest(service, "")
+	}
+	return a.IdentifyDigest(service, Digest(key))
+}
+
+// IdentifyDigest is Identify for the digest of a key, empty if there is no key.
+func (a *Accounts) IdentifyDigest(service platform.Service, digest string) (*platform.Organisation, *Refusal) {
+	if digest == "" {
 		if !service.Open {
 			return nil, Refuse(CodeUnauthenticated, 0, "service %q needs a key", service.Name)
 		}
 		return a.host, nil
 	}
-	o, ok := a.byDigest[Digest(key)]
+	o, ok := a.byDigest[digest]
 	if !ok {
 		return nil, Refuse(CodeUnauthenticated, 0, "the key is not valid")
 	}
--- a/caller/callerhttp/server.go
+++ b/caller/callerhttp/server.go
@@ -27,6 +27,8 @@
 	Query(ctx context.Context, q traffic.Query) (*traffic.Answer, *caller.Refusal)
 	Change(ctx context.Context, c traffic.Change) (*traffic.Outcome, *caller.Refusal)
 	Ready() bool
+	// Leaving reports that callers should open their next connection elsewhere.
+	Leaving() bool
 }
 
 // NewHandler returns the HTTP handler for callers.
@@ -34,9 +36,34 @@
 	mux := goahttp.NewMuxer()
 	endpoints := querytier.NewEndpoints(&service{tier: tier})
 	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, format))
-	return http.MaxBytesHandler(mux, maxBodyBytes)
+	return closeOnLeave(http.MaxBytesHandler(mux, maxBodyBytes), tier.Leaving)
 }
 
+// closeOnLeave asks callers to close their connection after each response while leaving. Closing an idle
+// connection from this side instead could cut off a request that is on its way.
+func closeOnLeave(next http.Handler, leaving func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, leaving: leaving}, r)
+	})
+}
+
+// closingWriter decides when the response starts, since the stop may begin while the request runs.
+type closingWriter struct {
+	http.ResponseWriter
+	leaving func() bool
+}
+
+// WriteHeader adds the Connection header while leaving.
+func (w *closingWriter) WriteHeader(status int) {
+	if w.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 type service struct{ tier Tier }
 
 func (s *service) Query(ctx context.Context, p *querytier.QueryPayload) (*querytier.QueryAnswer, error) {
--- /dev/null
+++ b/caller/queue.go
@@ -0,0 +1,224 @@
+package caller
+
+import (
+	"math"
+	"time"
+)
+
+// QueueLimits bounds the work of one instance.
+type QueueLimits struct {
+	// Running is how many requests run at a time.
+	Running int
+	// Waiting is how many requests wait, of all organisations together.
+	Waiting int
+	// Wait is how long a request waits at most.
+	Wait time.Duration
+}
+
+// Ticket is one request in a Queue.
+type Ticket struct {
+	// Organisation is the name of the organisation that the request runs for.
+	Organisation string
+	// Weight is the organisation's part of the work, relative to the others.
+	Weight float64
+	// Until is when the request stops waiting; Arrive lowers it to the limit.
+	Until time.Time
+
+	state   ticketState
+	start   float64 // virtual start time
+	arrived time.Time
+	started time.Time
+}
+
+type ticketState int
+
+const (
+	ticketWaiting ticketState = iota + 1
+	ticketRunning
+	ticketGone
+)
+
+// Queue shares the running places of an instance between organisations by start-time fair queueing: each request
+// gets a virtual start time, which rises by 1/weight from request to request of its organisation, and the lowest
+// one is served next. It is not safe for concurrent use.
+type Queue struct {
+	limits  QueueLimits
+	flows   map[string]*flow
+	running int
+	waiting int
+	virtual float64
+	service time.Duration // weighted mean of the time that requests run
+}
+
+// flow is what one organisation has in the queue.
+type flow struct {
+	waiting []*Ticket
+	weight  float64
+	finish  float64 // virtual finish time of its newest request
+}
+
+// Decision says what becomes of an arriving request.
+type Decision struct {
+	// Run says that the request runs now. It must be ended with Finish.
+	Run bool
+	// Refused is set if the request may neither run nor wait.
+	Refused *Refusal
+	// Displaced is a waiting request that must be refused with Overloaded, to make room for this one.
+	Displaced *Ticket
+}
+
+// serviceWeight is the part of one sample in the mean time that requests run.
+const serviceWeight = 0.05
+
+// NewQueue returns an empty queue.
+func NewQueue(limits QueueLimits) *Queue {
+	return &Queue{limits: limits, flows: map[string]*flow{}}
+}
+
+// Arrive takes a new request.
+func (q *Queue) Arrive(t *Ticket, now time.Time) Decision {
+	t.arrived = now
+	f := q.flows[t.Organisation]
+	if f == nil {
+		f = &flow{}
+		q.flows[t.Organisation] = f
+	}
+	f.weight = t.Weight
+	if q.running < q.limits.Running {
+		q.tag(f, t)
+		q.run(t, now)
+		return Decision{Run: true}
+	}
+	if limit := now.Add(q.limits.Wait); limit.Before(t.Until) {
+		t.Until = limit
+	}
+	if !t.Until.After(now) {
+		q.retire(t.Organisation)
+		return Decision{Refused: Refuse(CodeDeadline, 0, "the deadline leaves no time to wait")}
+	}
+	var displaced *Ticket
+	if q.waiting >= q.limits.Waiting {
+		worst := q.longest()
+		if worst == nil || float64(len(worst.waiting))/worst.weight <= float64(len(f.waiting)+1)/f.weight {
+			q.retire(t.Organisation)
+			return Decision{Refused: q.Overloaded()}
+		}
+		displaced = worst.waiting[len(worst.waiting)-1]
+		q.Cancel(displaced)
+	}
+	q.tag(f, t)
+	t.state = ticketWaiting
+	f.waiting = append(f.waiting, t)
+	q.waiting++
+	return Decision{Displaced: displaced}
+}
+
+// tag sets the virtual start time of a request. An organisation that was idle starts at the present virtual time,
+// so it neither saves up service nor pays for what it did not use.
+func (q *Queue) tag(f *flow, t *Ticket) {
+	t.start = math.Max(q.virtual, f.finish)
+	f.finish = t.start + 1/f.weight
+}
+
+func (q *Queue) run(t *Ticket, now time.Time) {
+	t.state, t.started = ticketRunning, now
+	q.running++
+	q.virtual = math.Max(q.virtual, t.start)
+}
+
+// Finish ends a running request and returns the one that runs next, if any.
+func (q *Queue) Finish(t *Ticket, now time.Time) (next *Ticket) {
+	if t.state != ticketRunning {
+		return nil
+	}
+	t.state = ticketGone
+	q.running--
+	q.sample(now.Sub(t.started))
+	next = q.first()
+	if next == nil {
+		q.retire(t.Organisation)
+		return nil
+	}
+	f := q.flows[next.Organisation]
+	f.waiting = f.waiting[1:]
+	q.waiting--
+	q.run(next, now)
+	q.retire(t.Organisation)
+	return next
+}
+
+// Cancel takes a request out that stopped waiting. It reports false if the request was not waiting any more.
+func (q *Queue) Cancel(t *Ticket) bool {
+	if t.state != ticketWaiting {
+		return false
+	}
+	f := q.flows[t.Organisation]
+	for i, w := range f.waiting {
+		if w != t {
+			continue
+		}
+		t.state = ticketGone
+		// Later requests of the organisation move up, so that a request that left costs it no turn.
+		for _, later := range f.waiting[i+1:] {
+			later.start -= 1 / f.weight
+		}
+		f.finish -= 1 / f.weight
+		f.waiting = append(f.waiting[:i:i], f.waiting[i+1:]...)
+		q.waiting--
+		q.retire(t.Organisation)
+		return true
+	}
+	return false
+}
+
+// Overloaded refuses a request. It names the time in which the waiting requests are expected to have run.
+func (q *Queue) Overloaded() *Refusal {
+	retry := q.service * time.Duration(q.waiting+1) / time.Duration(max(q.limits.Running, 1))
+	return Refuse(CodeOverloaded, max(retry, time.Millisecond), "%d requests run and %d wait", q.running, q.waiting)
+}
+
+// Running returns how many requests run.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns how many requests wait.
+func (q *Queue) Waiting() int { return q.waiting }
+
+func (q *Queue) first() *Ticket {
+	var best *Ticket
+	for _, f := range q.flows {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		t := f.waiting[0]
+		if best == nil || t.start < best.start || (t.start == best.start && t.arrived.Before(best.arrived)) {
+			best = t
+		}
+	}
+	return best
+}
+
+// longest returns the flow with the most waiting requests for its weight.
+func (q *Queue) longest() *flow {
+	var worst *flow
+	for _, f := range q.flows {
+		if len(f.waiting) > 0 && (worst == nil || float64(len(f.waiting))/f.weight > float64(len(worst.waiting))/worst.weight) {
+			worst = f
+		}
+	}
+	return worst
+}
+
+// retire forgets an organisation that has nothing waiting and no claim on the virtual time.
+func (q *Queue) retire(organisation string) {
+	if f := q.flows[organisation]; f != nil && len(f.waiting) == 0 && f.finish <= q.virtual {
+		delete(q.flows, organisation)
+	}
+}
+
+func (q *Queue) sample(d time.Duration) {
+	if q.service == 0 {
+		q.service = d
+		return
+	}
+	q.service += time.Duration(serviceWeight * float64(d-q.service))
+}
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer fleet.Close()
-	platformAddress, stopPlatform, err := startPlatform(fleet)
+	platformServer, platformAddress, stopPlatform, err := startPlatform(fleet)
 	if err != nil {
 		return err
 	}
@@ -62,6 +62,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	var entries []string
+	instances := fleet.Instances
 	for _, zone := range zones {
 		for i := range instancesPerZone {
 			n, err := startNode(group, ctx, fmt.Sprintf("%s-%d", zone, i), zone, platformAddress)
@@ -70,9 +71,16 @@
 				return errors.Join(err, group.Wait())
 			}
 			entries = append(entries, n.CallersAddress())
+			instances = append(instances, platform.Instance{
+				ID: fmt.Sprintf("%s-%d", zone, i), Kind: platform.KindEntry, Zone: zone, State: platform.StateLive,
+				Address: n.CallersAddress(), PeerAddress: n.SiblingsAddress(),
+			})
 		}
 	}
-	err = waitReady(ctx, entries)
+	err = platformServer.PublishInstances(&platform.InstanceList{Revision: 2, Instances: instances})
+	if err == nil {
+		err = waitReady(ctx, entries)
+	}
 	if err == nil {
 		err = drive(ctx, out, entries, duration)
 	}
@@ -80,22 +88,22 @@
 	return errors.Join(err, group.Wait())
 }
 
-func startPlatform(fleet *standin.Fleet) (string, func(), error) {
+func startPlatform(fleet *standin.Fleet) (*standin.Platform, string, func(), error) {
 	p := standin.NewPlatform()
 	doc := Document()
 	if err := p.PublishDocument(doc); err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	if err := p.PublishInstances(&platform.InstanceList{Revision: 1, Instances: fleet.Instances}); err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), func() { _ = server.Close() }, nil
+	return p, listener.Addr().String(), func() { _ = server.Close() }, nil
 }
 
 // Document returns the document of the demo.
--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -46,6 +46,9 @@
 		x.start(func() { n.exchange(x.ctx, e) })
 	case control.FetchDocument:
 		x.start(func() { n.fetch(x.ctx, e) })
+	case control.HandOver:
+		n.handOvers.start()
+		x.start(func() { defer n.handOvers.end(); n.handOver(x.ctx, e.HandOver) })
 	case control.Refused:
 		n.log.Warn().Err(e.Err).Msg("platform: value refused")
 	}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -39,6 +39,8 @@
 	siblings *siblinggrpc.Client
 	platform *platformhttp.Client
 	metrics  *metrics
+	// handOvers counts the messages with records of changes that are under way.
+	handOvers pending
 
 	callers   net.Listener
 	peers     net.Listener
@@ -70,7 +72,7 @@
 	n.platform = platformhttp.New(s.Platform, &http.Client{})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
-	n.tier = traffic.New(n.loop, n.targets)
+	n.tier = traffic.New(n.loop, n.siblings, n.targets, s.Queue.Limits())
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -95,6 +97,9 @@
 // CallersAddress returns the address that callers use.
 func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
 
+// SiblingsAddress returns the address that siblings use.
+func (n *Node) SiblingsAddress() string { return n.peers.Addr().String() }
+
 // OperatorsAddress returns the address that operators use.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
@@ -108,6 +113,7 @@
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.RegisterChanges(peers, n.loop, n.tier)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
@@ -121,12 +127,12 @@
 		case <-ctx.Done():
 		case <-work.Done():
 		}
-		n.drain(abort, callers)
+		err := n.drain(abort, callers, peers)
 		_ = operators.Close()
 		peers.Stop()
 		n.siblings.Close()
 		stopWork()
-		return nil
+		return err
 	})
 	n.log.Info().Str("callers", n.CallersAddress()).Str("operators", n.OperatorsAddress()).Msg("node: started")
 	err := group.Wait()
@@ -138,26 +144,6 @@
 	return err
 }
 
-// drain performs the planned stop of the callers' side.
-func (n *Node) drain(abort context.Context, callers *http.Server) {
-	n.log.Info().Dur("notice", n.settings.Drain.Notice).Msg("node: draining")
-	n.loop.Post(control.Drain{})
-	notice := time.NewTimer(n.settings.Drain.Notice)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-abort.Done():
-	}
-	limit, cancel := context.WithTimeout(abort, n.settings.Drain.Limit)
-	defer cancel()
-	if err := n.tier.Drain(limit); err != nil {
-		n.log.Warn().Err(err).Msg("node: requests still running at the limit")
-	}
-	if err := callers.Shutdown(limit); err != nil {
-		_ = callers.Close()
-	}
-}
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/samber/oops"
+
+	"dogwooddrift.org/drift/caller"
 )
 
 // ErrInvalid means that the settings cannot be used.
@@ -26,6 +28,7 @@
 	Platform string `yaml:"platform" validate:"required,url"`
 	Listen   Listen `yaml:"listen"`
 	Drain    Drain  `yaml:"drain"`
+	Queue    Queue  `yaml:"queue"`
 	Log      Log    `yaml:"log"`
 }
 
@@ -47,6 +50,21 @@
 	Limit time.Duration `yaml:"limit" validate:"min=0"`
 }
 
+// Queue bounds the work of the instance.
+type Queue struct {
+	// Running is how many requests of callers run at a time.
+	Running int `yaml:"running" validate:"min=1"`
+	// Waiting is how many requests of callers wait, of all organisations together.
+	Waiting int `yaml:"waiting" validate:"min=0"`
+	// Wait is how long a request waits at most.
+	Wait time.Duration `yaml:"wait" validate:"min=0"`
+}
+
+// Limits converts q.
+func (q Queue) Limits() caller.QueueLimits {
+	return caller.QueueLimits{Running: q.Running, Waiting: q.Waiting, Wait: q.Wait}
+}
+
 // Log holds the settings of the log.
 type Log struct {
 	// Level is the lowest level that is written.
@@ -57,6 +75,7 @@
 func Default() Settings {
 	return Settings{
 		Drain: Drain{Notice: 2 * time.Second, Limit: 60 * time.Second},
+		Queue: Queue{Running: 64, Waiting: 512, Wait: 200 * time.Millisecond},
 		Log:   Log{Level: "info"},
 	}
 }
--- a/cmd/internal/standin/target.go
+++ b/cmd/internal/standin/target.go
@@ -143,6 +143,7 @@
 	if !t.work(r) {
 		return
 	}
+	w.Header().Set(targethttp.HeaderRequestID, r.Header.Get(targethttp.HeaderRequestID))
 	t.identify(w, status)
 	_, _ = io.WriteString(w, "done")
 }
--- /dev/null
+++ b/control/changes.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"dogwooddrift.org/drift/sibling"
+)
+
+// HandOver asks for a message with records of changes to a sibling. A failed message is not repeated: the
+// other holder of a record still has it.
+type HandOver struct{ sibling.HandOver }
+
+func (HandOver) effect() {}
+
+func (s *State) handOver(messages []sibling.HandOver) {
+	for _, m := range messages {
+		s.emit(HandOver{m})
+	}
+}
+
+// Drain is the first event of a planned stop: the instance reports unready. Reply must have room for one value.
+type Drain struct{ Reply chan<- struct{} }
+
+func (e Drain) apply(s *State, _ time.Time) {
+	s.draining, s.changed = true, true
+	e.Reply <- struct{}{}
+}
+
+// LeaveChanges ends the part of this instance as home and witness of changes. The reply holds the messages that
+// tell the siblings, for the caller to send: the stop must not go on before they are sent. Reply must have room
+// for one value.
+type LeaveChanges struct{ Reply chan<- []sibling.HandOver }
+
+func (e LeaveChanges) apply(s *State, now time.Time) {
+	e.Reply <- s.changes.Leave(now)
+	s.changed = true
+}
+
+// BeginChange asks for the decision of the home instance. Reply must have room for one value.
+type BeginChange struct {
+	Key   sibling.ChangeKey
+	Body  sibling.BodyDigest
+	Reply chan<- sibling.Begun
+}
+
+func (e BeginChange) apply(s *State, now time.Time) { e.Reply <- s.changes.Begin(e.Key, e.Body, now) }
+
+// WitnessChange asks for the decision of the witness. Reply must have room for one value.
+type WitnessChange struct {
+	Home   string
+	Record sibling.ChangeRecord
+	Reply  chan<- sibling.Witnessed
+}
+
+func (e WitnessChange) apply(s *State, now time.Time) {
+	e.Reply <- s.changes.Witness(e.Home, e.Record, now)
+}
+
+// FinishChange notes the outcome of an attempt of this process. Reply must have room for one value.
+type FinishChange struct {
+	Record sibling.ChangeRecord
+	Reply  chan<- struct{}
+}
+
+func (e FinishChange) apply(s *State, now time.Time) {
+	s.handOver(s.changes.Finish(e.Record, now))
+	e.Reply <- struct{}{}
+}
+
+// HandedOver is a sibling's message with records of changes. Reply must have room for one value.
+type HandedOver struct {
+	Message sibling.HandOver
+	Reply   chan<- []sibling.ChangeRecord
+}
+
+func (e HandedOver) apply(s *State, now time.Time) {
+	reply, out := s.changes.Hear(e.Message, now)
+	s.handOver(out)
+	s.changed = s.changed || e.Message.Leaving || e.Message.Arriving
+	e.Reply <- reply
+}
+
+// Arrived is a sibling's reply to the message of a new process; Records is empty if there was none.
+type Arrived struct {
+	From    string
+	Records []sibling.ChangeRecord
+}
+
+func (e Arrived) apply(s *State, now time.Time) { s.changes.Arrived(e.From, e.Records, now) }
+
+func (s *State) rejoin(now time.Time) {
+	out, changed := s.changes.Rejoin(now)
+	s.handOver(out)
+	s.changed = s.changed || changed
+}
+
+// BeginChange asks the control goroutine for the decision of the home instance. It does not end with a request's
+// context: an event that was queued would still note the change.
+func (l *Loop) BeginChange(key sibling.ChangeKey, body sibling.BodyDigest) (sibling.Begun, error) {
+	return Ask(context.Background(), l, func(reply chan<- sibling.Begun) Event {
+		return BeginChange{Key: key, Body: body, Reply: reply}
+	})
+}
+
+// FinishChange notes the outcome of an attempt that BeginChange started.
+func (l *Loop) FinishChange(r sibling.ChangeRecord) error {
+	_, err := Ask(context.Background(), l, func(reply chan<- struct{}) Event {
+		return FinishChange{Record: r, Reply: reply}
+	})
+	return err
+}
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -41,6 +42,10 @@
 	Targets  target.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
+	// Self is the ID of this instance.
+	Self string
+	// ChangeMembers lists the instances that take part in remembering changes.
+	ChangeMembers sibling.Members
 	// Configured says that a document and a list are in force.
 	Configured bool
 	Draining   bool
@@ -63,6 +68,7 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	changes  *sibling.ChangeLog
 	draining bool
 
 	nextHeartbeat time.Time
@@ -83,6 +89,8 @@
 		fleet:  target.NewFleet(),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
+		// A process must not take the attempts of an earlier one of the same instance for its own.
+		changes: sibling.NewChangeLog(self.ID, fmt.Sprintf("%s/%016x", self.ID, rng.Uint64())),
 	}
 }
 
@@ -92,6 +100,7 @@
 	e.apply(s, now)
 	s.rates.refill(now)
 	s.heartbeat(now)
+	s.rejoin(now)
 	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
 }
 
@@ -105,22 +114,19 @@
 // Snapshot builds the snapshot that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	return &Snapshot{
-		Document:   s.document,
-		List:       s.list,
-		Accounts:   s.accounts,
-		Targets:    s.fleet.View(),
-		Members:    s.members,
-		Pools:      s.rates.pools(),
-		Configured: s.document != nil && s.list != nil,
-		Draining:   s.draining,
+		Document:      s.document,
+		List:          s.list,
+		Accounts:      s.accounts,
+		Targets:       s.fleet.View(),
+		Members:       s.members,
+		Pools:         s.rates.pools(),
+		Self:          s.self.ID,
+		ChangeMembers: s.changes.Members(),
+		Configured:    s.document != nil && s.list != nil,
+		Draining:      s.draining,
 	}
 }
 
-// Drain is the event of a planned stop.
-type Drain struct{}
-
-func (Drain) apply(s *State, _ time.Time) { s.draining, s.changed = true, true }
-
 // TakeDump asks for a dump of the state. Reply must have room for one value.
 type TakeDump struct{ Reply chan<- operator.Dump }
 
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -36,17 +36,27 @@
 }
 
 func (c *Client) sibling(address string) (siblingpb.SiblingClient, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return siblingpb.NewSiblingClient(conn), nil
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn := c.conns[address]
 	if conn == nil {
 		var err error
-		if conn, err = grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
+		conn, err = grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithStatsHandler(sendTracker{}), grpc.WithConnectParams(reconnect))
+		if err != nil {
 			return nil, oops.In("sibling").Wrapf(sibling.ErrNotSent, "connect %s: %v", address, err)
 		}
 		c.conns[address] = conn
 	}
-	return siblingpb.NewSiblingClient(conn), nil
+	return conn, nil
 }
 
 // Exchange sends a heartbeat and returns the sibling's.
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -53,7 +53,12 @@
 type Client struct{ client *http.Client }
 
 // New returns a client that sends through the given HTTP client.
-func New(client *http.Client) *Client { return &Client{client: client} }
+func New(client *http.Client) *Client {
+	direct := *client
+	// A redirect would run a request a second time.
+	direct.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{client: &direct}
+}
 
 // Search is one leg as sent to a target.
 type Search struct {
@@ -119,14 +124,18 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody, net/http cannot send the body a second time on another connection.
-	req.GetBody = nil
 	req.Header.Set(HeaderRequestID, string(ch.RequestID))
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(ch.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, ch.Organisation)
 	req.Header.Set(HeaderIdempotencyKey, ch.IdempotencyKey)
-	_, body, err := c.do(req)
-	return body, err
+	header, body, err := c.do(req)
+	if err != nil {
+		return nil, err
+	}
+	if got := header.Get(HeaderRequestID); got != string(ch.RequestID) {
+		return nil, oops.In("target").Wrapf(target.ErrFailed, "the reply is for request %q", got)
+	}
+	return body, nil
 }
 
 // Status reads a target's own report.
@@ -156,8 +165,14 @@
 
 // do sends the request and turns transport errors and statuses into the errors of package target.
 func (c *Client) do(req *http.Request) (http.Header, []byte, error) {
+	// From the moment that a connection is handed to the request, net/http may write to it, even after Do returned
+	// because its context ended. net/http takes another connection only if nothing was written to the first: it
+	// resends a POST without an Idempotency-Key header in no other case.
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
 	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !sent.Load() {
--- /dev/null
+++ b/traffic/admit.go
@@ -0,0 +1,82 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
+)
+
+type admission struct {
+	snapshot     *control.Snapshot
+	service      platform.Service
+	organisation *platform.Organisation
+	digest       string
+	ticket       *caller.Ticket
+}
+
+// permit decides whether a request may run, on the newest snapshot. It is asked on arrival, after waiting, and
+// right before a change is sent.
+func (t *Tier) permit(service, digest string) (admission, *caller.Refusal) {
+	s := t.control.Snapshot()
+	if !s.Configured {
+		return admission{}, caller.Refuse(caller.CodeNotConfigured, retryLater, "the instance has no configuration yet")
+	}
+	if t.stopping() {
+		return admission{}, caller.Refuse(caller.CodeDraining, retrySoon, "the instance is stopping")
+	}
+	svc, ok := s.Document.Service(service)
+	if !ok {
+		return admission{}, caller.Refuse(caller.CodeUnknownService, 0, "service %q does not exist", service)
+	}
+	organisation, refusal := s.Accounts.IdentifyDigest(svc, digest)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	return admission{snapshot: s, service: svc, organisation: organisation, digest: digest}, nil
+}
+
+// admit decides whether a request may run, spends its token and waits for its turn. Unless it refuses, release
+// must be called when the request is done.
+func (t *Tier) admit(ctx context.Context, service, key string, sharded bool, deadline time.Time) (admission, *caller.Refusal) {
+	digest := ""
+	if key != "" {
+		digest = caller.Digest(key)
+	}
+	a, refusal := t.permit(service, digest)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	if a.service.Sharded != sharded {
+		return admission{}, caller.Refuse(caller.CodeBadRequest, 0, "service %q takes %s", service, takes[a.service.Sharded])
+	}
+	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now()) {
+		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
+	}
+	ticket := &caller.Ticket{Organisation: a.organisation.Name, Weight: a.organisation.Weight, Until: deadline}
+	waited, refusal := t.queue.enter(ctx, ticket)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	if waited {
+		before := a.organisation.Name
+		if a, refusal = t.permit(service, digest); refusal == nil && a.organisation.Name != before {
+			refusal = caller.Refuse(caller.CodeUnauthenticated, 0, "the key belongs to another organisation now")
+		}
+		if refusal == nil && !time.Now().Before(deadline) {
+			refusal = caller.Refuse(caller.CodeDeadline, 0, "the deadline passed before the request ran")
+		}
+		if refusal != nil {
+			t.queue.leave(ticket)
+			return admission{}, refusal
+		}
+	}
+	a.ticket = ticket
+	return a, nil
+}
+
+func (t *Tier) release(a admission) { t.queue.leave(a.ticket) }
+
+var takes = map[bool]string{true: "queries, not changes", false: "changes, not queries"}
--- /dev/null
+++ b/traffic/change.go
@@ -0,0 +1,128 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+)
+
+// Change is a non-idempotent request to one target.
+type Change struct {
+	Service        string
+	Key            string
+	Deadline       time.Time
+	IdempotencyKey string
+	Text           string
+}
+
+// Outcome is the outcome of a change that ran.
+type Outcome struct {
+	RequestID target.RequestID
+	Reply     []byte
+}
+
+const (
+	// moveLimit is how long a change waits for its instances to agree on its home and witness. A planned stop or
+	// a start takes some milliseconds; a failed instance stays listed for seconds, which no caller waits for.
+	moveLimit    = time.Second
+	moveFirst    = 5 * time.Millisecond
+	moveMaxPause = 100 * time.Millisecond
+)
+
+// Change runs a change at most once. The error, if any, is a *caller.Refusal.
+func (t *Tier) Change(ctx context.Context, c Change) (*Outcome, *caller.Refusal) {
+	if refusal := t.begin(); refusal != nil {
+		return nil, refusal
+	}
+	defer t.end()
+	a, refusal := t.admit(ctx, c.Service, c.Key, false, c.Deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer t.release(a)
+	machine := caller.NewChange(c.Deadline)
+	machine.Admit()
+	request := sibling.ChangeRequest{
+		RequestID: uuid.NewString(), Organisation: a.organisation.Name, Service: c.Service,
+		IdempotencyKey: c.IdempotencyKey, KeyDigest: a.digest, Body: []byte(c.Text),
+	}
+	limit := time.Now().Add(moveLimit)
+	for pause := moveFirst; ; pause = min(2*pause, moveMaxPause) {
+		reply, refusal := t.atHome(ctx, machine, request, c.Deadline)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if !reply.Moved {
+			return outcome(reply)
+		}
+		next := time.Now().Add(pause)
+		if next.After(limit) || next.After(c.Deadline) || !sleep(ctx, pause) {
+			return nil, machine.Refuse(caller.CodeHomeUnreachable, retrySoon, "the home instance or its witness cannot be reached")
+		}
+	}
+}
+
+// atHome runs a change at its home instance. If the reply says that it moved, nothing ran.
+func (t *Tier) atHome(ctx context.Context, machine *caller.Change, request sibling.ChangeRequest, deadline time.Time) (sibling.ChangeReply, *caller.Refusal) {
+	s := t.control.Snapshot()
+	home, ok := s.ChangeMembers.HomeOf(sibling.NewChangeKey(request.Organisation, request.Service, request.IdempotencyKey))
+	if !ok {
+		return sibling.ChangeReply{Moved: true}, nil
+	}
+	t.step("forward")
+	_, permit := t.permit(request.Service, request.KeyDigest)
+	now := time.Now()
+	if refusal := machine.Forward(permit, now); refusal != nil {
+		return sibling.ChangeReply{}, refusal
+	}
+	request.Timeout = deadline.Sub(now)
+	var reply sibling.ChangeReply
+	var err error
+	if home.ID == s.Self {
+		reply = t.runHere(ctx, request)
+	} else {
+		request.Timeout -= returnTrip
+		callCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		reply, err = t.siblings.RunChange(callCtx, home, request)
+		cancel()
+	}
+	switch {
+	case errors.Is(err, sibling.ErrNotSent):
+		machine.NotSent()
+		return sibling.ChangeReply{Moved: true}, nil
+	case err != nil:
+		return sibling.ChangeReply{}, machine.Refuse(caller.CodeOutcomeUnknown, 0, "the home instance gave no answer: %v", err)
+	case reply.Moved:
+		machine.NotSent()
+	}
+	return reply, nil
+}
+
+func outcome(reply sibling.ChangeReply) (*Outcome, *caller.Refusal) {
+	if f := reply.Refused; f != nil {
+		r := &caller.Refusal{Code: caller.Code(f.Code), Ran: caller.RanUnknown, Message: f.Message, RetryAfter: f.RetryAfter}
+		if f.Ran == string(caller.RanNo) {
+			r.Ran = caller.RanNo
+		}
+		return nil, r
+	}
+	return &Outcome{RequestID: target.RequestID(reply.RequestID), Reply: reply.Reply}, nil
+}
+
+// sleep waits for d. It reports false if ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/traffic/home.go
@@ -0,0 +1,192 @@
+package traffic
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/target/targethttp"
+)
+
+// witnessTimeout bounds the wait for the witness. An entry instance answers within milliseconds.
+const witnessTimeout = 250 * time.Millisecond
+
+// RunChange runs a change that a sibling forwarded to this instance as its home.
+func (t *Tier) RunChange(ctx context.Context, r sibling.ChangeRequest) sibling.ChangeReply {
+	if refusal := t.begin(); refusal != nil {
+		return sibling.ChangeReply{Moved: true}
+	}
+	defer t.end()
+	reply := t.runHere(ctx, r)
+	if f := reply.Refused; f != nil && f.Code == string(caller.CodeDraining) && f.Ran == string(caller.RanNo) {
+		// The stop concerns this instance only; the change gets a new home.
+		return sibling.ChangeReply{Moved: true}
+	}
+	return reply
+}
+
+// runHere runs a change at this instance as its home.
+func (t *Tier) runHere(ctx context.Context, r sibling.ChangeRequest) sibling.ChangeReply {
+	deadline := time.Now().Add(r.Timeout)
+	machine := caller.NewChange(deadline)
+	machine.Admit()
+	t.step("begin")
+	key := sibling.NewChangeKey(r.Organisation, r.Service, r.IdempotencyKey)
+	begun, err := t.control.BeginChange(key, sha256.Sum256(r.Body))
+	switch {
+	case err != nil || begun.Verdict == sibling.VerdictMoved:
+		return sibling.ChangeReply{Moved: true}
+	case begun.Verdict == sibling.VerdictFull:
+		return refused(machine.Refuse(caller.CodeOverloaded, retryLater, "no further change can be remembered"))
+	case begun.Verdict == sibling.VerdictOtherBody:
+		return refused(machine.Refuse(caller.CodeDuplicate, 0, "the idempotency key came with another body before"))
+	case begun.Verdict == sibling.VerdictKnown:
+		return known(begun.Record, begun.Here)
+	}
+	machine.Home(begun.Until)
+	t.step("homed")
+	record := begun.Record
+	reply, earlier := t.record(ctx, machine, r, begun)
+	switch {
+	case earlier != nil:
+		// The witness may be lost next, so what it knows is noted here too.
+		record.Outcome, record.RequestID = max(earlier.Outcome, sibling.OutcomeUnknown), earlier.RequestID
+		record.Reply, record.ReplyDropped = earlier.Reply, earlier.ReplyDropped
+	case reply != nil:
+		record.Outcome = sibling.OutcomeNotRun
+	default:
+		t.step("recorded")
+		sent := t.sendOnce(ctx, machine, r, deadline)
+		reply = &sent
+		record.Outcome = outcomes[machine.State()]
+		record.RequestID, record.Reply = sent.RequestID, sent.Reply
+	}
+	t.step("finish")
+	// If control has ended, the process ends too, and the record at the witness stays open.
+	_ = t.control.FinishChange(record)
+	return *reply
+}
+
+// outcomes maps the state in which a change ended to what is remembered.
+var outcomes = map[caller.ChangeState]sibling.ChangeOutcome{
+	caller.ChangeDone:    sibling.OutcomeDone,
+	caller.ChangeUnknown: sibling.OutcomeUnknown,
+	caller.ChangeNotRun:  sibling.OutcomeNotRun,
+}
+
+// record has the witness note a change. The reply is nil if the change may be sent; earlier is the record that
+// stands against it, if any.
+func (t *Tier) record(ctx context.Context, machine *caller.Change, r sibling.ChangeRequest, begun sibling.Begun) (reply *sibling.ChangeReply, earlier *sibling.ChangeRecord) {
+	if !begun.Alone {
+		witnessCtx, cancel := context.WithTimeout(ctx, min(witnessTimeout, r.Timeout))
+		w, err := t.siblings.RecordChange(witnessCtx, begun.Witness, begun.Home, begun.Record)
+		cancel()
+		var out sibling.ChangeReply
+		switch {
+		case err != nil || w.Verdict == sibling.VerdictMoved:
+			return &sibling.ChangeReply{Moved: true}, nil
+		case w.Verdict == sibling.VerdictOtherBody:
+			out = refused(machine.Refuse(caller.CodeDuplicate, 0, "the idempotency key came with another body before"))
+			return &out, nil
+		case w.Verdict == sibling.VerdictKnown:
+			out = known(w.Record, false)
+			return &out, &w.Record
+		case w.Verdict != sibling.VerdictNew:
+			out = refused(machine.Refuse(caller.CodeOverloaded, retryLater, "no further change can be remembered"))
+			return &out, nil
+		}
+	}
+	machine.Record()
+	return nil, nil
+}
+
+// sendOnce sends a change to one target after another, until one runs it or may have run it.
+func (t *Tier) sendOnce(ctx context.Context, machine *caller.Change, r sibling.ChangeRequest, deadline time.Time) sibling.ChangeReply {
+	tried := map[string]bool{}
+	for {
+		chosen := reserve(t.control.Snapshot().Targets[r.Service], tried)
+		if chosen == nil {
+			return refused(machine.Refuse(caller.CodeNoTarget, retrySoon, "no target of service %q has room", r.Service))
+		}
+		t.step("send")
+		a, permit := t.permit(r.Service, r.KeyDigest)
+		if permit == nil && a.organisation.Name != r.Organisation {
+			permit = caller.Refuse(caller.CodeUnauthenticated, 0, "the key belongs to another organisation now")
+		}
+		start := time.Now()
+		if refusal := machine.Send(permit, start); refusal != nil {
+			chosen.Gauge.Finish(0)
+			return refused(refusal)
+		}
+		// The change is not cancelled when its caller goes away: a repeat then gets its outcome.
+		sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		reply, err := t.targets.Change(sendCtx, targethttp.Change{
+			RequestID: target.RequestID(r.RequestID), Organisation: r.Organisation, IdempotencyKey: r.IdempotencyKey,
+			Address: chosen.Address, Timeout: deadline.Sub(start) - returnTrip, Body: r.Body,
+		})
+		cancel()
+		t.step("sent")
+		latency := time.Duration(0)
+		if err == nil {
+			latency = time.Since(start)
+		}
+		chosen.Gauge.Finish(latency)
+		switch {
+		case err == nil:
+			machine.Done()
+			return sibling.ChangeReply{RequestID: r.RequestID, Reply: reply}
+		case errors.Is(err, target.ErrShed), errors.Is(err, target.ErrNotSent):
+			machine.NotSent()
+			tried[chosen.ID] = true
+		default:
+			return refused(machine.Refuse(caller.CodeOutcomeUnknown, 0, "the change may have run: %v", err))
+		}
+	}
+}
+
+// known answers a repeat from the record of an earlier attempt.
+func known(r sibling.ChangeRecord, here bool) sibling.ChangeReply {
+	unknown := func(code caller.Code, retryAfter time.Duration, message string) sibling.ChangeReply {
+		return refused(&caller.Refusal{Code: code, Ran: caller.RanUnknown, RetryAfter: retryAfter, Message: message})
+	}
+	switch {
+	case r.Outcome == sibling.OutcomeDone && r.ReplyDropped:
+		return unknown(caller.CodeDuplicate, 0, "the change ran before; its reply was too large to keep")
+	case r.Outcome == sibling.OutcomeDone:
+		return sibling.ChangeReply{RequestID: r.RequestID, Reply: r.Reply}
+	case r.Outcome == sibling.OutcomeOpen && here:
+		return unknown(caller.CodeDuplicate, retrySoon, "the change is running")
+	default:
+		return unknown(caller.CodeOutcomeUnknown, 0, "an earlier attempt may have run")
+	}
+}
+
+func refused(r *caller.Refusal) sibling.ChangeReply {
+	return sibling.ChangeReply{Refused: &sibling.ChangeRefusal{
+		Code: string(r.Code), Ran: string(r.Ran), Message: r.Message, RetryAfter: r.RetryAfter,
+	}}
+}
+
+// reserve counts a request at the usable target with the fewest outstanding ones, passing over those in tried.
+func reserve(view *target.ServiceView, tried map[string]bool) *target.Target {
+	if view == nil {
+		return nil
+	}
+	var best *target.Target
+	for _, t := range view.Targets {
+		if tried[t.ID] {
+			continue
+		}
+		if best == nil || t.Gauge.Outstanding() < best.Gauge.Outstanding() {
+			best = t
+		}
+	}
+	if best == nil || !best.Gauge.TryStart(best.Limit) {
+		return nil
+	}
+	return best
+}
--- /dev/null
+++ b/traffic/query.go
@@ -0,0 +1,51 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/target/targethttp"
+)
+
+// Query is a request to every shard of a service.
+type Query struct {
+	Service  string
+	Key      string
+	Deadline time.Time
+	Text     string
+}
+
+// Answer is the answer to a query.
+type Answer struct {
+	RequestID target.RequestID
+	*target.Answer
+}
+
+// Query runs a query. The error, if any, is a *caller.Refusal.
+func (t *Tier) Query(ctx context.Context, q Query) (*Answer, *caller.Refusal) {
+	if refusal := t.begin(); refusal != nil {
+		return nil, refusal
+	}
+	defer t.end()
+	a, refusal := t.admit(ctx, q.Service, q.Key, true, q.Deadline)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer t.release(a)
+	view := a.snapshot.Targets[q.Service]
+	if view == nil || len(view.Snapshots) == 0 {
+		return nil, caller.Refuse(caller.CodeNoTarget, retryLater, "no target of service %q is usable", q.Service)
+	}
+	id := target.RequestID(uuid.NewString())
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	machine, ready := target.NewQuery(id, view, q.Deadline, rng, time.Now())
+	answer := t.targets.Run(ctx, targethttp.Request{
+		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text),
+	}, machine, ready)
+	return &Answer{RequestID: id, Answer: answer}, nil
+}
--- /dev/null
+++ b/traffic/tier.go
@@ -0,0 +1,113 @@
+// Package traffic serves requests: it composes the decisions of the peers' packages for one request, on the
+// goroutines of that request. It reads the control state only through published snapshots.
+package traffic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target/targethttp"
+)
+
+// Control is what the tier needs of the control goroutine.
+type Control interface {
+	Snapshot() *control.Snapshot
+	BeginChange(key sibling.ChangeKey, body sibling.BodyDigest) (sibling.Begun, error)
+	FinishChange(r sibling.ChangeRecord) error
+}
+
+// Siblings forwards changes and asks witnesses.
+type Siblings interface {
+	RunChange(ctx context.Context, to sibling.Member, r sibling.ChangeRequest) (sibling.ChangeReply, error)
+	RecordChange(ctx context.Context, to sibling.Member, home string, r sibling.ChangeRecord) (sibling.Witnessed, error)
+}
+
+// Tier serves requests of callers. It is safe for concurrent use.
+type Tier struct {
+	control  Control
+	siblings Siblings
+	targets  *targethttp.Client
+	queue    *queue
+	// step is called between the steps of a change. Tests stop the process there.
+	step func(step string)
+
+	mu       sync.Mutex
+	draining bool
+	running  int
+	arrival  time.Time
+	idle     chan struct{} // closed when draining and nothing runs
+}
+
+const (
+	retrySoon  = 100 * time.Millisecond
+	retryLater = time.Second
+	returnTrip = 2 * time.Millisecond
+)
+
+// New returns a tier that forwards changes to siblings, sends to targets through the client and keeps to the
+// limits.
+func New(control Control, siblings Siblings, targets *targethttp.Client, limits caller.QueueLimits) *Tier {
+	return &Tier{
+		control: control, siblings: siblings, targets: targets, queue: newQueue(limits),
+		step: func(string) {}, idle: make(chan struct{}),
+	}
+}
+
+// Ready reports whether the instance takes new work.
+func (t *Tier) Ready() bool {
+	s := t.control.Snapshot()
+	return s.Configured && !s.Draining
+}
+
+// Leaving reports that the instance stops, so callers should open their next connection elsewhere.
+func (t *Tier) Leaving() bool { return t.control.Snapshot().Draining }
+
+// begin counts a request as running, unless new requests are refused.
+func (t *Tier) begin() *caller.Refusal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrival = time.Now()
+	if t.draining {
+		return caller.Refuse(caller.CodeDraining, retrySoon, "the instance is stopping")
+	}
+	t.running++
+	return nil
+}
+
+func (t *Tier) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	if t.draining && t.running == 0 {
+		close(t.idle)
+	}
+}
+
+// LastArrival returns when the newest request came, refused ones included.
+func (t *Tier) LastArrival() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.arrival
+}
+
+// stopping reports whether new requests are refused.
+func (t *Tier) stopping() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.draining
+}
+
+// Drain refuses new requests. The result is closed when the running ones are done. It may be called once.
+func (t *Tier) Drain() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = true
+	if t.running == 0 {
+		close(t.idle)
+	}
+	return t.idle
+}
