--- a/sibling/changelog_test.go
+++ b/sibling/changelog_test.go
@@ -67,7 +67,7 @@
 		t.Errorf("witness: verdict %d, want %d", v.Verdict, VerdictNew)
 	}
 	other := begun.Record
-	other.Attempt.Owner = "a/2"
+	other.Attempt = Attempt{Owner: "a/2", Number: begun.Record.Attempt.Number + 1}
 	if v := witness.Witness("a", other, now); v.Verdict != VerdictKnown {
 		t.Errorf("a restarted home at the witness: verdict %d, want %d", v.Verdict, VerdictKnown)
 	}
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -165,9 +165,9 @@
 
 // do sends the request and turns transport errors and statuses into the errors of package target.
 func (c *Client) do(req *http.Request) (http.Header, []byte, error) {
-	// From the moment that a connection is handed to the request, net/http may write to it, even after Do returned
-	// because its context ended. net/http takes another connection only if nothing was written to the first: it
-	// resends a POST without an Idempotency-Key header in no other case.
+	// Once the request has a connection, another goroutine of net/http writes to it. That it ends before Do returns
+	// is not documented, so a request with a connection counts as sent. net/http takes another connection only if
+	// nothing was written to the first: it resends a POST without an Idempotency-Key header in no other case.
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GetConn: func(string) { sent.Store(false) },
--- /dev/null
+++ b/traffic/harness_test.go
@@ -0,0 +1,234 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/target/targethttp"
+)
+
+const testKey = "key"
+
+// fleet is a set of instances in one process, connected by function calls instead of gRPC, with one target.
+type fleet struct {
+	t       *testing.T
+	nodes   map[string]*testNode
+	client  *targethttp.Client
+	targets target.View
+
+	mu   sync.Mutex
+	list *platform.InstanceList
+	runs map[string]int // by idempotency key
+	// cut decides whether a call is lost, before it arrives or before its reply does.
+	cut func(method string) (before, after bool)
+}
+
+type testNode struct {
+	fleet *fleet
+	id    string
+	loop  *control.Loop
+	tier  *Tier
+	dead  chan struct{}
+	kill  func()
+	pools map[string]*caller.TokenPool
+}
+
+func testDocument(revision platform.Revision, key string) *platform.Document {
+	return &platform.Document{
+		Revision: revision,
+		Organisations: []platform.Organisation{{
+			Name: "o", Host: true, Rate: 1e6, Burst: 1e6, Weight: 1, Keys: []platform.Key{{ID: "k", SHA256: caller.Digest(key)}},
+		}},
+		Services:  []platform.Service{{Name: "s", Slots: 100, Connections: 100}},
+		Zones:     []platform.Zone{{Name: "z", RateFraction: 1}},
+		Isolation: platform.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
+	}
+}
+
+func newFleet(t *testing.T, ids ...string) *fleet {
+	f := &fleet{
+		t: t, nodes: map[string]*testNode{}, runs: map[string]int{}, list: &platform.InstanceList{},
+		cut: func(string) (bool, bool) { return false, false },
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.runs[r.Header.Get(targethttp.HeaderIdempotencyKey)]++
+		f.mu.Unlock()
+		w.Header().Set(targethttp.HeaderRequestID, r.Header.Get(targethttp.HeaderRequestID))
+		_, _ = w.Write([]byte("done"))
+	}))
+	t.Cleanup(server.Close)
+	f.client = targethttp.New(server.Client())
+	view := &target.ServiceView{Name: "s", Targets: []*target.Target{{
+		ID: "t", Address: strings.TrimPrefix(server.URL, "http://"), Limit: 100, Gauge: &target.Gauge{},
+	}}}
+	f.targets = target.View{"s": view}
+	for _, id := range ids {
+		f.add(id)
+	}
+	f.relist(ids...)
+	return f
+}
+
+func (f *fleet) add(id string) {
+	state := control.NewState(control.Identity{ID: id, Zone: "z"}, rand.New(rand.NewPCG(1, uint64(id[0]))))
+	n := &testNode{fleet: f, id: id, loop: control.NewLoop(state), dead: make(chan struct{}), pools: map[string]*caller.TokenPool{"o": {}}}
+	n.pools["o"].Deposit(1e6, time.Now().Add(time.Hour))
+	n.tier = New(n, n, f.client, caller.QueueLimits{Running: 16, Waiting: 16, Wait: time.Second})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.kill = sync.OnceFunc(func() { close(n.dead); cancel() })
+	go n.loop.Run(ctx, n)
+	f.t.Cleanup(n.kill)
+	f.nodes[id] = n
+	n.loop.Post(control.DocumentRead{Document: testDocument(1, testKey)})
+}
+
+// relist publishes the list of entry instances and waits until every living one takes part by it.
+func (f *fleet) relist(ids ...string) {
+	f.list = &platform.InstanceList{Revision: f.list.Revision + 1}
+	for _, id := range ids {
+		f.list.Instances = append(f.list.Instances, platform.Instance{
+			ID: id, Kind: platform.KindEntry, Zone: "z", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: platform.StateLive,
+		})
+	}
+	for _, id := range ids {
+		f.nodes[id].loop.Post(control.InstancesRead{List: f.list})
+	}
+	for _, id := range ids {
+		f.eventually(func() bool {
+			s := f.nodes[id].loop.Snapshot()
+			return s.Configured && len(s.ChangeMembers) == len(ids)
+		})
+	}
+}
+
+func (f *fleet) eventually(done func() bool) {
+	f.t.Helper()
+	for limit := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			f.t.Fatal("the condition did not come about in 10 s")
+		}
+	}
+}
+
+func (f *fleet) ran(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key]
+}
+
+// keyFor returns an idempotency key whose home and witness are the given instances.
+func (f *fleet) keyFor(home, witness string) string {
+	members := f.nodes[home].loop.Snapshot().ChangeMembers
+	for i := 0; ; i++ {
+		key := strings.Repeat("k", i+1)
+		rank := sibling.NewChangeKey("o", "s", key)
+		without := sibling.Members{}
+		for _, m := range members {
+			if m.ID != home {
+				without = append(without, m)
+			}
+		}
+		first, _ := members.HomeOf(rank)
+		if second, _ := without.HomeOf(rank); first.ID == home && second.ID == witness {
+			return key
+		}
+	}
+}
+
+func (f *fleet) change(id, key string, timeout time.Duration) (*Outcome, *caller.Refusal) {
+	return f.nodes[id].tier.Change(context.Background(), Change{
+		Service: "s", Key: testKey, IdempotencyKey: key, Text: "text", Deadline: time.Now().Add(timeout),
+	})
+}
+
+// Snapshot gives the instance tokens and the target, which are not what these tests are about.
+func (n *testNode) Snapshot() *control.Snapshot {
+	s := *n.loop.Snapshot()
+	s.Pools, s.Targets = n.pools, n.fleet.targets
+	return &s
+}
+
+func (n *testNode) BeginChange(key sibling.ChangeKey, body sibling.BodyDigest) (sibling.Begun, error) {
+	return n.loop.BeginChange(key, body)
+}
+
+func (n *testNode) FinishChange(r sibling.ChangeRecord) error { return n.loop.FinishChange(r) }
+
+// Execute delivers records of changes to the other instances.
+func (n *testNode) Execute(effect control.Effect) {
+	h, ok := effect.(control.HandOver)
+	if !ok {
+		return
+	}
+	go func() { n.handOver(h.HandOver) }()
+}
+
+func (n *testNode) handOver(h sibling.HandOver) {
+	records, err := reach(n, h.To.ID, "HandOver", func(to *testNode) ([]sibling.ChangeRecord, error) {
+		return control.Ask(context.Background(), to.loop, func(reply chan<- []sibling.ChangeRecord) control.Event {
+			return control.HandedOver{Message: h, Reply: reply}
+		})
+	})
+	if h.Arriving && err == nil {
+		n.loop.Post(control.Arrived{From: h.To.ID, Records: records})
+	}
+}
+
+// RunChange forwards a change.
+func (n *testNode) RunChange(ctx context.Context, to sibling.Member, r sibling.ChangeRequest) (sibling.ChangeReply, error) {
+	return reach(n, to.ID, "RunChange", func(to *testNode) (sibling.ChangeReply, error) { return to.tier.RunChange(ctx, r), nil })
+}
+
+// RecordChange asks a witness.
+func (n *testNode) RecordChange(ctx context.Context, to sibling.Member, home string, r sibling.ChangeRecord) (sibling.Witnessed, error) {
+	return reach(n, to.ID, "RecordChange", func(to *testNode) (sibling.Witnessed, error) {
+		return control.Ask(ctx, to.loop, func(reply chan<- sibling.Witnessed) control.Event {
+			return control.WitnessChange{Home: home, Record: r, Reply: reply}
+		})
+	})
+}
+
+// reach calls another instance. A call whose instance dies meanwhile gets no reply.
+func reach[T any](from *testNode, id, method string, call func(to *testNode) (T, error)) (T, error) {
+	var zero T
+	to := from.fleet.nodes[id]
+	before, after := from.fleet.cut(method)
+	select {
+	case <-to.dead:
+		return zero, sibling.ErrNotSent
+	default:
+	}
+	if before {
+		return zero, sibling.ErrNotSent
+	}
+	type result struct {
+		value T
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		v, err := call(to)
+		done <- result{v, err}
+	}()
+	select {
+	case r := <-done:
+		if after || r.err != nil {
+			return zero, sibling.ErrNoReply
+		}
+		return r.value, nil
+	case <-to.dead:
+		return zero, sibling.ErrNoReply
+	}
+}
