--- a/cmd/internal/node/drain.go
+++ b/cmd/internal/node/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -14,9 +13,6 @@
 	"dogwooddrift.org/drift/sibling"
 )
 
-// ErrAborted means that a planned stop was cut short.
-var ErrAborted = errors.New("stop was cut short by a second signal")
-
 const (
 	handOverTimeout = 2 * time.Second
 	// handOverParallel bounds the messages that a leaving instance sends at a time.
@@ -29,8 +25,8 @@
 )
 
 // drain performs the planned stop: unready, notice time, no new work, the siblings told, running requests
-// finished, and the listeners closed. It returns ErrAborted if abort ended before.
-func (n *Node) drain(abort context.Context, callers *http.Server, peers *grpc.Server) error {
+// finished, and the listeners closed. It returns early when abort ends.
+func (n *Node) drain(abort context.Context, callers *http.Server, peers *grpc.Server) {
 	n.log.Info().Dur("notice", n.settings.Drain.Notice).Msg("node: draining")
 	ready := func(reply chan<- struct{}) control.Event { return control.Drain{Reply: reply} }
 	_, _ = control.Ask(abort, n.loop, ready)
@@ -54,10 +50,6 @@
 	stopped := context.AfterFunc(limit, peers.Stop)
 	peers.GracefulStop()
 	stopped()
-	if abort.Err() != nil {
-		return ErrAborted
-	}
-	return nil
 }
 
 // leave hands the records of changes to the siblings and tells them that this instance leaves.
@@ -142,3 +134,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -46,11 +46,17 @@
 	Self string
 	// ChangeMembers lists the instances that take part in remembering changes.
 	ChangeMembers sibling.Members
-	// Configured says that a document and a list are in force.
-	Configured bool
 	// Polled says that every listed target was asked for its status. Before, requests would find no target.
-	Polled   bool
-	Draining bool
+	Polled bool
+	// DocumentHeld and ListHeld are the published texts of the values in force, for siblings that are behind.
+	DocumentHeld, ListHeld platform.Held
+	// Configured says that a document and a list are in force and that siblings were asked for newer ones.
+	Configured bool
+	// KeyedUntil is until when requests with a key may be served; they are checked against the clock at that
+	// moment, since a process that was frozen wakes with an old snapshot. Zero means without limit, which State
+	// never publishes together with a document.
+	KeyedUntil time.Time
+	Draining   bool
 }
 
 // Identity is who this instance is, from its settings.
@@ -71,25 +77,27 @@
 	roster   *sibling.Roster
 	rates    *rates
 	changes  *sibling.ChangeLog
+	spread   *sibling.Spread
 	draining bool
 	// unpolled lists the targets whose status has not been read yet.
 	unpolled map[string]bool
 
-	nextHeartbeat time.Time
-	effects       []Effect
-	changed       bool
+	published struct {
+		configured bool
+		keyedUntil time.Time
+	}
+	effects []Effect
+	changed bool
 }
 
-const (
-	refillInterval    = 20 * time.Millisecond
-	heartbeatInterval = time.Second
-)
+const refillInterval = 20 * time.Millisecond
 
 // NewState returns the state of an instance that knows nothing yet. rng chooses siblings.
 func NewState(self Identity, rng *rand.Rand) *State {
 	return &State{
 		self:     self,
 		rng:      rng,
+		spread:   sibling.NewSpread(self.ID, self.Zone, rng),
 		fleet:    target.NewFleet(),
 		roster:   sibling.NewRoster(),
 		rates:    newRates(),
@@ -104,9 +112,13 @@
 	s.effects, s.changed = nil, false
 	e.apply(s, now)
 	s.rates.refill(now)
-	s.heartbeat(now)
 	s.rejoin(now)
-	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
+	wake := now.Add(refillInterval)
+	if due := s.spreadStep(sibling.Tick{}, now); due.Before(wake) {
+		wake = due
+	}
+	s.publishSpread()
+	return Ready{Effects: s.effects, Changed: s.changed, Wake: wake}
 }
 
 // Tick is the event of a timer.
@@ -121,15 +133,18 @@
 	return &Snapshot{
 		Document:      s.document,
 		List:          s.list,
+		DocumentHeld:  s.spread.Held(sibling.Document),
+		ListHeld:      s.spread.Held(sibling.InstanceList),
+		KeyedUntil:    s.keyedUntil(),
 		Accounts:      s.accounts,
 		Targets:       s.fleet.View(),
 		Members:       s.members,
 		Pools:         s.rates.pools(),
+		Configured:    s.configured(),
+		Draining:      s.draining,
 		Self:          s.self.ID,
 		ChangeMembers: s.changes.Members(),
-		Configured:    s.document != nil && s.list != nil,
 		Polled:        len(s.unpolled) == 0,
-		Draining:      s.draining,
 	}
 }
 
@@ -141,7 +156,7 @@
 func (s *State) dump(now time.Time) operator.Dump {
 	d := operator.Dump{
 		Instance: s.self.ID, Zone: s.self.Zone, Taken: now,
-		Ready:   s.document != nil && s.list != nil && !s.draining,
+		Ready:   s.configured() && !s.draining,
 		Targets: s.fleet.Dump(),
 	}
 	if s.list != nil {
--- a/sibling/siblinggrpc/changes.go
+++ b/sibling/siblinggrpc/changes.go
@@ -57,12 +57,13 @@
 	method func(siblingpb.ChangesClient, context.Context, Q, ...grpc.CallOption) (R, error),
 ) (R, error) {
 	var zero R
-	conn, err := c.conn(to.PeerAddress)
+	conn, err := c.connect(to.PeerAddress)
 	if err != nil {
 		return zero, err
 	}
 	var sent atomic.Bool
 	reply, err := method(siblingpb.NewChangesClient(conn), context.WithValue(ctx, sentKey{}, &sent), request)
+	conn.Done(err)
 	switch {
 	case err == nil:
 		return reply, nil
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -37,6 +37,14 @@
 	if !ok {
 		return admission{}, caller.Refuse(caller.CodeUnknownService, 0, "service %q does not exist", service)
 	}
+	// A process that was frozen wakes with an old snapshot, so the time is read here.
+	if !s.KeyedUntil.IsZero() && !time.Now().Before(s.KeyedUntil) {
+		if !svc.Open {
+			return admission{}, caller.Refuse(caller.CodeIsolated, retryLater,
+				"the instance is cut off and cannot know whether keys are still valid")
+		}
+		digest = "" // an open route needs no key, and this one may have been withdrawn
+	}
 	organisation, refusal := s.Accounts.IdentifyDigest(svc, digest)
 	if refusal != nil {
 		return admission{}, refusal
@@ -47,11 +55,7 @@
 // admit decides whether a request may run, spends its token and waits for its turn. Unless it refuses, release
 // must be called when the request is done.
 func (t *Tier) admit(ctx context.Context, service, key string, sharded bool, deadline time.Time) (admission, *caller.Refusal) {
-	digest := ""
-	if key != "" {
-		digest = caller.Digest(key)
-	}
-	a, refusal := t.permitNew(service, digest)
+	a, refusal := t.permitNew(service, digest(key))
 	if refusal != nil {
 		return admission{}, refusal
 	}
@@ -67,11 +71,7 @@
 		return admission{}, refusal
 	}
 	if waited {
-		before := a.organisation.Name
-		if a, refusal = t.permitNew(service, digest); refusal == nil && a.organisation.Name != before {
-			refusal = caller.Refuse(caller.CodeUnauthenticated, 0, "the key belongs to another organisation now")
-		}
-		if refusal == nil && !time.Now().Before(deadline) {
+		if a, refusal = t.recheck(a); refusal == nil && !time.Now().Before(deadline) {
 			refusal = caller.Refuse(caller.CodeDeadline, 0, "the deadline passed before the request ran")
 		}
 		if refusal != nil {
@@ -83,6 +83,23 @@
 	return a, nil
 }
 
+// recheck decides again whether an admitted request that waited may run. It spends no token.
+func (t *Tier) recheck(a admission) (admission, *caller.Refusal) {
+	next, refusal := t.permitNew(a.service.Name, a.digest)
+	if refusal == nil && next.organisation.Name != a.organisation.Name {
+		return admission{}, caller.Refuse(caller.CodeUnauthenticated, 0, "the key was given to another organisation")
+	}
+	return next, refusal
+}
+
+// digest returns the digest of a key, empty if there is none.
+func digest(key string) string {
+	if key == "" {
+		return ""
+	}
+	return caller.Digest(key)
+}
+
 func (t *Tier) release(a admission) { t.queue.leave(a.ticket) }
 
 var takes = map[bool]string{true: "queries, not changes", false: "changes, not queries"}
