--- a/caller/callerhttp/server_test.go
+++ b/caller/callerhttp/server_test.go
@@ -25,6 +25,8 @@
 
 func (r refusingTier) Ready() bool { return false }
 
+func (r refusingTier) Leaving() bool { return false }
+
 func post(handler http.Handler, body string) (int, http.Header, map[string]any) {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "/v1/services/s/query", strings.NewReader(body))
@@ -79,3 +81,20 @@
 		}
 	}
 }
+
+type leavingTier struct {
+	refusingTier
+	leaving bool
+}
+
+func (l leavingTier) Leaving() bool { return l.leaving }
+
+// Guards against connections that stay open while the instance stops, and lose the next request when it ends.
+func TestLeavingClosesConnections(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		tier := leavingTier{refusingTier{&caller.Refusal{Code: caller.CodeDraining, Ran: caller.RanNo}}, leaving}
+		if _, header, _ := post(NewHandler(tier), `{"query":"q"}`); (header.Get("Connection") == "close") != leaving {
+			t.Errorf("leaving %v: Connection is %q", leaving, header.Get("Connection"))
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -41,6 +42,12 @@
 	Targets  target.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
+	// Self is the ID of this instance.
+	Self string
+	// ChangeMembers lists the instances that take part in remembering changes.
+	ChangeMembers sibling.Members
+	// Polled says that every listed target was asked for its status. Before, requests would find no target.
+	Polled bool
 	// DocumentHeld and ListHeld are the published texts of the values in force, for siblings that are behind.
 	DocumentHeld, ListHeld platform.Held
 	// Configured says that a document and a list are in force and that siblings were asked for newer ones.
@@ -71,8 +78,11 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	changes  *sibling.ChangeLog
 	spread   *sibling.Spread
 	draining bool
+	// unpolled lists the targets whose status has not been read yet.
+	unpolled map[string]bool
 
 	published struct {
 		configured bool
@@ -87,12 +97,15 @@
 // NewState returns the state of an instance that knows nothing yet. rng chooses siblings.
 func NewState(self Identity, rng *rand.Rand) *State {
 	return &State{
-		self:   self,
-		rng:    rng,
-		spread: sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
-		fleet:  target.NewFleet(),
-		roster: sibling.NewRoster(),
-		rates:  newRates(),
+		self:     self,
+		rng:      rng,
+		spread:   sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
+		fleet:    target.NewFleet(),
+		roster:   sibling.NewRoster(),
+		rates:    newRates(),
+		unpolled: map[string]bool{},
+		// A process must not take the attempts of an earlier one of the same instance for its own.
+		changes: sibling.NewChangeLog(self.ID, fmt.Sprintf("%s/%016x", self.ID, rng.Uint64())),
 	}
 }
 
@@ -101,6 +114,7 @@
 	s.effects, s.changed = nil, false
 	e.apply(s, now)
 	s.rates.refill(now)
+	s.rejoin(now)
 	wake := now.Add(refillInterval)
 	if due := s.spreadStep(sibling.Tick{}, now); due.Before(wake) {
 		wake = due
@@ -119,25 +133,23 @@
 // Snapshot builds the snapshot that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	return &Snapshot{
-		Document:     s.document,
-		List:         s.list,
-		DocumentHeld: s.spread.Held(sibling.Document),
-		ListHeld:     s.spread.Held(sibling.InstanceList),
-		KeyedUntil:   s.keyedUntil(),
-		Accounts:     s.accounts,
-		Targets:      s.fleet.View(),
-		Members:      s.members,
-		Pools:        s.rates.pools(),
-		Configured:   s.configured(),
-		Draining:     s.draining,
+		Document:      s.document,
+		List:          s.list,
+		DocumentHeld:  s.spread.Held(sibling.Document),
+		ListHeld:      s.spread.Held(sibling.InstanceList),
+		KeyedUntil:    s.keyedUntil(),
+		Accounts:      s.accounts,
+		Targets:       s.fleet.View(),
+		Members:       s.members,
+		Pools:         s.rates.pools(),
+		Configured:    s.configured(),
+		Draining:      s.draining,
+		Self:          s.self.ID,
+		ChangeMembers: s.changes.Members(),
+		Polled:        len(s.unpolled) == 0,
 	}
 }
 
-// Drain is the event of a planned stop.
-type Drain struct{}
-
-func (Drain) apply(s *State, _ time.Time) { s.draining, s.changed = true, true }
-
 // TakeDump asks for a dump of the state. Reply must have room for one value.
 type TakeDump struct{ Reply chan<- operator.Dump }
 
--- a/traffic/isolation_test.go
+++ b/traffic/isolation_test.go
@@ -11,7 +11,10 @@
 )
 
 // published is a control state whose snapshots the test publishes.
-type published struct{ state *control.State }
+type published struct {
+	Control
+	state *control.State
+}
 
 func (p published) Snapshot() *control.Snapshot { return p.state.Snapshot() }
 
@@ -36,6 +39,8 @@
 	return d
 }
 
+func newTier(c Control) *Tier { return New(c, nil, nil, caller.QueueLimits{Running: 1}) }
+
 func newPublished(read time.Time) published {
 	p := published{state: control.NewState(control.Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))}
 	source := control.Source{Sent: read}
@@ -47,17 +52,17 @@
 // Guards against a process that wakes with an old snapshot, or is cut off, and serves a key that may have been
 // withdrawn.
 func TestIsolatedInstanceServesOpenRoutesOnly(t *testing.T) {
-	tier := New(newPublished(time.Now().Add(-11*time.Second)), nil)
-	if _, refusal := tier.authorise("keyed", "k1", time.Now()); refusal == nil || refusal.Code != caller.CodeIsolated || refusal.Ran != caller.RanNo {
+	tier := newTier(newPublished(time.Now().Add(-11 * time.Second)))
+	if _, refusal := tier.permit("keyed", caller.Digest("k1")); refusal == nil || refusal.Code != caller.CodeIsolated || refusal.Ran != caller.RanNo {
 		t.Fatalf("keyed request 11 s after the last contact, limit 10 s: refusal %v, want isolated", refusal)
 	}
 	for _, key := range []string{"", "k1"} {
-		a, refusal := tier.authorise("open", key, time.Now())
+		a, refusal := tier.permit("open", digest(key))
 		if refusal != nil || a.organisation.Name != "host" {
 			t.Fatalf("open route with key %q: refusal %v", key, refusal)
 		}
 	}
-	if _, refusal := New(newPublished(time.Now()), nil).authorise("keyed", "k1", time.Now()); refusal != nil {
+	if _, refusal := newTier(newPublished(time.Now())).permit("keyed", caller.Digest("k1")); refusal != nil {
 		t.Fatalf("keyed request with a fresh contact: refusal %v", refusal)
 	}
 }
@@ -65,8 +70,8 @@
 // Guards against a withdrawn key that works on, for new requests or for one that waited.
 func TestWithdrawnKeyIsRefused(t *testing.T) {
 	p := newPublished(time.Now())
-	tier := New(p, nil)
-	waiting, refusal := tier.authorise("keyed", "k1", time.Now())
+	tier := newTier(p)
+	waiting, refusal := tier.permit("keyed", caller.Digest("k1"))
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
@@ -77,7 +82,7 @@
 	if _, refusal := tier.recheck(waiting); refusal == nil || refusal.Code != caller.CodeUnauthenticated {
 		t.Errorf("waiting request with a withdrawn key: refusal %v, want unauthenticated", refusal)
 	}
-	if _, refusal := tier.authorise("keyed", "k1", time.Now()); refusal == nil || refusal.Code != caller.CodeUnauthenticated {
+	if _, refusal := tier.permit("keyed", caller.Digest("k1")); refusal == nil || refusal.Code != caller.CodeUnauthenticated {
 		t.Errorf("new request with a withdrawn key: refusal %v, want unauthenticated", refusal)
 	}
 }
