--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -47,6 +47,9 @@
 		x.start(func() { n.announce(x.ctx, e) })
 	case control.Fetch:
 		x.start(func() { n.fetch(x.ctx, e) })
+	case control.HandOver:
+		n.handOvers.start()
+		x.start(func() { defer n.handOvers.end(); n.handOver(x.ctx, e.HandOver) })
 	case control.ReadPlatform:
 		x.start(func() { n.readPlatform(x.ctx, e) })
 	case control.Refused:
--- a/control/config.go
+++ b/control/config.go
@@ -63,7 +63,7 @@
 	}
 	s.document, s.accounts = e.Document, caller.NewAccounts(e.Document)
 	s.adopt(sibling.Document, e.Document.Revision, e.Source, now)
-	s.configure()
+	s.configure(now)
 }
 
 func (e InstancesRead) apply(s *State, now time.Time) {
@@ -79,7 +79,7 @@
 	s.roster.Keep(s.members)
 	s.spreadStep(sibling.Listed{Members: s.members}, now)
 	s.adopt(sibling.InstanceList, e.List.Revision, e.Source, now)
-	s.configure()
+	s.configure(now)
 }
 
 func (e PlatformWaited) apply(s *State, now time.Time) {
@@ -172,17 +172,20 @@
 }
 
 // configure applies the document and the list in force to the other parts of the state.
-func (s *State) configure() {
+func (s *State) configure(now time.Time) {
 	s.changed = true
 	if s.document == nil || s.list == nil {
 		return
 	}
 	added, removed := s.fleet.Configure(s.document, s.list)
 	for _, in := range added {
+		s.unpolled[in.ID] = true
 		s.emit(PollTarget{ID: in.ID, Address: in.Address})
 	}
 	for _, id := range removed {
+		delete(s.unpolled, id)
 		s.emit(ForgetTarget{ID: id})
 	}
 	s.rates.configure(s.document, len(s.members))
+	s.handOver(s.changes.Configure(s.members, s.document.ChangeWindow.Duration(), now))
 }
--- /dev/null
+++ b/traffic/admit.go
@@ -0,0 +1,105 @@
+package traffic
+
+import (
+	"context"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
+)
+
+type admission struct {
+	snapshot     *control.Snapshot
+	service      platform.Service
+	organisation *platform.Organisation
+	digest       string
+	ticket       *caller.Ticket
+}
+
+// permitNew decides whether a request that does not run yet may run.
+func (t *Tier) permitNew(service, digest string) (admission, *caller.Refusal) {
+	if t.stopping() {
+		return admission{}, caller.Refuse(caller.CodeDraining, retrySoon, "the instance is stopping")
+	}
+	return t.permit(service, digest)
+}
+
+// permit decides whether a request may run, on the newest snapshot. It is asked on arrival, after waiting, and
+// right before a change is sent. A change that runs when the instance begins to stop is sent nevertheless: the stop
+// waits for it, and its witness would refuse a repeat elsewhere until it hears that the change did not run.
+func (t *Tier) permit(service, digest string) (admission, *caller.Refusal) {
+	s := t.control.Snapshot()
+	if !s.Configured {
+		return admission{}, caller.Refuse(caller.CodeNotConfigured, retryLater, "the instance has no configuration yet")
+	}
+	svc, ok := s.Document.Service(service)
+	if !ok {
+		return admission{}, caller.Refuse(caller.CodeUnknownService, 0, "service %q does not exist", service)
+	}
+	// A process that was frozen wakes with an old snapshot, so the time is read here.
+	if !s.KeyedUntil.IsZero() && !time.Now().Before(s.KeyedUntil) {
+		if !svc.Open {
+			return admission{}, caller.Refuse(caller.CodeIsolated, retryLater,
+				"the instance is cut off and cannot know whether keys are still valid")
+		}
+		digest = "" // an open route needs no key, and this one may have been withdrawn
+	}
+	organisation, refusal := s.Accounts.IdentifyDigest(svc, digest)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	return admission{snapshot: s, service: svc, organisation: organisation, digest: digest}, nil
+}
+
+// admit decides whether a request may run, spends its token and waits for its turn. Unless it refuses, release
+// must be called when the request is done.
+func (t *Tier) admit(ctx context.Context, service, key string, sharded bool, deadline time.Time) (admission, *caller.Refusal) {
+	a, refusal := t.permitNew(service, digest(key))
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	if a.service.Sharded != sharded {
+		return admission{}, caller.Refuse(caller.CodeBadRequest, 0, "service %q takes %s", service, takes[a.service.Sharded])
+	}
+	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now()) {
+		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
+	}
+	ticket := &caller.Ticket{Organisation: a.organisation.Name, Weight: a.organisation.Weight, Until: deadline}
+	waited, refusal := t.queue.enter(ctx, ticket)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	if waited {
+		if a, refusal = t.recheck(a); refusal == nil && !time.Now().Before(deadline) {
+			refusal = caller.Refuse(caller.CodeDeadline, 0, "the deadline passed before the request ran")
+		}
+		if refusal != nil {
+			t.queue.leave(ticket)
+			return admission{}, refusal
+		}
+	}
+	a.ticket = ticket
+	return a, nil
+}
+
+// recheck decides again whether an admitted request that waited may run. It spends no token.
+func (t *Tier) recheck(a admission) (admission, *caller.Refusal) {
+	next, refusal := t.permitNew(a.service.Name, a.digest)
+	if refusal == nil && next.organisation.Name != a.organisation.Name {
+		return admission{}, caller.Refuse(caller.CodeUnauthenticated, 0, "the key was given to another organisation")
+	}
+	return next, refusal
+}
+
+// digest returns the digest of a key, empty if there is none.
+func digest(key string) string {
+	if key == "" {
+		return ""
+	}
+	return caller.Digest(key)
+}
+
+func (t *Tier) release(a admission) { t.queue.leave(a.ticket) }
+
+var takes = map[bool]string{true: "queries, not changes", false: "changes, not queries"}
