Make the message pump give the same run each time

Cause: it answered waiting reads in the order of a map, so figures differed between runs. Change: they are answered in order of their start; claims with equal revisions are told apart by ID.

--- a/sibling/pump_test.go
+++ b/sibling/pump_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,7 +142,8 @@
 
 func (p *pump) publish(v Value) {
 	p.served[v]++
-	for id, w := range p.waiters {
+	for _, id := range slices.Sorted(maps.Keys(p.waiters)) { // in order, for the same run each time
+		w := p.waiters[id]
 		if w.read.Value == v && p.reaches(w.node) && p.serves(w.node, v) > w.read.After {
 			delete(p.waiters, id)
 			p.answer(w)
--- a/sibling/spread.go
+++ b/sibling/spread.go
@@ -306,7 +306,8 @@
 	if _, known := v.claims[id]; !known && len(v.claims) >= maxClaims {
 		lowest := id
 		for other, c := range v.claims {
-			if c.revision < revision && (lowest == id || c.revision < v.claims[lowest].revision) {
+			l := v.claims[lowest]
+			if c.revision < revision && (lowest == id || c.revision < l.revision || c.revision == l.revision && other < lowest) {
 				lowest = other
 			}
 		}
