--- a/caller/pool.go
+++ b/caller/pool.go
@@ -38,6 +38,9 @@
 // Withdraw takes back all unspent tokens. Only control calls it.
 func (p *TokenPool) Withdraw() int64 { return p.tokens.Swap(0) }
 
+// Unspent returns how many tokens are left.
+func (p *TokenPool) Unspent() int64 { return p.tokens.Load() }
+
 // Spent returns how many tokens were spent since the start.
 func (p *TokenPool) Spent() int64 { return p.spent.Load() }
 
--- a/cmd/dogwooddrift/restart_test.go
+++ b/cmd/dogwooddrift/restart_test.go
@@ -301,3 +301,37 @@
 		t.Error(f)
 	}
 }
+
+// Guards against a second signal that does not end a stop, or that passes for a graceful one.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	_, instances := deploy(t)
+	i := instances[0]
+	for limit := time.Now().Add(20 * time.Second); !i.isReady(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the instance did not become ready in 20 s")
+		}
+	}
+	text, err := os.ReadFile(i.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code := i.stop(t); code != 0 {
+		t.Errorf("exit code after one signal is %d, want 0", code)
+	}
+	if err := os.WriteFile(i.settings, bytes.Replace(text, []byte("notice: 150ms"), []byte("notice: 1h"), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	i.start(t)
+	for !i.isReady() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err := i.process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for i.isReady() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if code := i.stop(t); code != 1 {
+		t.Errorf("exit code after a second signal is %d, want 1", code)
+	}
+}
--- a/control/rates.go
+++ b/control/rates.go
@@ -53,7 +53,8 @@
 	}
 	r.last = now
 	for _, b := range r.buckets {
-		b.level = min(b.level+float64(b.pool.Withdraw())+b.rate*elapsed, b.burst)
+		// The pool keeps its tokens meanwhile: taking them back refused requests that came between the two steps.
+		b.level = max(min(b.level+b.rate*elapsed, b.burst-float64(b.pool.Unspent())), 0)
 		whole := math.Floor(b.level)
 		b.level -= whole
 		b.pool.Deposit(int64(whole), now.Add(tokenLifetime))
