--- a/control/control.go
+++ b/control/control.go
@@ -80,7 +80,7 @@
 	return &State{
 		self:   self,
 		rng:    rng,
-		fleet:  target.NewFleet(),
+		fleet:  target.NewFleet(target.DefaultPolicy()),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
 	}
--- a/target/errors.go
+++ b/target/errors.go
@@ -10,6 +10,8 @@
 	ErrSnapshotGone = errors.New("target no longer serves the snapshot")
 	// ErrNotSent means that no byte of the request left this instance.
 	ErrNotSent = errors.New("request was not sent to the target")
+	// ErrMismatched means that the reply belongs to another leg.
+	ErrMismatched = errors.New("reply belongs to another leg")
 	// ErrFailed means that the request may have run and no usable reply came.
 	ErrFailed = errors.New("target gave no usable reply")
 )
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -9,6 +9,8 @@
 // Fleet is the control state about targets. It belongs to the control goroutine.
 type Fleet struct {
 	targets map[string]*tracked
+	tails   map[string]*Tail // by service
+	policy  Policy
 }
 
 type tracked struct {
@@ -21,7 +23,9 @@
 }
 
 // NewFleet returns a fleet that knows no targets.
-func NewFleet() *Fleet { return &Fleet{targets: map[string]*tracked{}} }
+func NewFleet(policy Policy) *Fleet {
+	return &Fleet{targets: map[string]*tracked{}, tails: map[string]*Tail{}, policy: policy}
+}
 
 // Configure takes the document and the list in force. It returns the targets to start polling and the IDs of
 // those to stop polling.
@@ -81,6 +85,7 @@
 				Address:     t.instance.Address,
 				Incarnation: t.status.Incarnation,
 				Limit:       t.slots,
+				Load:        t.status.Load,
 				Gauge:       t.gauge,
 			},
 			Status: *t.status,
@@ -88,11 +93,20 @@
 	}
 	view := View{}
 	for name, list := range usable {
-		view[name] = BuildServiceView(name, list)
+		view[name] = BuildServiceView(name, f.tail(name), list)
 	}
 	return view
 }
 
+func (f *Fleet) tail(service string) *Tail {
+	t := f.tails[service]
+	if t == nil {
+		t = NewTail(f.policy)
+		f.tails[service] = t
+	}
+	return t
+}
+
 // TargetDump is the state of one target in a dump.
 type TargetDump struct {
 	ID          string        `json:"id"`
--- /dev/null
+++ b/target/gauge.go
@@ -0,0 +1,100 @@
+package target
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Gauge counts what this instance has under way at one target. Control creates it, traffic updates it.
+type Gauge struct {
+	outstanding atomic.Int64
+	latency     atomic.Int64 // nanoseconds, exponentially weighted
+	trip        atomic.Int64 // nanoseconds, shortest connect time seen, slowly rising
+}
+
+const (
+	// A sample above the estimate counts 1/2 and one below it 1/8, so that a target that becomes slow is
+	// avoided after a few legs.
+	latencyRiseShift = 1
+	latencyFallShift = 3
+	// passOverShift lowers the estimate of a target by 1/64 each time another is preferred. Without it a target
+	// that was slow once gets no legs, hence no samples, and never recovers.
+	passOverShift = 6
+	tripRiseShift = 3
+)
+
+// TryStart counts a request as outstanding unless limit requests are outstanding already.
+func (g *Gauge) TryStart(limit int) bool {
+	for {
+		n := g.outstanding.Load()
+		if n >= int64(limit) {
+			return false
+		}
+		if g.outstanding.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Finish ends a request that TryStart counted. A latency of zero or less is not sampled.
+func (g *Gauge) Finish(latency time.Duration) {
+	g.outstanding.Add(-1)
+	if latency <= 0 {
+		return
+	}
+	old := g.latency.Load()
+	switch sample := int64(latency); {
+	case old == 0:
+		g.latency.CompareAndSwap(0, sample)
+	case sample > old:
+		g.latency.CompareAndSwap(old, old+(sample-old)>>latencyRiseShift)
+	default:
+		g.latency.CompareAndSwap(old, old-(old-sample)>>latencyFallShift)
+	}
+}
+
+// finishCancelled ends a request whose latency is only known to exceed elapsed.
+func (g *Gauge) finishCancelled(elapsed time.Duration) {
+	if elapsed <= g.Latency() {
+		elapsed = 0
+	}
+	g.Finish(elapsed)
+}
+
+// passOver notes that another target was preferred.
+func (g *Gauge) passOver() {
+	old := g.latency.Load()
+	g.latency.CompareAndSwap(old, old-old>>passOverShift)
+}
+
+// Outstanding returns the requests under way from this instance.
+func (g *Gauge) Outstanding() int { return int(g.outstanding.Load()) }
+
+// Latency returns the weighted latency that this instance saw, zero before the first sample.
+func (g *Gauge) Latency() time.Duration { return time.Duration(g.latency.Load()) }
+
+// Connected takes the time of one TCP handshake with the target, which is one round trip.
+func (g *Gauge) Connected(handshake time.Duration) {
+	old := g.trip.Load()
+	sample := int64(handshake)
+	if old != 0 && sample > old {
+		sample = old + (sample-old)>>tripRiseShift
+	}
+	g.trip.CompareAndSwap(old, sample)
+}
+
+const (
+	defaultReturnTrip = 2 * time.Millisecond // one way in the slower of today's regions, doubled
+	minReturnTrip     = 500 * time.Microsecond
+	maxReturnTrip     = 20 * time.Millisecond
+)
+
+// ReturnTrip estimates how long a reply takes to arrive. It is a whole round trip, so that half of it remains
+// for the delays at both ends.
+func (g *Gauge) ReturnTrip() time.Duration {
+	trip := time.Duration(g.trip.Load())
+	if trip == 0 {
+		return defaultReturnTrip
+	}
+	return min(max(trip, minReturnTrip), maxReturnTrip)
+}
--- a/target/query.go
+++ b/target/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,6 +16,38 @@
 	// Attempt is unique in the query.
 	Attempt int
 	Target  *Target
+
+	tail *Tail
+}
+
+// Matches reports whether a reply to the request belongs to this leg in every part of its identity.
+func (l Leg) Matches(id RequestID, r Reply) bool {
+	return r.RequestID == id && r.Attempt == l.Attempt && r.Shard == l.Shard && r.Snapshot == l.Snapshot
+}
+
+// Outcome says how a leg ended.
+type Outcome int
+
+// The outcomes of a leg.
+const (
+	Replied Outcome = iota
+	Failed
+	Cancelled
+)
+
+// Finish ends the leg at its target's gauge and samples its latency. Every leg is finished exactly once, by the
+// goroutine that ran it.
+func (l Leg) Finish(elapsed time.Duration, o Outcome) {
+	switch o {
+	case Replied:
+		l.Target.Gauge.Finish(elapsed)
+		l.tail.observe(elapsed, false)
+	case Cancelled:
+		l.Target.Gauge.finishCancelled(elapsed)
+		l.tail.observe(elapsed, true)
+	default:
+		l.Target.Gauge.Finish(0)
+	}
 }
 
 // Reason says why a shard is missing from an answer.
@@ -26,6 +59,8 @@
 	ReasonBusy         Reason = "busy"
 	ReasonDeadline     Reason = "deadline"
 	ReasonFailed       Reason = "target_failed"
+	ReasonUnreachable  Reason = "target_unreachable"
+	ReasonMismatched   Reason = "reply_mismatched"
 	ReasonShed         Reason = "shed"
 	ReasonSnapshotGone Reason = "snapshot_gone"
 )
@@ -87,204 +122,524 @@
 	Missing  []MissingShard
 }
 
-// Whole reports whether every shard answered.
-func (a *Answer) Whole() bool { return len(a.Missing) == 0 }
+// Whole reports whether the snapshot has shards and all of them answered.
+func (a *Answer) Whole() bool { return len(a.Missing) == 0 && len(a.Results) > 0 }
 
 // Total counts the shards of the snapshot.
 func (a *Answer) Total() int { return len(a.Results) + len(a.Missing) }
 
+// betterThan reports whether a covers a larger part of its snapshot.
+func (a *Answer) betterThan(b *Answer) bool {
+	return b == nil || len(a.Results)*b.Total() > len(b.Results)*a.Total()
+}
+
+// Views gives the newest view of a service, nil if there is none.
+type Views interface {
+	ServiceView(service string) *ServiceView
+}
+
+// QueryConfig is what a query starts from.
+type QueryConfig struct {
+	ID RequestID
+	// View is the view of the service that the request was admitted on.
+	View *ServiceView
+	// Views is asked when the query has to be planned again.
+	Views    Views
+	Deadline time.Time
+	// Rand is used by this query only.
+	Rand *rand.Rand
+}
+
+const (
+	// maxAttemptsPerShard bounds the legs of one shard in one plan.
+	maxAttemptsPerShard = 3
+	// minLegTime is the remaining time below which no leg is sent, since its reply could not arrive.
+	minLegTime = time.Millisecond
+	// busyWait bounds the time between two tries at a shard whose replicas have no room.
+	minBusyWait = time.Millisecond
+	maxBusyWait = 10 * time.Millisecond
+	// newSnapshotWait is the time between two looks for a snapshot that replaces one that is gone.
+	newSnapshotWait = 10 * time.Millisecond
+	// loadHint is the weight of a target's reported load, which lags or misleads: a target that reports full
+	// load counts as a quarter slower.
+	loadHint = 0.25
+)
+
+type shardState uint8
+
+const (
+	shardRunning      shardState = iota // a leg is open
+	shardWaiting                        // for room at a replica
+	shardSnapshotGone                   // for a newer snapshot
+	shardDone
+)
+
 type shardProgress struct {
-	view    ShardView
-	done    bool
+	view    *ShardView
+	state   shardState
 	payload []byte
-	reason  Reason
+	reason  Reason // empty once the reply is merged
 	tried   int
+	open    int
+	// paid says that a waiting shard has taken its retry from the budget.
+	paid     bool
+	attempts [maxAttemptsPerShard]int
+	hedgeAt  time.Time
 }
 
-// maxAttemptsPerShard bounds the legs of one shard in one plan.
-const maxAttemptsPerShard = 3
-
 // Query is the state machine of one query. It belongs to one goroutine.
 type Query struct {
-	id       RequestID
-	service  *ServiceView
-	deadline time.Time
-	rng      *rand.Rand
+	QueryConfig
 
 	snapshot Snapshot
 	shards   []shardProgress
-	legs     map[int]legState
+	legs     []legState // of this plan; attempt n is at n-base-1
+	base     int
 	attempt  int
-	open     int
+	open     int // shards that are not done
+	waiting  int // shards that wait for room or for a snapshot
+	wake     time.Time
+	previous *Answer // the best of earlier plans
 }
 
 type legState struct {
 	leg   Leg
 	index int
+	open  bool
+	gone  bool
 }
 
-// NewQuery plans a query on the newest whole snapshot of the service and returns the legs to send. rng is used
-// by this query only.
-func NewQuery(id RequestID, service *ServiceView, deadline time.Time, rng *rand.Rand, now time.Time) (*Query, Ready) {
-	q := &Query{id: id, service: service, deadline: deadline, rng: rng}
-	return q, q.plan(service.Pick(0), now)
+// NewQuery plans a query on the newest whole snapshot of the service and returns the legs to send.
+func NewQuery(c QueryConfig, now time.Time) (*Query, Ready) {
+	q := &Query{QueryConfig: c}
+	return q, q.plan(c.View.Pick(0), now)
 }
 
 // Step takes one message and returns what to do. Replies that do not match an open leg in every part of their
 // identity are dropped.
 func (q *Query) Step(m Message, now time.Time) Ready {
+	var ready Ready
 	switch m := m.(type) {
 	case Reply:
-		return q.reply(m, now)
+		q.reply(m, &ready)
 	case Failure:
-		return q.failure(m, now)
+		if replanned := q.failure(m, now, &ready); replanned {
+			return ready
+		}
 	default:
-		return q.timeout(now)
+		if replanned := q.timeout(now, &ready); replanned {
+			return ready
+		}
+	}
+	if q.waiting > 0 && q.open > 0 {
+		q.sendWaiting(now, &ready)
 	}
+	q.finish(&ready)
+	return ready
 }
 
 func (q *Query) plan(s *SnapshotView, now time.Time) Ready {
 	if s == nil {
 		return Ready{Answer: &Answer{}}
 	}
+	n := len(s.Shards)
 	q.snapshot = s.Snapshot
-	q.shards = make([]shardProgress, len(s.Shards))
-	q.legs = make(map[int]legState, len(s.Shards))
-	q.open = len(s.Shards)
-	ready := Ready{Wake: q.deadline}
+	q.shards = make([]shardProgress, n)
+	q.legs = make([]legState, 0, n+n/8+1)
+	q.base = q.attempt
+	q.open, q.waiting = n, 0
+	q.wake = q.Deadline
+	ready := Ready{Send: make([]Leg, 0, n)}
 	for i := range s.Shards {
-		q.shards[i] = shardProgress{view: s.Shards[i], reason: ReasonNoReplica}
-		q.send(i, nil, &ready)
+		q.shards[i].view = &s.Shards[i]
+		q.shards[i].reason = ReasonNoReplica
+		q.first(i, now, &ready)
 	}
+	q.View.Tail.legsSent(len(ready.Send))
 	q.finish(&ready)
 	return ready
 }
 
-// send starts a leg of shard i on a replica other than avoid, or gives the shard up.
-func (q *Query) send(i int, avoid *Target, ready *Ready) {
+// first sends the first leg of a shard, or has the shard wait for room.
+func (q *Query) first(i int, now time.Time, ready *Ready) {
 	p := &q.shards[i]
-	t := q.choose(p.view.Replicas, avoid)
-	if t == nil {
-		if p.tried == 0 && len(p.view.Replicas) > 0 {
-			p.reason = ReasonBusy
-		}
-		p.done = true
-		q.open--
-		return
+	t, busy := q.choose(p, false)
+	switch {
+	case t != nil:
+		q.send(i, t, now, ready)
+	case busy:
+		p.reason = ReasonBusy
+		q.wait(p, shardWaiting, now)
+	default:
+		q.giveUp(p)
 	}
+}
+
+func (q *Query) send(i int, t *Target, now time.Time, ready *Ready) {
+	p := &q.shards[i]
 	q.attempt++
+	leg := Leg{Shard: p.view.Shard, Snapshot: q.snapshot, Attempt: q.attempt, Target: t, tail: q.View.Tail}
+	q.legs = append(q.legs, legState{leg: leg, index: i, open: true})
+	p.attempts[p.tried] = leg.Attempt
 	p.tried++
-	leg := Leg{Shard: p.view.Shard, Snapshot: q.snapshot, Attempt: q.attempt, Target: t}
-	q.legs[leg.Attempt] = legState{leg: leg, index: i}
+	p.open++
+	p.paid = false
+	p.state = shardRunning
+	p.hedgeAt = q.Deadline
+	if d, ok := q.View.Tail.hedgeDelay(); ok && p.tried < maxAttemptsPerShard {
+		p.hedgeAt = now.Add(d)
+		q.wakeAt(p.hedgeAt)
+	}
 	ready.Send = append(ready.Send, leg)
 }
 
-// choose reserves a place at the least loaded of two random replicas, or at any other that has room.
-func (q *Query) choose(replicas []*Target, avoid *Target) *Target {
+func (q *Query) giveUp(p *shardProgress) {
+	p.state = shardDone
+	q.open--
+}
+
+// wait has a shard wait; sendWaiting takes it up again.
+func (q *Query) wait(p *shardProgress, state shardState, now time.Time) {
+	p.state = state
+	q.waiting++
+	if state == shardSnapshotGone {
+		q.wakeAt(now.Add(newSnapshotWait))
+		return
+	}
+	q.wakeAt(now.Add(min(max(q.View.Tail.Quantile()/4, minBusyWait), maxBusyWait)))
+}
+
+func (q *Query) wakeAt(t time.Time) {
+	if t.Before(q.wake) {
+		q.wake = t
+	}
+}
+
+// choose reserves a place at the better of two random replicas, or at any other that has room. Replicas that
+// the shard was sent to are passed over, or, with again, only those whose leg is open or that said that the
+// snapshot is gone. busy says that there are replicas to choose from but none has room.
+func (q *Query) choose(p *shardProgress, again bool) (chosen *Target, busy bool) {
+	replicas := p.view.Replicas
 	n := len(replicas)
 	if n == 0 {
-		return nil
+		return nil, false
 	}
-	first := q.rng.IntN(n)
-	a, b := replicas[first], replicas[(first+1)%n]
-	if b.Gauge.Outstanding() < a.Gauge.Outstanding() {
-		a, b = b, a
+	first := q.Rand.IntN(n)
+	a := q.eligible(p, first, nil, again)
+	if a == nil {
+		return nil, false
 	}
-	for _, t := range []*Target{a, b} {
-		if t != avoid && t.Gauge.TryStart(t.Limit) {
-			return t
+	if n > 1 && !q.View.Tail.policy.RandomReplica {
+		if b := q.eligible(p, first+1+q.Rand.IntN(n-1), a, again); b != nil {
+			if preferred(b, a) {
+				a, b = b, a
+			}
+			b.Gauge.passOver()
+			if a.Gauge.TryStart(a.Limit) {
+				return a, false
+			}
+			a = b
 		}
 	}
-	for _, t := range replicas {
-		if t != avoid && t != a && t != b && t.Gauge.TryStart(t.Limit) {
+	if a.Gauge.TryStart(a.Limit) {
+		return a, false
+	}
+	for i := range n {
+		t := replicas[(first+i)%n]
+		if !q.passedOver(p, t, again) && t.Gauge.TryStart(t.Limit) {
+			return t, false
+		}
+	}
+	return nil, true
+}
+
+// eligible returns the first replica from position start on that the shard may be sent to and that is not other.
+func (q *Query) eligible(p *shardProgress, start int, other *Target, again bool) *Target {
+	replicas := p.view.Replicas
+	for i := range replicas {
+		t := replicas[(start+i)%len(replicas)]
+		if t != other && !q.passedOver(p, t, again) {
 			return t
 		}
 	}
 	return nil
 }
 
-func (q *Query) reply(r Reply, now time.Time) Ready {
-	l, ok := q.legs[r.Attempt]
-	if !ok || r.RequestID != q.id || r.Shard != l.leg.Shard || r.Snapshot != q.snapshot {
-		return Ready{Wake: q.deadline}
+func (q *Query) passedOver(p *shardProgress, t *Target, again bool) bool {
+	for _, attempt := range p.attempts[:p.tried] {
+		if l := &q.legs[attempt-q.base-1]; l.leg.Target == t && (!again || l.open || l.gone) {
+			return true
+		}
 	}
-	delete(q.legs, r.Attempt)
+	return false
+}
+
+// preferred reports whether a leg is expected to end sooner at a than at b, from what this instance observed.
+func preferred(a, b *Target) bool {
+	x, y := a.Gauge.Latency(), b.Gauge.Latency()
+	if x == 0 || y == 0 {
+		x, y = 1, 1
+	}
+	return expected(a, x) < expected(b, y)
+}
+
+func expected(t *Target, latency time.Duration) float64 {
+	return float64(latency) * float64(1+t.Gauge.Outstanding()) * (1 + loadHint*t.Load)
+}
+
+func (q *Query) leg(attempt int) *legState {
+	if attempt <= q.base || attempt > q.attempt {
+		return nil
+	}
+	if l := &q.legs[attempt-q.base-1]; l.open {
+		return l
+	}
+	return nil
+}
+
+func (q *Query) reply(r Reply, ready *Ready) {
+	l := q.leg(r.Attempt)
+	if l == nil || !l.leg.Matches(q.ID, r) {
+		return
+	}
+	l.open = false
 	p := &q.shards[l.index]
-	ready := Ready{Wake: q.deadline}
-	if p.done {
-		return ready
+	p.open--
+	if p.state == shardDone {
+		return
 	}
-	p.done, p.payload, p.reason = true, r.Payload, ""
-	q.open--
-	q.finish(&ready)
-	return ready
+	p.payload, p.reason = r.Payload, ""
+	for _, attempt := range p.attempts[:p.tried] {
+		if other := &q.legs[attempt-q.base-1]; other.open {
+			other.open = false
+			p.open--
+			ready.Cancel = append(ready.Cancel, other.leg)
+		}
+	}
+	q.giveUp(p)
 }
 
-func (q *Query) failure(f Failure, now time.Time) Ready {
-	l, ok := q.legs[f.Attempt]
-	if !ok {
-		return Ready{Wake: q.deadline}
+// failure reports whether it planned the query again; ready is then complete.
+func (q *Query) failure(f Failure, now time.Time, ready *Ready) bool {
+	l := q.leg(f.Attempt)
+	if l == nil {
+		return false
 	}
-	delete(q.legs, f.Attempt)
+	l.open = false
 	p := &q.shards[l.index]
-	ready := Ready{Wake: q.deadline}
-	if p.done {
-		return ready
+	p.open--
+	if p.state == shardDone {
+		return false
 	}
 	p.reason = f.Reason
 	if f.Reason == ReasonSnapshotGone {
-		if newer := q.service.Pick(q.snapshot); newer != nil {
-			return q.replan(newer, now)
+		l.gone = true
+		if newer := q.newer(); newer != nil && newer.Covered == len(newer.Shards) && q.mayStillSend(now) {
+			*ready = q.replan(newer, now)
+			return true
 		}
 	}
-	if p.tried < maxAttemptsPerShard && now.Before(q.deadline) {
-		q.send(l.index, l.leg.Target, &ready)
-	} else {
-		p.done = true
-		q.open--
+	if p.open == 0 {
+		q.retry(l.index, now, ready)
 	}
-	q.finish(&ready)
-	return ready
+	return false
+}
+
+// retry sends a shard whose legs all failed to another replica, or to one of the same again if there is none. A
+// leg that was not sent, or whose snapshot is gone, put no load on a target, so its retry takes nothing from the
+// budget.
+func (q *Query) retry(i int, now time.Time, ready *Ready) {
+	p := &q.shards[i]
+	if !q.mayStillSend(now) {
+		q.giveUp(p)
+		return
+	}
+	if p.tried >= maxAttemptsPerShard {
+		if p.reason == ReasonSnapshotGone {
+			q.wait(p, shardSnapshotGone, now)
+		} else {
+			q.giveUp(p)
+		}
+		return
+	}
+	t, busy := q.choose(p, false)
+	if t == nil && !busy {
+		t, busy = q.choose(p, true)
+	}
+	if t == nil && !busy {
+		if p.reason == ReasonSnapshotGone {
+			q.wait(p, shardSnapshotGone, now)
+		} else {
+			q.giveUp(p)
+		}
+		return
+	}
+	free := p.paid || p.reason == ReasonUnreachable || p.reason == ReasonSnapshotGone
+	if !free && !q.View.Tail.retries.take() {
+		if t != nil {
+			t.Gauge.Finish(0)
+		}
+		q.giveUp(p)
+		return
+	}
+	p.paid = true
+	if t == nil {
+		q.wait(p, shardWaiting, now)
+		return
+	}
+	q.send(i, t, now, ready)
+}
+
+func (q *Query) mayStillSend(now time.Time) bool { return now.Add(minLegTime).Before(q.Deadline) }
+
+// sendWaiting tries the shards that wait for room again.
+func (q *Query) sendWaiting(now time.Time, ready *Ready) {
+	if !q.mayStillSend(now) {
+		return
+	}
+	for i := range q.shards {
+		p := &q.shards[i]
+		if p.state != shardWaiting {
+			continue
+		}
+		q.waiting--
+		if p.tried > 0 {
+			q.retry(i, now, ready)
+			continue
+		}
+		sent := len(ready.Send)
+		q.first(i, now, ready)
+		q.View.Tail.legsSent(len(ready.Send) - sent)
+	}
+}
+
+// newer returns the snapshot to plan on in place of one that is gone, from the newest view.
+func (q *Query) newer() *SnapshotView {
+	if view := q.Views.ServiceView(q.View.Name); view != nil {
+		q.View = view
+	}
+	return q.View.Pick(q.snapshot)
 }
 
-// replan starts again on a newer snapshot. Nothing merged so far is kept, since an answer has one snapshot.
+// replan starts again on a newer snapshot. An answer has one snapshot, so nothing merged so far goes into the
+// new plan; it is kept apart for the case that the new plan covers less.
 func (q *Query) replan(s *SnapshotView, now time.Time) Ready {
+	if a := q.answer(); a.betterThan(q.previous) {
+		q.previous = a
+	}
 	cancel := q.openLegs()
 	ready := q.plan(s, now)
 	ready.Cancel = cancel
 	return ready
 }
 
-func (q *Query) timeout(now time.Time) Ready {
-	ready := Ready{Wake: q.deadline}
-	if now.Before(q.deadline) {
-		return ready
+// timeout reports whether it planned the query again; ready is then complete.
+func (q *Query) timeout(now time.Time, ready *Ready) bool {
+	if !now.Before(q.Deadline) {
+		q.end(ready)
+		return false
+	}
+	q.wake = q.Deadline
+	if !q.mayStillSend(now) {
+		return false
+	}
+	// Planning again comes before hedging: it drops the legs of this step, whose places are taken already.
+	if q.waitsForSnapshot() {
+		if newer := q.newer(); newer != nil && newer.Covered > 0 {
+			*ready = q.replan(newer, now)
+			return true
+		}
+		q.wakeAt(now.Add(newSnapshotWait))
 	}
 	for i := range q.shards {
-		if p := &q.shards[i]; !p.done {
-			p.done, p.reason = true, ReasonDeadline
+		if q.shards[i].state == shardRunning {
+			q.hedge(i, now, ready)
 		}
 	}
-	q.open = 0
+	return false
+}
+
+func (q *Query) waitsForSnapshot() bool {
+	if q.waiting == 0 {
+		return false
+	}
+	return slices.ContainsFunc(q.shards, func(p shardProgress) bool { return p.state == shardSnapshotGone })
+}
+
+// hedge sends a second leg of a shard to another replica when the first has run long enough and the budget
+// allows it.
+func (q *Query) hedge(i int, now time.Time, ready *Ready) {
+	p := &q.shards[i]
+	if now.Before(p.hedgeAt) {
+		q.wakeAt(p.hedgeAt)
+		return
+	}
+	if p.open > 1 || p.tried >= maxAttemptsPerShard || len(p.view.Replicas) < 2 {
+		return
+	}
+	tail := q.View.Tail
+	delay, ok := tail.hedgeDelay()
+	if !ok {
+		return
+	}
+	if !tail.hedges.take() {
+		p.hedgeAt = now.Add(max(delay, minBusyWait))
+		q.wakeAt(p.hedgeAt)
+		return
+	}
+	t, busy := q.choose(p, false)
+	if t == nil {
+		tail.hedges.giveBack()
+		p.hedgeAt = q.Deadline
+		if busy {
+			p.hedgeAt = now.Add(max(delay, minBusyWait))
+			q.wakeAt(p.hedgeAt)
+		}
+		return
+	}
+	q.send(i, t, now, ready)
+}
+
+// end gives up all open shards.
+func (q *Query) end(ready *Ready) {
 	ready.Cancel = q.openLegs()
-	q.finish(&ready)
-	return ready
+	for i := range q.shards {
+		p := &q.shards[i]
+		if p.state == shardRunning {
+			p.reason = ReasonDeadline
+		}
+		p.state = shardDone
+	}
+	q.open, q.waiting = 0, 0
 }
 
+// openLegs returns the legs that are under way and closes them.
 func (q *Query) openLegs() []Leg {
-	legs := make([]Leg, 0, len(q.legs))
-	for _, l := range q.legs {
-		legs = append(legs, l.leg)
+	var legs []Leg
+	for i := range q.legs {
+		if l := &q.legs[i]; l.open {
+			l.open = false
+			legs = append(legs, l.leg)
+		}
 	}
 	return legs
 }
 
-// finish sets the answer when no shard is open.
+// finish sets the wake-up time, or the answer when no shard is open.
 func (q *Query) finish(ready *Ready) {
+	ready.Wake = q.wake
 	if q.open > 0 {
 		return
 	}
-	a := &Answer{Snapshot: q.snapshot}
+	ready.Answer = q.answer()
+	if q.previous != nil && !ready.Answer.betterThan(q.previous) {
+		ready.Answer = q.previous
+	}
+}
+
+// answer returns what is merged of the present plan.
+func (q *Query) answer() *Answer {
+	a := &Answer{Snapshot: q.snapshot, Results: make([]ShardResult, 0, len(q.shards))}
 	for i := range q.shards {
 		p := &q.shards[i]
 		if p.reason == "" {
@@ -293,5 +648,5 @@
 			a.Missing = append(a.Missing, MissingShard{Shard: p.view.Shard, Reason: p.reason})
 		}
 	}
-	ready.Answer = a
+	return a
 }
--- a/target/target.go
+++ b/target/target.go
@@ -4,11 +4,6 @@
 // The package does no I/O and reads no clock; targethttp talks to targets.
 package target
 
-import (
-	"sync/atomic"
-	"time"
-)
-
 // Snapshot numbers a version of a service's index. Higher is newer.
 type Snapshot uint64
 
@@ -55,45 +50,3 @@
 	Snapshot Snapshot `json:"snapshot"`
 	Shards   []Shard  `json:"shards"`
 }
-
-// Gauge counts what this instance has under way at one target. Control creates it, traffic updates it.
-type Gauge struct {
-	outstanding atomic.Int64
-	latency     atomic.Int64 // nanoseconds, exponentially weighted
-}
-
-// latencyWeightShift sets the weight of one sample in the latency estimate to 1/8.
-const latencyWeightShift = 3
-
-// TryStart counts a request as outstanding unless limit requests are outstanding already.
-func (g *Gauge) TryStart(limit int) bool {
-	for {
-		n := g.outstanding.Load()
-		if n >= int64(limit) {
-			return false
-		}
-		if g.outstanding.CompareAndSwap(n, n+1) {
-			return true
-		}
-	}
-}
-
-// Finish ends a request that TryStart counted. A latency of zero or less is not sampled.
-func (g *Gauge) Finish(latency time.Duration) {
-	g.outstanding.Add(-1)
-	if latency <= 0 {
-		return
-	}
-	old := g.latency.Load()
-	if old == 0 {
-		g.latency.CompareAndSwap(0, int64(latency))
-		return
-	}
-	g.latency.CompareAndSwap(old, old+(int64(latency)-old)>>latencyWeightShift)
-}
-
-// Outstanding returns the requests under way from this instance.
-func (g *Gauge) Outstanding() int { return int(g.outstanding.Load()) }
-
-// Latency returns the weighted mean latency that this instance saw, zero before the first sample.
-func (g *Gauge) Latency() time.Duration { return time.Duration(g.latency.Load()) }
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -77,13 +77,27 @@
 	req.Header.Set(HeaderShard, string(s.Leg.Shard))
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, s.Organisation)
-	header, body, err := c.do(req)
+	header, body, err := c.do(measureTrip(req, s.Leg.Target.Gauge))
 	if err != nil {
 		return target.Reply{}, err
 	}
 	return decodeReply(header, body)
 }
 
+// measureTrip tells the gauge the time of the handshake if the request opens a connection.
+func measureTrip(req *http.Request, g *target.Gauge) *http.Request {
+	var start atomic.Pointer[time.Time] // the transport dials on other goroutines
+	trace := &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { now := time.Now(); start.Store(&now) },
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				g.Connected(time.Since(*start.Load()))
+			}
+		},
+	}
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+}
+
 func decodeReply(h http.Header, body []byte) (target.Reply, error) {
 	attempt, err := strconv.Atoi(h.Get(HeaderAttempt))
 	if err != nil {
@@ -189,6 +203,10 @@
 		return target.ReasonShed
 	case errors.Is(err, target.ErrSnapshotGone):
 		return target.ReasonSnapshotGone
+	case errors.Is(err, target.ErrNotSent):
+		return target.ReasonUnreachable
+	case errors.Is(err, target.ErrMismatched):
+		return target.ReasonMismatched
 	default:
 		return target.ReasonFailed
 	}
--- a/target/targethttp/run.go
+++ b/target/targethttp/run.go
@@ -7,9 +7,6 @@
 	"dogwooddrift.org/drift/target"
 )
 
-// returnTrip is taken off the deadline that a target gets, so that its reply can still arrive.
-const returnTrip = 2 * time.Millisecond
-
 // Request is what Run needs of one caller's query.
 type Request struct {
 	ID           target.RequestID
@@ -56,15 +53,24 @@
 		RequestID:    r.ID,
 		Organisation: r.Organisation,
 		Leg:          leg,
-		Timeout:      time.Until(r.Deadline) - returnTrip,
+		Timeout:      r.Deadline.Sub(start) - leg.Target.Gauge.ReturnTrip(),
 		Body:         r.Body,
 	})
+	if err == nil && !leg.Matches(r.ID, reply) {
+		err = target.ErrMismatched
+	}
 	var m target.Message = reply
-	if err != nil {
-		leg.Target.Gauge.Finish(0)
+	outcome := target.Replied
+	switch {
+	case err != nil && ctx.Err() != nil:
+		outcome = target.Cancelled
+	case err != nil:
+		outcome = target.Failed
 		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
-	} else {
-		leg.Target.Gauge.Finish(time.Since(start))
+	}
+	leg.Finish(time.Since(start), outcome)
+	if outcome == target.Cancelled {
+		return
 	}
 	select {
 	case messages <- m:
--- a/target/view.go
+++ b/target/view.go
@@ -14,6 +14,8 @@
 	Incarnation string
 	// Limit is how many requests this instance may have outstanding at the target.
 	Limit int
+	// Load is the reported part of slots in use, from 0 to 1. It may lag or mislead.
+	Load  float64
 	Gauge *Gauge
 }
 
@@ -38,6 +40,8 @@
 	Targets []*Target
 	// Snapshots lists the known snapshots, newest first.
 	Snapshots []SnapshotView
+	// Tail is shared by all queries of the service.
+	Tail *Tail
 }
 
 // View maps the name of a service to its view. It is immutable.
@@ -50,15 +54,17 @@
 }
 
 // BuildServiceView arranges the usable targets of a service by snapshot and shard. A snapshot is known when
-// any target reports its manifest.
-func BuildServiceView(name string, usable []Usable) *ServiceView {
-	v := &ServiceView{Name: name}
+// any target reports its manifest. Where targets disagree about a manifest, its shards are those that any of them
+// names: a shard too many lowers the reported coverage, one too few would make it false.
+func BuildServiceView(name string, tail *Tail, usable []Usable) *ServiceView {
+	v := &ServiceView{Name: name, Tail: tail}
+	slices.SortFunc(usable, func(a, b Usable) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
 	manifests := map[Snapshot][]Shard{}
 	replicas := map[Snapshot]map[Shard][]*Target{}
 	for _, u := range usable {
 		v.Targets = append(v.Targets, u.Target)
 		for _, m := range u.Status.Manifests {
-			manifests[m.Snapshot] = m.Shards
+			manifests[m.Snapshot] = union(manifests[m.Snapshot], m.Shards)
 		}
 		for _, r := range u.Status.Replicas {
 			for _, s := range r.Snapshots {
@@ -70,13 +76,25 @@
 		}
 	}
 	for snapshot, shards := range manifests {
+		if len(shards) == 0 {
+			continue
+		}
 		v.Snapshots = append(v.Snapshots, buildSnapshotView(snapshot, shards, replicas[snapshot]))
 	}
 	slices.SortFunc(v.Snapshots, func(a, b SnapshotView) int { return cmp.Compare(b.Snapshot, a.Snapshot) })
-	slices.SortFunc(v.Targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
 	return v
 }
 
+// union returns the sorted union of a, which is sorted, and b. It returns a itself when b adds nothing.
+func union(a, b []Shard) []Shard {
+	if slices.Equal(a, b) {
+		return a
+	}
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func buildSnapshotView(snapshot Snapshot, shards []Shard, replicas map[Shard][]*Target) SnapshotView {
 	sv := SnapshotView{Snapshot: snapshot, Shards: make([]ShardView, 0, len(shards))}
 	for _, shard := range shards {
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -79,6 +79,11 @@
 	return s.Configured && !s.Draining
 }
 
+// ServiceView returns the newest view of a service, nil if there is none.
+func (t *Tier) ServiceView(service string) *target.ServiceView {
+	return t.snapshots.Snapshot().Targets[service]
+}
+
 // Query runs a query. The error, if any, is a *caller.Refusal.
 func (t *Tier) Query(ctx context.Context, q Query) (*Answer, *caller.Refusal) {
 	t.running.Add(1)
@@ -96,7 +101,9 @@
 	}
 	id := target.RequestID(uuid.NewString())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	machine, ready := target.NewQuery(id, view, q.Deadline, rng, time.Now())
+	machine, ready := target.NewQuery(target.QueryConfig{
+		ID: id, View: view, Views: t, Deadline: q.Deadline, Rand: rng,
+	}, time.Now())
 	answer := t.targets.Run(ctx, targethttp.Request{
 		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text),
 	}, machine, ready)
