Measure the tail policy against a random replica

Cause: the choice of replicas, hedging and budgets had no figures and no tests.

Change: an experiment on a virtual clock, tests over httptest targets for cancelled losers, the deadline passed on and mismatched replies, and benchmarks of plan, choose and merge. A leg's state in a query shrank to 16 bytes.

--- a/target/query.go
+++ b/target/query.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -176,15 +177,16 @@
 
 type shardProgress struct {
 	view    *ShardView
-	state   shardState
 	payload []byte
 	reason  Reason // empty once the reply is merged
-	tried   int
-	open    int
+	// hedgeAfter is when to hedge, counted from the start of the plan.
+	hedgeAfter time.Duration
+	attempts   [maxAttemptsPerShard]int32
+	tried      uint8
+	open       uint8
+	state      shardState
 	// paid says that a waiting shard has taken its retry from the budget.
-	paid     bool
-	attempts [maxAttemptsPerShard]int
-	hedgeAt  time.Time
+	paid bool
 }
 
 // Query is the state machine of one query. It belongs to one goroutine.
@@ -192,6 +194,7 @@
 	QueryConfig
 
 	snapshot Snapshot
+	started  time.Time // of this plan
 	shards   []shardProgress
 	legs     []legState // of this plan; attempt n is at n-base-1
 	base     int
@@ -203,10 +206,10 @@
 }
 
 type legState struct {
-	leg   Leg
-	index int
-	open  bool
-	gone  bool
+	target *Target
+	shard  int32
+	open   bool
+	gone   bool // the target said that the snapshot is gone
 }
 
 // NewQuery plans a query on the newest whole snapshot of the service and returns the legs to send.
@@ -247,6 +250,7 @@
 	q.shards = make([]shardProgress, n)
 	q.legs = make([]legState, 0, n+n/8+1)
 	q.base = q.attempt
+	q.started = now
 	q.open, q.waiting = n, 0
 	q.wake = q.Deadline
 	ready := Ready{Send: make([]Leg, 0, n)}
@@ -278,19 +282,35 @@
 func (q *Query) send(i int, t *Target, now time.Time, ready *Ready) {
 	p := &q.shards[i]
 	q.attempt++
-	leg := Leg{Shard: p.view.Shard, Snapshot: q.snapshot, Attempt: q.attempt, Target: t, tail: q.View.Tail}
-	q.legs = append(q.legs, legState{leg: leg, index: i, open: true})
-	p.attempts[p.tried] = leg.Attempt
+	q.legs = append(q.legs, legState{target: t, shard: int32(i), open: true})
+	p.attempts[p.tried] = int32(q.attempt)
 	p.tried++
 	p.open++
 	p.paid = false
 	p.state = shardRunning
-	p.hedgeAt = q.Deadline
+	p.hedgeAfter = neverHedge
 	if d, ok := q.View.Tail.hedgeDelay(); ok && p.tried < maxAttemptsPerShard {
-		p.hedgeAt = now.Add(d)
-		q.wakeAt(p.hedgeAt)
+		q.hedgeIn(p, d, now)
+	}
+	ready.Send = append(ready.Send, q.leg(q.attempt))
+}
+
+// neverHedge is beyond every deadline.
+const neverHedge = time.Duration(math.MaxInt64)
+
+func (q *Query) hedgeIn(p *shardProgress, d time.Duration, now time.Time) {
+	at := now.Add(d)
+	p.hedgeAfter = at.Sub(q.started)
+	q.wakeAt(at)
+}
+
+func (q *Query) state(attempt int) *legState { return &q.legs[attempt-q.base-1] }
+
+func (q *Query) leg(attempt int) Leg {
+	l := q.state(attempt)
+	return Leg{
+		Shard: q.shards[l.shard].view.Shard, Snapshot: q.snapshot, Attempt: attempt, Target: l.target, tail: q.View.Tail,
 	}
-	ready.Send = append(ready.Send, leg)
 }
 
 func (q *Query) giveUp(p *shardProgress) {
@@ -367,7 +387,7 @@
 
 func (q *Query) passedOver(p *shardProgress, t *Target, again bool) bool {
 	for _, attempt := range p.attempts[:p.tried] {
-		if l := &q.legs[attempt-q.base-1]; l.leg.Target == t && (!again || l.open || l.gone) {
+		if l := q.state(int(attempt)); l.target == t && (!again || l.open || l.gone) {
 			return true
 		}
 	}
@@ -387,33 +407,34 @@
 	return float64(latency) * float64(1+t.Gauge.Outstanding()) * (1 + loadHint*t.Load)
 }
 
-func (q *Query) leg(attempt int) *legState {
+// openLeg returns the leg of an attempt, nil if it is not open in this plan.
+func (q *Query) openLeg(attempt int) *legState {
 	if attempt <= q.base || attempt > q.attempt {
 		return nil
 	}
-	if l := &q.legs[attempt-q.base-1]; l.open {
+	if l := q.state(attempt); l.open {
 		return l
 	}
 	return nil
 }
 
 func (q *Query) reply(r Reply, ready *Ready) {
-	l := q.leg(r.Attempt)
-	if l == nil || !l.leg.Matches(q.ID, r) {
+	l := q.openLeg(r.Attempt)
+	if l == nil || !q.leg(r.Attempt).Matches(q.ID, r) {
 		return
 	}
 	l.open = false
-	p := &q.shards[l.index]
+	p := &q.shards[l.shard]
 	p.open--
 	if p.state == shardDone {
 		return
 	}
 	p.payload, p.reason = r.Payload, ""
 	for _, attempt := range p.attempts[:p.tried] {
-		if other := &q.legs[attempt-q.base-1]; other.open {
+		if other := q.state(int(attempt)); other.open {
 			other.open = false
 			p.open--
-			ready.Cancel = append(ready.Cancel, other.leg)
+			ready.Cancel = append(ready.Cancel, q.leg(int(attempt)))
 		}
 	}
 	q.giveUp(p)
@@ -421,12 +442,12 @@
 
 // failure reports whether it planned the query again; ready is then complete.
 func (q *Query) failure(f Failure, now time.Time, ready *Ready) bool {
-	l := q.leg(f.Attempt)
+	l := q.openLeg(f.Attempt)
 	if l == nil {
 		return false
 	}
 	l.open = false
-	p := &q.shards[l.index]
+	p := &q.shards[l.shard]
 	p.open--
 	if p.state == shardDone {
 		return false
@@ -440,7 +461,7 @@
 		}
 	}
 	if p.open == 0 {
-		q.retry(l.index, now, ready)
+		q.retry(int(l.shard), now, ready)
 	}
 	return false
 }
@@ -570,8 +591,11 @@
 // allows it.
 func (q *Query) hedge(i int, now time.Time, ready *Ready) {
 	p := &q.shards[i]
-	if now.Before(p.hedgeAt) {
-		q.wakeAt(p.hedgeAt)
+	if p.hedgeAfter == neverHedge {
+		return
+	}
+	if at := q.started.Add(p.hedgeAfter); now.Before(at) {
+		q.wakeAt(at)
 		return
 	}
 	if p.open > 1 || p.tried >= maxAttemptsPerShard || len(p.view.Replicas) < 2 {
@@ -583,17 +607,15 @@
 		return
 	}
 	if !tail.hedges.take() {
-		p.hedgeAt = now.Add(max(delay, minBusyWait))
-		q.wakeAt(p.hedgeAt)
+		q.hedgeIn(p, max(delay, minBusyWait), now)
 		return
 	}
 	t, busy := q.choose(p, false)
 	if t == nil {
 		tail.hedges.giveBack()
-		p.hedgeAt = q.Deadline
+		p.hedgeAfter = neverHedge
 		if busy {
-			p.hedgeAt = now.Add(max(delay, minBusyWait))
-			q.wakeAt(p.hedgeAt)
+			q.hedgeIn(p, max(delay, minBusyWait), now)
 		}
 		return
 	}
@@ -619,7 +641,7 @@
 	for i := range q.legs {
 		if l := &q.legs[i]; l.open {
 			l.open = false
-			legs = append(legs, l.leg)
+			legs = append(legs, q.leg(q.base+1+i))
 		}
 	}
 	return legs
--- /dev/null
+++ b/target/tail_test.go
@@ -0,0 +1,169 @@
+package target
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// tailRun is the outcome of one run of tailExperiment.
+type tailRun struct {
+	p50, p99 time.Duration
+	extra    float64 // legs sent beyond one for each shard, as a part of those
+	missing  int
+}
+
+// tailExperiment sends queries to 20 shards on 2 replicas each from one instance. Targets take 1 ms plus an
+// exponential part of 1 ms mean. Stragglers are one target in 20 and take ten times as long; they change every
+// second, so that a policy must notice them.
+func tailExperiment(policy Policy, queries int, stragglers bool) tailRun {
+	const shards, interval, deadline = 20, 5 * time.Millisecond, 500 * time.Millisecond
+	s := newSim(3)
+	var usable []Usable
+	manifest := Manifest{Snapshot: 1}
+	for i := range shards {
+		manifest.Shards = append(manifest.Shards, Shard(fmt.Sprintf("s%02d", i)))
+	}
+	number := map[*Target]int{}
+	for i := range 2 * shards {
+		t := &Target{ID: fmt.Sprintf("t%02d", i), Limit: 50, Gauge: &Gauge{}}
+		number[t] = i
+		usable = append(usable, Usable{t, Status{
+			Manifests: []Manifest{manifest}, Replicas: []Replica{{manifest.Shards[i%shards], []Snapshot{1}}},
+		}})
+	}
+	view := BuildServiceView("s", NewTail(policy), usable)
+	legs := 0
+	run := tailRun{}
+	var latencies []time.Duration
+	for i := range queries {
+		s.after(time.Duration(i)*interval, func() {
+			start := s.now
+			id := RequestID(fmt.Sprint(i))
+			c := QueryConfig{ID: id, View: view, Deadline: s.now.Add(deadline), Rand: rand.New(rand.NewPCG(9, uint64(i)))}
+			s.query(c, func(l *runningLeg, deliver func(Message)) {
+				legs++
+				took := time.Millisecond + time.Duration(s.rng.ExpFloat64()*float64(time.Millisecond))
+				slow := 7 * int(s.now.Unix())
+				// The two stragglers of 40 targets never hold the same shard.
+				if n := number[l.Target]; stragglers && (n == slow%(2*shards) || n == (slow+9)%(2*shards)) {
+					took *= 10
+				}
+				s.after(took, func() {
+					if !l.cancelled {
+						l.end(s.now, Replied)
+						deliver(Reply{RequestID: id, Attempt: l.Attempt, Shard: l.Shard, Snapshot: 1})
+					}
+				})
+			}, func(a *Answer) {
+				latencies = append(latencies, s.now.Sub(start))
+				run.missing += len(a.Missing)
+			})
+		})
+	}
+	s.run()
+	slices.Sort(latencies)
+	run.p50, run.p99 = latencies[queries/2], latencies[queries*99/100]
+	run.extra = float64(legs-queries*shards) / float64(queries*shards)
+	return run
+}
+
+// Guards against hedges beyond their budget and against a policy that does not beat a random replica.
+func TestTailAgainstBaseline(t *testing.T) {
+	const queries = 20_000
+	noHedge := DefaultPolicy()
+	noHedge.HedgeRatio = 0
+	base := tailExperiment(Baseline(), queries, true)
+	got := tailExperiment(DefaultPolicy(), queries, true)
+	t.Logf("random replica:       %+v", base)
+	t.Logf("two choices:          %+v", tailExperiment(noHedge, queries, true))
+	t.Logf("two choices, hedging: %+v", got)
+	t.Logf("same, no straggler:   %+v", tailExperiment(DefaultPolicy(), queries, false))
+	if got.extra > 0.05 {
+		t.Errorf("hedges add %.2f%% legs, limit 5%%", 100*got.extra)
+	}
+	if got.p99 >= base.p99 {
+		t.Errorf("p99 is %v, baseline %v", got.p99, base.p99)
+	}
+	if got.missing > 0 {
+		t.Errorf("%d shards missing", got.missing)
+	}
+}
+
+// Guards against a slow target that is avoided for ever after it recovered.
+func TestRecoveredTargetIsTriedAgain(t *testing.T) {
+	a, b := &Target{ID: "a", Limit: 9, Gauge: &Gauge{}}, &Target{ID: "b", Limit: 9, Gauge: &Gauge{}}
+	q := &Query{QueryConfig: QueryConfig{
+		View: &ServiceView{Tail: NewTail(DefaultPolicy())}, Rand: rand.New(rand.NewPCG(1, 1)),
+	}}
+	a.Gauge.latency.Store(int64(100 * time.Millisecond))
+	b.Gauge.latency.Store(int64(time.Millisecond))
+	for i := range 1000 {
+		chosen, _ := q.choose(&shardProgress{view: &ShardView{Replicas: []*Target{a, b}}}, false)
+		chosen.Gauge.Finish(time.Millisecond)
+		if chosen == a {
+			if i < 100 {
+				t.Errorf("a target 100 times slower was tried after %d legs", i)
+			}
+			return
+		}
+	}
+	t.Error("the recovered target got none of 1000 legs")
+}
+
+func benchmarkView(targets, shards int) *ServiceView {
+	manifest := Manifest{Snapshot: 1}
+	for i := range shards {
+		manifest.Shards = append(manifest.Shards, Shard(fmt.Sprintf("s%02d", i)))
+	}
+	var usable []Usable
+	for i := range targets {
+		usable = append(usable, Usable{
+			&Target{ID: fmt.Sprintf("t%04d", i), Limit: 1 << 20, Gauge: &Gauge{}},
+			Status{Manifests: []Manifest{manifest}, Replicas: []Replica{{manifest.Shards[i%shards], []Snapshot{1}}}},
+		})
+	}
+	return BuildServiceView("s", NewTail(DefaultPolicy()), usable)
+}
+
+var benchmarkSizes = []struct{ targets, shards int }{{50, 25}, {6700, 70}}
+
+// BenchmarkQuery plans a query, merges all its replies and finishes its legs. The figures are divided by legs.
+func BenchmarkQuery(b *testing.B) {
+	for _, size := range benchmarkSizes {
+		b.Run(fmt.Sprintf("targets=%d", size.targets), func(b *testing.B) {
+			view := benchmarkView(size.targets, size.shards)
+			rng := rand.New(rand.NewPCG(1, 1))
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				q, ready := NewQuery(QueryConfig{ID: "q", View: view, Deadline: now.Add(time.Second), Rand: rng}, now)
+				for _, l := range ready.Send {
+					l.Finish(time.Millisecond, Replied)
+					ready = q.Step(Reply{RequestID: "q", Attempt: l.Attempt, Shard: l.Shard, Snapshot: 1}, now)
+				}
+				if !ready.Answer.Whole() {
+					b.Fatal("answer is not whole")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size.shards), "ns/leg")
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range benchmarkSizes {
+		b.Run(fmt.Sprintf("targets=%d", size.targets), func(b *testing.B) {
+			view := benchmarkView(size.targets, size.shards)
+			q := &Query{QueryConfig: QueryConfig{View: view, Rand: rand.New(rand.NewPCG(1, 1))}}
+			p := &shardProgress{view: &view.Snapshots[0].Shards[0]}
+			b.ReportAllocs()
+			for b.Loop() {
+				t, _ := q.choose(p, false)
+				t.Gauge.Finish(time.Millisecond)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/target/targethttp/run_test.go
@@ -0,0 +1,114 @@
+package targethttp
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/target"
+)
+
+type fixedView struct{ view *target.ServiceView }
+
+func (f fixedView) ServiceView(string) *target.ServiceView { return f.view }
+
+// replicas serves shard "a" of snapshot 1 on two test servers.
+func replicas(t *testing.T, handlers ...http.HandlerFunc) *target.ServiceView {
+	t.Helper()
+	var usable []target.Usable
+	for i, h := range handlers {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		usable = append(usable, target.Usable{
+			Target: &target.Target{
+				ID: strconv.Itoa(i), Address: strings.TrimPrefix(server.URL, "http://"), Limit: 4, Gauge: &target.Gauge{},
+			},
+			Status: target.Status{
+				Manifests: []target.Manifest{{Snapshot: 1, Shards: []target.Shard{"a"}}},
+				Replicas:  []target.Replica{{Shard: "a", Snapshots: []target.Snapshot{1}}},
+			},
+		})
+	}
+	return target.BuildServiceView("s", target.NewTail(target.DefaultPolicy()), usable)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	for _, name := range []string{HeaderRequestID, HeaderAttempt, HeaderSnapshot, HeaderShard} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
+	_, _ = w.Write([]byte("reply"))
+}
+
+func runQuery(t *testing.T, c *Client, view *target.ServiceView, timeout time.Duration) *target.Answer {
+	t.Helper()
+	now := time.Now()
+	q, ready := target.NewQuery(target.QueryConfig{
+		ID: "q", View: view, Views: fixedView{view}, Deadline: now.Add(timeout), Rand: rand.New(rand.NewPCG(1, 1)),
+	}, now)
+	return c.Run(context.Background(), Request{ID: "q", Deadline: now.Add(timeout)}, q, ready)
+}
+
+// Guards against a hedge that is not sent and a losing leg that keeps running at its target.
+func TestLosingLegIsCancelled(t *testing.T) {
+	var hang atomic.Bool
+	cancelled := make(chan struct{}, 100)
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		if hang.Load() {
+			<-r.Context().Done()
+			cancelled <- struct{}{}
+			return
+		}
+		echo(w, r)
+	}
+	view := replicas(t, slow, echo)
+	c := New(http.DefaultClient)
+	const timeout = 10 * time.Second
+	for range 200 { // earns the budget for hedges
+		runQuery(t, c, view, timeout)
+	}
+	hang.Store(true)
+	for {
+		if a := runQuery(t, c, view, timeout); !a.Whole() {
+			t.Fatalf("missing: %v", a.Missing)
+		}
+		select {
+		case <-cancelled:
+			return
+		default:
+		}
+	}
+}
+
+// Guards against a target that works past the time at which its reply can still arrive.
+func TestTargetGetsDeadlineLessReturnTrip(t *testing.T) {
+	got := make(chan string, 1)
+	view := replicas(t, func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header.Get(HeaderTimeout)
+		echo(w, r)
+	})
+	view.Targets[0].Gauge.Connected(15 * time.Millisecond)
+	runQuery(t, New(&http.Client{Transport: &http.Transport{}}), view, 10*time.Second)
+	if ms, _ := strconv.Atoi(<-got); ms <= 0 || ms > 10_000-15 {
+		t.Fatalf("target got %d ms of 10,000, want at least 15 less", ms)
+	}
+}
+
+// Guards against a shard that stays open until the deadline after a reply that belongs to another leg.
+func TestMismatchedReplyIsRetried(t *testing.T) {
+	crossed := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(HeaderRequestID, "another")
+		echo(w, r)
+	}
+	view := replicas(t, crossed, echo)
+	for range 10 {
+		if a := runQuery(t, New(http.DefaultClient), view, 10*time.Second); !a.Whole() {
+			t.Fatalf("missing: %v", a.Missing)
+		}
+	}
+}
