Assign connections by bounded-load rendezvous hashing

Cause: every instance connected to every target, which exceeds a target's connections at the design size.

--- /dev/null
+++ b/target/assign.go
@@ -0,0 +1,246 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Entrant is an entry instance as input of Assign.
+type Entrant struct {
+	ID   string
+	Zone string
+}
+
+// Assignable is a target as input of Assign.
+type Assignable struct {
+	ID   string
+	Zone string
+	// Connections is how many connections the target accepts, over all instances together.
+	Connections int
+	// PerInstance is how many connections one instance can make use of.
+	PerInstance int
+	// Shards lists the shards that the target holds. Targets without shards form one group.
+	Shards []Shard
+}
+
+// Grant is the connections that one instance may open to one target.
+type Grant struct {
+	Target      string
+	Connections int
+}
+
+// assignHeadroom is the inverse of the part of a target's connections that is not assigned: it is used while
+// instances have different lists, and by the owner of a cold target.
+const assignHeadroom = 8
+
+// Assignment holds the grants of all instances.
+type Assignment struct {
+	targets []Assignable
+	rows    map[string][]grant
+}
+
+type grant struct {
+	target      int32
+	connections int32
+}
+
+// Of returns the grants of one instance, ordered by target.
+func (a *Assignment) Of(instance string) []Grant {
+	row := slices.SortedFunc(slices.Values(a.rows[instance]), func(a, b grant) int { return cmp.Compare(a.target, b.target) })
+	out := make([]Grant, len(row))
+	for i, g := range row {
+		out[i] = Grant{Target: a.targets[g.target].ID, Connections: int(g.connections)}
+	}
+	return out
+}
+
+// Holders returns the IDs of the instances that have a grant for a target.
+func (a *Assignment) Holders(target string) []string {
+	n, ok := slices.BinarySearchFunc(a.targets, target, func(t Assignable, id string) int { return cmp.Compare(t.ID, id) })
+	if !ok {
+		return nil
+	}
+	var out []string
+	for id, row := range a.rows {
+		if slices.ContainsFunc(row, func(g grant) bool { return g.target == int32(n) }) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Assign spreads the connections of all targets over all instances by bounded-load rendezvous hashing. Every
+// instance computes the same assignment from the same lists, in any order.
+//
+// Shard by shard and replica by replica, each instance takes the target with the highest hash among those of its
+// own zone that have room, else of the other zones. No instance gets a second replica of a shard before each has
+// had a try at the first. What room is left then goes to further connections between the same pairs.
+func Assign(instances []Entrant, targets []Assignable) *Assignment {
+	s := newAssigner(instances, targets)
+	for _, shard := range s.shards {
+		s.assignShard(shard)
+	}
+	s.widen()
+	out := &Assignment{targets: s.targets, rows: make(map[string][]grant, len(s.instances))}
+	for i, in := range s.instances {
+		out.rows[in.ID] = s.held[i]
+	}
+	return out
+}
+
+type assigner struct {
+	instances []Entrant
+	targets   []Assignable
+	shards    []assignShard
+	room      []int32
+	held      [][]grant // by instance
+	entryHash []uint64
+	hash      []uint64 // by target
+	entryZone []int32
+	zone      []int32 // by target
+	zones     int
+	first     []int // by instance: where the grants of the present shard start
+}
+
+type assignShard struct {
+	hash    uint64
+	targets []int32
+}
+
+func newAssigner(instances []Entrant, targets []Assignable) *assigner {
+	s := &assigner{
+		instances: slices.SortedFunc(slices.Values(instances), func(a, b Entrant) int { return cmp.Compare(a.ID, b.ID) }),
+		targets:   slices.SortedFunc(slices.Values(targets), func(a, b Assignable) int { return cmp.Compare(a.ID, b.ID) }),
+		held:      make([][]grant, len(instances)),
+		first:     make([]int, len(instances)),
+	}
+	zones := map[string]int32{}
+	zone := func(name string) int32 {
+		n, ok := zones[name]
+		if !ok {
+			n = int32(len(zones))
+			zones[name] = n
+		}
+		return n
+	}
+	for _, in := range s.instances {
+		s.entryHash = append(s.entryHash, xxhash.Sum64String(in.ID))
+		s.entryZone = append(s.entryZone, zone(in.Zone))
+	}
+	index := map[Shard]int{}
+	for i, t := range s.targets {
+		s.hash = append(s.hash, xxhash.Sum64String(t.ID))
+		s.zone = append(s.zone, zone(t.Zone))
+		s.room = append(s.room, int32(max(t.Connections-t.Connections/assignHeadroom, 1)))
+		shards := t.Shards
+		if len(shards) == 0 {
+			shards = []Shard{""}
+		}
+		for _, shard := range shards {
+			n, ok := index[shard]
+			if !ok {
+				n = len(s.shards)
+				index[shard] = n
+				s.shards = append(s.shards, assignShard{hash: xxhash.Sum64String(string(shard))})
+			}
+			s.shards[n].targets = append(s.shards[n].targets, int32(i))
+		}
+	}
+	s.zones = len(zones)
+	slices.SortFunc(s.shards, func(a, b assignShard) int { return cmp.Compare(a.hash, b.hash) })
+	return s
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// holds looks only at the grants of the present shard if the target has no other.
+func (s *assigner) holds(instance int, target int32) bool {
+	held := s.held[instance]
+	if len(s.targets[target].Shards) <= 1 {
+		held = held[s.first[instance]:]
+	}
+	return slices.ContainsFunc(held, func(g grant) bool { return g.target == target })
+}
+
+func (s *assigner) assignShard(shard assignShard) {
+	// The order differs from shard to shard, so that no instance is always the last to choose.
+	order := make([]int, len(s.instances))
+	key := make([]uint64, len(s.instances))
+	count := make([]int, len(s.instances)) // replicas of the shard held
+	for i := range s.instances {
+		order[i], key[i] = i, mix(s.entryHash[i]^shard.hash)
+		s.first[i] = len(s.held[i])
+		for _, t := range shard.targets {
+			if len(s.targets[t].Shards) > 1 && s.holds(i, t) {
+				count[i]++
+			}
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(key[a], key[b]) })
+	// Targets with room, by zone and all.
+	zones := make([][]int32, s.zones)
+	all := slices.Clone(shard.targets)
+	for _, t := range all {
+		zones[s.zone[t]] = append(zones[s.zone[t]], t)
+	}
+	full := func(t int32) bool { return s.room[t] == 0 }
+	for round := 0; len(all) > 0 && round < len(shard.targets); round++ {
+		for _, i := range order {
+			if count[i] > round {
+				continue
+			}
+			own := s.entryZone[i]
+			t := s.best(i, zones[own])
+			if t < 0 {
+				t = s.best(i, all)
+			}
+			if t < 0 {
+				continue
+			}
+			s.held[i] = append(s.held[i], grant{target: t, connections: 1})
+			count[i]++
+			if s.room[t]--; s.room[t] == 0 {
+				all = slices.DeleteFunc(all, full)
+				zones[s.zone[t]] = slices.DeleteFunc(zones[s.zone[t]], full)
+			}
+		}
+	}
+}
+
+// best returns the target with the highest hash for the instance among those that it does not hold, and -1 if
+// there is none.
+func (s *assigner) best(instance int, open []int32) int32 {
+	best, bestScore := int32(-1), uint64(0)
+	for _, t := range open {
+		score := mix(s.entryHash[instance]^s.hash[t])>>1 + 1
+		if score > bestScore && !s.holds(instance, t) {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// widen adds connections between pairs, one to each pair at a time, while the targets have room.
+func (s *assigner) widen() {
+	for progress := true; progress; {
+		progress = false
+		for i := range s.held {
+			for j := range s.held[i] {
+				g := &s.held[i][j]
+				if s.room[g.target] > 0 && int(g.connections) < s.targets[g.target].PerInstance {
+					s.room[g.target]--
+					g.connections++
+					progress = true
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/target/assign_test.go
@@ -0,0 +1,234 @@
+package target
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// assignFleet makes instances and targets over the zones, every target with one shard.
+func assignFleet(instances, targets, shards, zones, connections, slots int) ([]Entrant, []Assignable) {
+	var es []Entrant
+	for i := range instances {
+		es = append(es, Entrant{ID: fmt.Sprintf("entry-%04d", i), Zone: fmt.Sprint(i % zones)})
+	}
+	var ts []Assignable
+	for i := range targets {
+		ts = append(ts, Assignable{
+			ID: fmt.Sprintf("target-%04d", i), Zone: fmt.Sprint((i + i/shards) % zones),
+			Connections: connections, PerInstance: slots, Shards: []Shard{Shard(fmt.Sprintf("s%02d", i%shards))},
+		})
+	}
+	return es, ts
+}
+
+type assigning func([]Entrant, []Assignable) map[string][]Grant
+
+func boundedLoad(es []Entrant, ts []Assignable) map[string][]Grant {
+	a := Assign(es, ts)
+	out := map[string][]Grant{}
+	for _, e := range es {
+		out[e.ID] = a.Of(e.ID)
+	}
+	return out
+}
+
+// plainRendezvous has each target take the instances with the highest hash.
+func plainRendezvous(es []Entrant, ts []Assignable) map[string][]Grant {
+	s := newAssigner(es, ts)
+	out := map[string][]Grant{}
+	order := make([]int, len(s.instances))
+	for i := range order {
+		order[i] = i
+	}
+	for t := range s.targets {
+		slices.SortFunc(order, func(a, b int) int {
+			return cmp.Compare(mix(s.entryHash[b]^s.hash[t]), mix(s.entryHash[a]^s.hash[t]))
+		})
+		for _, i := range order[:min(int(s.room[t]), len(order))] {
+			id := s.instances[i].ID
+			out[id] = append(out[id], Grant{s.targets[t].ID, 1})
+		}
+	}
+	return out
+}
+
+// subsetting deals each shard's connections out in turn to the instances in the order of their hash.
+func subsetting(es []Entrant, ts []Assignable) map[string][]Grant {
+	s := newAssigner(es, ts)
+	out := map[string][]Grant{}
+	for _, shard := range s.shards {
+		order := make([]int, len(s.instances))
+		for i := range order {
+			order[i] = i
+		}
+		slices.SortFunc(order, func(a, b int) int {
+			return cmp.Compare(mix(s.entryHash[a]^shard.hash), mix(s.entryHash[b]^shard.hash))
+		})
+		next := 0
+		for round := range int(s.room[shard.targets[0]]) {
+			if next >= len(order)*len(shard.targets) {
+				break
+			}
+			for k := range shard.targets {
+				id := s.instances[order[next%len(order)]].ID
+				t := s.targets[shard.targets[(k+round)%len(shard.targets)]].ID
+				out[id] = append(out[id], Grant{t, 1})
+				next++
+			}
+		}
+	}
+	return out
+}
+
+// assignFigures are the properties of an assignment.
+type assignFigures struct {
+	load        map[string]int // connections by target
+	maxLoad     int
+	uncovered   int // pairs of instance and shard without a replica
+	leastGrants int
+	mostGrants  int
+	ownZone     float64
+	pairs       int
+}
+
+func measureAssignment(es []Entrant, ts []Assignable, a map[string][]Grant) assignFigures {
+	f := assignFigures{load: map[string]int{}, leastGrants: 1 << 30}
+	byID := map[string]Assignable{}
+	shards := map[Shard]bool{}
+	for _, t := range ts {
+		byID[t.ID] = t
+		shards[t.Shards[0]] = true
+	}
+	own := 0
+	for _, e := range es {
+		replicas := map[Shard]int{}
+		for _, g := range a[e.ID] {
+			f.load[g.Target] += g.Connections
+			replicas[byID[g.Target].Shards[0]]++
+			f.pairs++
+			if byID[g.Target].Zone == e.Zone {
+				own++
+			}
+		}
+		for s := range shards {
+			if replicas[s] == 0 {
+				f.uncovered++
+			}
+		}
+		f.leastGrants, f.mostGrants = min(f.leastGrants, len(a[e.ID])), max(f.mostGrants, len(a[e.ID]))
+	}
+	for _, n := range f.load {
+		f.maxLoad = max(f.maxLoad, n)
+	}
+	f.ownZone = float64(own) / float64(f.pairs)
+	return f
+}
+
+// moved counts the pairs of instances in both assignments that are only in b, and the highest number of
+// connections at one target while some instances use a and others b.
+func moved(a, b map[string][]Grant) (pairs, peak int) {
+	load := map[string]int{}
+	for id, row := range b {
+		had := map[string]int{}
+		for _, g := range a[id] {
+			had[g.Target] = g.Connections
+		}
+		for _, g := range row {
+			if had[g.Target] == 0 && a[id] != nil {
+				pairs++
+			}
+			load[g.Target] += max(had[g.Target], g.Connections)
+			delete(had, g.Target)
+		}
+		for t, n := range had {
+			load[t] += n
+		}
+	}
+	for id, row := range a {
+		for _, g := range row {
+			if b[id] == nil {
+				load[g.Target] += g.Connections
+			}
+		}
+	}
+	for _, n := range load {
+		peak = max(peak, n)
+	}
+	return pairs, peak
+}
+
+var assignSizes = []struct {
+	name                                                 string
+	instances, targets, shards, zones, connections, slot int
+}{
+	{"design", 1200, 6700, 70, 7, 25, 2},
+	{"today", 8, 100, 50, 3, 25, 2},
+}
+
+// Guards against targets beyond their limit, shards that an instance cannot reach, and a join or departure that
+// moves many connections.
+func TestAssign(t *testing.T) {
+	for _, size := range assignSizes {
+		es, ts := assignFleet(size.instances, size.targets, size.shards, size.zones, size.connections, size.slot)
+		a := boundedLoad(es, ts)
+		f := measureAssignment(es, ts, a)
+		left, peak := moved(a, boundedLoad(slices.Delete(slices.Clone(es), 3, 4), ts))
+		joined, _ := moved(boundedLoad(slices.Delete(slices.Clone(es), 5, 6), ts), a)
+		if f.maxLoad > size.connections || peak > size.connections {
+			t.Errorf("%s: %d connections at a target, %d while lists differ, limit %d", size.name, f.maxLoad, peak, size.connections)
+		}
+		if f.uncovered > 0 || len(f.load) < size.targets {
+			t.Errorf("%s: %d pairs of instance and shard uncovered, %d targets used of %d", size.name, f.uncovered, len(f.load), size.targets)
+		}
+		// 1% of all connections is what 12 of the 1,200 instances have.
+		if limit := max(f.pairs/100, f.pairs/size.instances); left > limit || joined > limit {
+			t.Errorf("%s: a departure moves %d connections, a join %d, limit %d", size.name, left, joined, limit)
+		}
+	}
+}
+
+// Guards against instances that compute different assignments from lists in another order.
+func TestAssignIgnoresOrder(t *testing.T) {
+	es, ts := assignFleet(20, 30, 5, 3, 8, 2)
+	want := boundedLoad(es, ts)
+	slices.Reverse(es)
+	slices.Reverse(ts)
+	got := boundedLoad(es, ts)
+	for id := range want {
+		if !slices.Equal(want[id], got[id]) {
+			t.Fatalf("grants of %s depend on the order of the lists", id)
+		}
+	}
+}
+
+// BenchmarkAssign gives the figures of docs/decisions/connection-assignment.md.
+func BenchmarkAssign(b *testing.B) {
+	for _, size := range assignSizes {
+		es, ts := assignFleet(size.instances, size.targets, size.shards, size.zones, size.connections, size.slot)
+		for _, way := range []struct {
+			name string
+			f    assigning
+		}{{"rendezvous", plainRendezvous}, {"subsetting", subsetting}, {"bounded", boundedLoad}} {
+			b.Run(size.name+"/"+way.name, func(b *testing.B) {
+				var a map[string][]Grant
+				for b.Loop() {
+					a = way.f(es, ts)
+				}
+				b.StopTimer()
+				f := measureAssignment(es, ts, a)
+				left, peak := moved(a, way.f(slices.Delete(slices.Clone(es), 3, 4), ts))
+				joined, _ := moved(way.f(slices.Delete(slices.Clone(es), 5, 6), ts), a)
+				lost, _ := moved(a, way.f(es, slices.Delete(slices.Clone(ts), 7, 8)))
+				for unit, n := range map[string]int{
+					"pairs": f.pairs, "uncovered": f.uncovered, "most/target": f.maxLoad, "least/instance": f.leastGrants,
+					"most/instance": f.mostGrants, "own-zone-%": int(100 * f.ownZone), "moved/departure": left,
+					"moved/join": joined, "moved/lost-target": lost, "peak/target": peak,
+				} {
+					b.ReportMetric(float64(n), unit)
+				}
+			})
+		}
+	}
+}
