Decide cold starts, ownership, notices and quarantine

Cause: every instance sent to every target at full limit whatever its state, polled all of them four times a second, and a request that crashes targets could be sent again without end.

Change: target.Fleet emits effects (status reads, connection limits, notices, questions to owners). The warmth state machine decides how much a target gets; the quarantine finds requests that were running at crashes. Notices travel by a gRPC service of their own. Each target has its own HTTP transport with its granted number of connections.

--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/target"
 )
 
 const (
-	statusInterval  = 250 * time.Millisecond
 	statusTimeout   = time.Second
 	exchangeTimeout = 500 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
@@ -20,11 +20,10 @@
 	ctx     context.Context
 	node    *Node
 	running sync.WaitGroup
-	polls   map[string]context.CancelFunc // used by the control goroutine only
 }
 
 func newExecutor(ctx context.Context, n *Node) *executor {
-	return &executor{ctx: ctx, node: n, polls: map[string]context.CancelFunc{}}
+	return &executor{ctx: ctx, node: n}
 }
 
 func (x *executor) start(f func()) { x.running.Go(f) }
@@ -35,13 +34,14 @@
 func (x *executor) Execute(effect control.Effect) {
 	n := x.node
 	switch e := effect.(type) {
-	case control.PollTarget:
-		x.forget(e.ID)
-		ctx, cancel := context.WithCancel(x.ctx)
-		x.polls[e.ID] = cancel
-		x.start(func() { n.pollTarget(ctx, e) })
-	case control.ForgetTarget:
-		x.forget(e.ID)
+	case control.ReadTarget:
+		x.start(func() { n.readStatus(x.ctx, e) })
+	case control.ConnectTarget:
+		n.transport.Limit(e.Address, e.Connections)
+	case control.Notify:
+		x.start(func() { n.notify(x.ctx, e) })
+	case control.AskNotices:
+		x.start(func() { n.askNotices(x.ctx, e) })
 	case control.Exchange:
 		x.start(func() { n.exchange(x.ctx, e) })
 	case control.FetchDocument:
@@ -51,28 +51,29 @@
 	}
 }
 
-func (x *executor) forget(id string) {
-	if cancel := x.polls[id]; cancel != nil {
-		cancel()
-		delete(x.polls, id)
+func (n *Node) notify(ctx context.Context, e control.Notify) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	if err := n.siblings.Tell(ctx, e.To, e.Notices); err != nil {
+		n.log.Debug().Str("sibling", e.To.ID).Err(err).Msg("sibling: notices not delivered")
 	}
 }
 
-// pollTarget reads a target's status until ctx ends.
-func (n *Node) pollTarget(ctx context.Context, e control.PollTarget) {
-	ticker := time.NewTicker(statusInterval)
-	defer ticker.Stop()
-	for {
-		n.readStatus(ctx, e)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+func (n *Node) askNotices(ctx context.Context, e control.AskNotices) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	notices, err := n.siblings.Ask(ctx, e.To, e.Targets)
+	if err != nil {
+		n.log.Debug().Str("sibling", e.To.ID).Err(err).Msg("sibling: no notices")
+		return
 	}
+	n.loop.Post(control.NoticesHeard{Notices: notices})
 }
 
-func (n *Node) readStatus(ctx context.Context, e control.PollTarget) {
+// ReportLeg hands traffic's report of a leg to control. A report that finds the queue full is dropped.
+func (n *Node) ReportLeg(r target.LegReport) { n.loop.Post(control.LegReported{Report: r}) }
+
+func (n *Node) readStatus(ctx context.Context, e control.ReadTarget) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := n.targets.Status(ctx, e.Address)
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -31,14 +31,15 @@
 
 // Node is one entry instance.
 type Node struct {
-	settings settings.Settings
-	log      zerolog.Logger
-	loop     *control.Loop
-	tier     *traffic.Tier
-	targets  *targethttp.Client
-	siblings *siblinggrpc.Client
-	platform *platformhttp.Client
-	metrics  *metrics
+	settings  settings.Settings
+	log       zerolog.Logger
+	loop      *control.Loop
+	tier      *traffic.Tier
+	targets   *targethttp.Client
+	transport *targethttp.Transport
+	siblings  *siblinggrpc.Client
+	platform  *platformhttp.Client
+	metrics   *metrics
 
 	callers   net.Listener
 	peers     net.Listener
@@ -46,10 +47,9 @@
 }
 
 const (
-	idleConnectionsPerTarget = 4
-	idleConnectionTimeout    = 90 * time.Second
-	connectTimeout           = time.Second
-	readHeaderTimeout        = 5 * time.Second
+	idleConnectionTimeout = 90 * time.Second
+	connectTimeout        = time.Second
+	readHeaderTimeout     = 5 * time.Second
 )
 
 // New binds the addresses of the settings and returns a node that is ready to run.
@@ -60,13 +60,13 @@
 		siblings: siblinggrpc.NewClient(),
 		metrics:  newMetrics(),
 	}
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnectionsPerTarget,
-		IdleConnTimeout:     idleConnectionTimeout,
-	}
-	client := &http.Client{Transport: transport}
-	n.targets = targethttp.New(client)
+	n.transport = &targethttp.Transport{New: func() *http.Transport {
+		return &http.Transport{
+			DialContext:     (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			IdleConnTimeout: idleConnectionTimeout,
+		}
+	}}
+	n.targets = targethttp.New(&http.Client{Transport: n.transport}, n)
 	n.platform = platformhttp.New(s.Platform, &http.Client{})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
@@ -108,6 +108,7 @@
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.RegisterNotices(peers, n.loop)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,8 @@
 	Targets  target.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
+	// Quarantined holds the requests that are refused since they crash targets, and until when.
+	Quarantined map[target.Fingerprint]time.Time
 	// Configured says that a document and a list are in force.
 	Configured bool
 	Draining   bool
@@ -65,6 +67,7 @@
 	rates    *rates
 	draining bool
 
+	now           time.Time // of the last Step
 	nextHeartbeat time.Time
 	effects       []Effect
 	changed       bool
@@ -80,7 +83,7 @@
 	return &State{
 		self:   self,
 		rng:    rng,
-		fleet:  target.NewFleet(target.DefaultPolicy()),
+		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, target.DefaultPolicy()),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
 	}
@@ -88,8 +91,9 @@
 
 // Step applies one event and whatever is due at now.
 func (s *State) Step(e Event, now time.Time) Ready {
-	s.effects, s.changed = nil, false
+	s.effects, s.changed, s.now = nil, false, now
 	e.apply(s, now)
+	s.tickTargets(now)
 	s.rates.refill(now)
 	s.heartbeat(now)
 	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
@@ -105,14 +109,15 @@
 // Snapshot builds the snapshot that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	return &Snapshot{
-		Document:   s.document,
-		List:       s.list,
-		Accounts:   s.accounts,
-		Targets:    s.fleet.View(),
-		Members:    s.members,
-		Pools:      s.rates.pools(),
-		Configured: s.document != nil && s.list != nil,
-		Draining:   s.draining,
+		Document:    s.document,
+		List:        s.list,
+		Accounts:    s.accounts,
+		Targets:     s.fleet.View(s.now),
+		Members:     s.members,
+		Pools:       s.rates.pools(),
+		Quarantined: s.fleet.Quarantined(),
+		Configured:  s.document != nil && s.list != nil,
+		Draining:    s.draining,
 	}
 }
 
--- /dev/null
+++ b/control/notices.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"time"
+
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/target"
+)
+
+// Notify sends notices to a sibling. A lost message needs no repeat: whoever lacks a notice asks for it.
+type Notify struct {
+	To      sibling.Member
+	Notices target.Notices
+}
+
+// AskNotices asks a sibling which of the targets are warm.
+type AskNotices struct {
+	To      sibling.Member
+	Targets []string
+}
+
+func (Notify) effect()     {}
+func (AskNotices) effect() {}
+
+// NoticesHeard is what a sibling said, unasked or in reply.
+type NoticesHeard struct{ Notices target.Notices }
+
+// NoticesAsked asks for what this instance knows about the targets. Reply must have room for one value.
+type NoticesAsked struct {
+	Targets []string
+	Reply   chan<- target.Notices
+}
+
+func (e NoticesHeard) apply(s *State, now time.Time) { s.fleet.Hear(e.Notices, now) }
+
+func (e NoticesAsked) apply(s *State, now time.Time) { e.Reply <- s.fleet.Answer(e.Targets, now) }
--- a/control/targets.go
+++ b/control/targets.go
@@ -6,17 +6,20 @@
 	"dogwooddrift.org/drift/target"
 )
 
-// PollTarget asks for regular reads of a target's status.
-type PollTarget struct {
+// ReadTarget asks for one read of a target's status.
+type ReadTarget struct {
 	ID      string
 	Address string
 }
 
-// ForgetTarget ends the reads of a target's status.
-type ForgetTarget struct{ ID string }
+// ConnectTarget limits the connections to a target; zero closes them.
+type ConnectTarget struct {
+	Address     string
+	Connections int
+}
 
-func (PollTarget) effect()   {}
-func (ForgetTarget) effect() {}
+func (ReadTarget) effect()    {}
+func (ConnectTarget) effect() {}
 
 // TargetStatus is a target's own report.
 type TargetStatus struct {
@@ -27,9 +30,39 @@
 // TargetLost is a failed read of a target's status.
 type TargetLost struct{ ID string }
 
-func (e TargetStatus) apply(s *State, now time.Time) {
-	s.fleet.Observe(e.ID, e.Status, now)
-	s.changed = true
-}
+// LegReported is traffic's report of one leg.
+type LegReported struct{ Report target.LegReport }
+
+func (e TargetStatus) apply(s *State, now time.Time) { s.fleet.Observe(e.ID, e.Status, now) }
 
 func (e TargetLost) apply(s *State, now time.Time) { s.fleet.Lost(e.ID, now) }
+
+func (e LegReported) apply(s *State, now time.Time) { s.fleet.Leg(e.Report, now) }
+
+// tickTargets does what is due about targets and takes over the effects of this step.
+func (s *State) tickTargets(now time.Time) {
+	if s.document == nil || s.list == nil {
+		return
+	}
+	s.fleet.Tick(now)
+	effects, changed := s.fleet.Take()
+	s.changed = s.changed || changed
+	for _, e := range effects {
+		switch e := e.(type) {
+		case target.ReadStatus:
+			s.emit(ReadTarget(e))
+		case target.Connect:
+			s.emit(ConnectTarget(e))
+		case target.Tell:
+			for _, id := range e.To {
+				if m, ok := s.member(id); ok {
+					s.emit(Notify{To: m, Notices: e.Notices})
+				}
+			}
+		case target.AskWarm:
+			if m, ok := s.member(e.To); ok {
+				s.emit(AskNotices{To: m, Targets: e.Targets})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/sibling/siblinggrpc/notices.go
@@ -0,0 +1,124 @@
+package siblinggrpc
+
+//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/notices.proto
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+	"dogwooddrift.org/drift/target"
+)
+
+// RegisterNotices adds the notice service to a gRPC server.
+func RegisterNotices(s grpc.ServiceRegistrar, loop *control.Loop) {
+	siblingpb.RegisterNoticeBoardServer(s, &notices{loop: loop})
+}
+
+type notices struct {
+	siblingpb.UnimplementedNoticeBoardServer
+	loop *control.Loop
+}
+
+// Tell takes a sibling's notices.
+func (n *notices) Tell(_ context.Context, r *siblingpb.Notices) (*siblingpb.TellReply, error) {
+	if !n.loop.Post(control.NoticesHeard{Notices: decodeNotices(r)}) {
+		return nil, status.Error(codes.ResourceExhausted, "control queue is full")
+	}
+	return &siblingpb.TellReply{}, nil
+}
+
+// Ask returns what this instance knows about the targets.
+func (n *notices) Ask(ctx context.Context, r *siblingpb.AskRequest) (*siblingpb.Notices, error) {
+	known, err := control.Ask(ctx, n.loop, func(reply chan<- target.Notices) control.Event {
+		return control.NoticesAsked{Targets: r.GetTargets(), Reply: reply}
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return encodeNotices(known), nil
+}
+
+func (c *Client) noticeBoard(address string) (siblingpb.NoticeBoardClient, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return siblingpb.NewNoticeBoardClient(conn), nil
+}
+
+// Tell sends notices to a sibling.
+func (c *Client) Tell(ctx context.Context, to sibling.Member, n target.Notices) error {
+	board, err := c.noticeBoard(to.PeerAddress)
+	if err != nil {
+		return err
+	}
+	if _, err := board.Tell(ctx, encodeNotices(n)); err != nil {
+		return translate(err)
+	}
+	return nil
+}
+
+// Ask returns what a sibling knows about the targets.
+func (c *Client) Ask(ctx context.Context, to sibling.Member, targets []string) (target.Notices, error) {
+	board, err := c.noticeBoard(to.PeerAddress)
+	if err != nil {
+		return target.Notices{}, err
+	}
+	reply, err := board.Ask(ctx, &siblingpb.AskRequest{Targets: targets})
+	if err != nil {
+		return target.Notices{}, translate(err)
+	}
+	return decodeNotices(reply), nil
+}
+
+func encodeNotices(n target.Notices) *siblingpb.Notices {
+	out := &siblingpb.Notices{}
+	for _, w := range n.Warm {
+		out.Warm = append(out.Warm, &siblingpb.WarmNotice{Target: w.Target, Incarnation: w.Incarnation})
+	}
+	for _, c := range n.Crashes {
+		crash := &siblingpb.CrashNotice{Target: c.Target, Incarnation: c.Incarnation}
+		for _, p := range c.Suspects {
+			crash.Suspects = append(crash.Suspects, p[:])
+		}
+		out.Crashes = append(out.Crashes, crash)
+	}
+	for _, q := range n.Quarantined {
+		out.Quarantined = append(out.Quarantined, &siblingpb.QuarantineNotice{
+			Fingerprint: q.Fingerprint[:], LeftMs: q.Left.Milliseconds(),
+		})
+	}
+	return out
+}
+
+// decodeNotices leaves out fingerprints of another length.
+func decodeNotices(n *siblingpb.Notices) target.Notices {
+	var out target.Notices
+	for _, w := range n.GetWarm() {
+		out.Warm = append(out.Warm, target.WarmNotice{Target: w.GetTarget(), Incarnation: w.GetIncarnation()})
+	}
+	for _, c := range n.GetCrashes() {
+		crash := target.CrashNotice{Target: c.GetTarget(), Incarnation: c.GetIncarnation()}
+		for _, b := range c.GetSuspects() {
+			if len(b) == len(target.Fingerprint{}) {
+				crash.Suspects = append(crash.Suspects, target.Fingerprint(b))
+			}
+		}
+		out.Crashes = append(out.Crashes, crash)
+	}
+	for _, q := range n.GetQuarantined() {
+		if b := q.GetFingerprint(); len(b) == len(target.Fingerprint{}) {
+			out.Quarantined = append(out.Quarantined, target.QuarantineNotice{
+				Fingerprint: target.Fingerprint(b), Left: time.Duration(q.GetLeftMs()) * time.Millisecond,
+			})
+		}
+	}
+	return out
+}
--- a/target/errors.go
+++ b/target/errors.go
@@ -12,6 +12,8 @@
 	ErrNotSent = errors.New("request was not sent to the target")
 	// ErrMismatched means that the reply belongs to another leg.
 	ErrMismatched = errors.New("reply belongs to another leg")
+	// ErrConnectionLost means that the connection broke while the request was running.
+	ErrConnectionLost = errors.New("connection to the target broke")
 	// ErrFailed means that the request may have run and no usable reply came.
 	ErrFailed = errors.New("target gave no usable reply")
 )
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -1,35 +1,152 @@
 package target
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dogwooddrift.org/drift/platform"
 )
 
+// Effect is an action that Fleet asks for.
+type Effect interface{ effect() }
+
+// ReadStatus asks for one read of a target's status.
+type ReadStatus struct{ ID, Address string }
+
+// Connect limits the connections of this instance to a target; zero closes them.
+type Connect struct {
+	Address     string
+	Connections int
+}
+
+// Tell asks for notices to be sent to siblings.
+type Tell struct {
+	To      []string // IDs of instances
+	Notices Notices
+}
+
+// AskWarm asks a sibling which of the targets it knows to be warm.
+type AskWarm struct {
+	To      string
+	Targets []string
+}
+
+func (ReadStatus) effect() {}
+func (Connect) effect()    {}
+func (Tell) effect()       {}
+func (AskWarm) effect()    {}
+
+// LegReport is what traffic tells control about one leg.
+type LegReport struct {
+	Target      string
+	Fingerprint Fingerprint
+	// Incarnation and State are those of the reply; empty if none came.
+	Incarnation string
+	State       State
+	Outcome     Outcome
+	Reason      Reason
+	Elapsed     time.Duration
+}
+
+const (
+	// Status reads of all targets together take at most readsPerSecond, about 1.5 KB each: 6 KB/s at the design
+	// size. A few targets are read every minReadInterval. Replies to legs carry incarnation and state meanwhile.
+	readsPerSecond  = 4
+	minReadInterval = 250 * time.Millisecond
+	// After a change of snapshots all targets are read every eagerInterval for a time, since a snapshot can only be
+	// used once it is known of every shard.
+	eagerInterval = 500 * time.Millisecond
+	eagerTime     = 5 * time.Second
+	// trustTime is how long after its start an instance takes targets for long-running ones.
+	trustTime = 10 * time.Second
+	// askInterval is the time between two questions about targets that are not warm here.
+	askInterval = time.Second
+	// asksAtOnce bounds the owners that are asked at a time.
+	asksAtOnce = 4
+	// askedReads is how long a target is read on behalf of siblings that asked about it.
+	askedReads = 30 * time.Second
+	// assignInterval bounds the processor time of connection assignments, 0.1 s each at the design size.
+	assignInterval = time.Second
+	tickInterval   = 100 * time.Millisecond
+)
+
 // Fleet is the control state about targets. It belongs to the control goroutine.
 type Fleet struct {
-	targets map[string]*tracked
-	tails   map[string]*Tail // by service
-	policy  Policy
+	self     Entrant
+	policy   Policy
+	started  time.Time
+	targets  map[string]*tracked
+	tails    map[string]*Tail // by service
+	entrants []Entrant        // instances that take work
+	holders  map[string]*Assignment
+
+	assignDue  bool
+	nextAssign time.Time
+	nextTick   time.Time
+	nextAsk    time.Time
+	eagerUntil time.Time
+	asked      int
+
+	quarantine *quarantine
+	refused    int // quarantined requests at the last Take
+	effects    []Effect
+	changed    bool
 }
 
 type tracked struct {
-	instance platform.Instance
-	out      bool
-	slots    int
-	status   *Status
-	seen     time.Time
-	gauge    *Gauge
+	warmth
+	instance    platform.Instance
+	out         bool
+	slots       int
+	accepts     int // connections over all instances
+	connections int // granted to this instance
+	told        int // connections last given in a Connect
+	role        Role
+	owner       string
+	status      *Status
+	seen        time.Time
+	nextRead    time.Time
+	askedUntil  time.Time
+	gauge       *Gauge
 }
 
 // NewFleet returns a fleet that knows no targets.
-func NewFleet(policy Policy) *Fleet {
-	return &Fleet{targets: map[string]*tracked{}, tails: map[string]*Tail{}, policy: policy}
+func NewFleet(self Entrant, policy Policy) *Fleet {
+	return &Fleet{
+		self: self, policy: policy,
+		targets: map[string]*tracked{}, tails: map[string]*Tail{}, holders: map[string]*Assignment{},
+		quarantine: newQuarantine(),
+	}
+}
+
+// Take returns the effects of the calls since the last Take, and whether the view changed.
+func (f *Fleet) Take() (effects []Effect, changed bool) {
+	effects, changed = f.effects, f.changed
+	f.effects, f.changed = nil, false
+	if len(f.quarantine.published) != f.refused {
+		f.refused = len(f.quarantine.published)
+		changed = true
+	}
+	return effects, changed
 }
 
-// Configure takes the document and the list in force. It returns the targets to start polling and the IDs of
-// those to stop polling.
-func (f *Fleet) Configure(doc *platform.Document, list *platform.InstanceList) (added []platform.Instance, removed []string) {
+func (f *Fleet) emit(e Effect) { f.effects = append(f.effects, e) }
+
+// Configure takes the document and the list in force.
+func (f *Fleet) Configure(doc *platform.Document, list *platform.InstanceList, now time.Time) {
+	if f.started.IsZero() {
+		f.started = now
+	}
+	f.changed = true
+	f.entrants = f.entrants[:0]
+	for _, in := range list.Entries() {
+		if in.State == platform.StateLive && !doc.InstanceOut(in.ID) && !doc.ZoneOut(in.Zone) {
+			f.entrants = append(f.entrants, Entrant{ID: in.ID, Zone: in.Zone})
+		}
+	}
 	listed := map[string]bool{}
 	for _, in := range list.Targets() {
 		service, ok := doc.Service(in.Service)
@@ -39,21 +156,62 @@
 		listed[in.ID] = true
 		t := f.targets[in.ID]
 		if t == nil || t.instance.Address != in.Address {
-			t = &tracked{gauge: &Gauge{}}
+			if t != nil {
+				f.emit(Connect{Address: t.instance.Address})
+			}
+			t = &tracked{gauge: &Gauge{}, warmth: warmth{phase: PhaseUnknown}, nextRead: now}
 			f.targets[in.ID] = t
-			added = append(added, in)
 		}
-		t.instance = in
-		t.slots = service.Slots
-		t.out = in.State == platform.StateLeaving || doc.InstanceOut(in.ID) || doc.ZoneOut(in.Zone)
+		out := in.State == platform.StateLeaving || doc.InstanceOut(in.ID) || doc.ZoneOut(in.Zone)
+		if t.out && !out && t.phase != PhaseUnknown {
+			t.chill(t.bears(), now)
+		}
+		t.instance, t.out, t.slots, t.accepts = in, out, service.Slots, service.Connections
+		t.owner, t.role = f.ownerOf(in.ID, in.Zone)
 	}
-	for id := range f.targets {
+	for id, t := range f.targets {
 		if !listed[id] {
+			f.emit(Connect{Address: t.instance.Address})
+			f.quarantine.lost(id, t.incarnation, now)
 			delete(f.targets, id)
-			removed = append(removed, id)
 		}
 	}
-	return added, removed
+	f.assignDue, f.nextAssign = true, now
+	f.Tick(now)
+}
+
+func (t *tracked) bears() int {
+	if t.status == nil {
+		return 0
+	}
+	return t.status.Bears
+}
+
+// ownerOf ranks the instances of the target's zone, or all if it has none, by rendezvous hashing.
+func (f *Fleet) ownerOf(id, zone string) (string, Role) {
+	hash := xxhash.Sum64String(id)
+	var owner, second string
+	var best, next uint64
+	for pass := 0; pass < 2 && owner == ""; pass++ {
+		for _, e := range f.entrants {
+			if pass == 0 && e.Zone != zone {
+				continue
+			}
+			switch score := mix(hash ^ xxhash.Sum64String(e.ID)); {
+			case owner == "" || score > best:
+				owner, second, best, next = e.ID, owner, score, best
+			case second == "" || score > next:
+				second, next = e.ID, score
+			}
+		}
+	}
+	switch f.self.ID {
+	case owner:
+		return owner, RoleOwner
+	case second:
+		return owner, RoleSecond
+	}
+	return owner, RoleNone
 }
 
 // Observe takes a target's own report.
@@ -62,20 +220,263 @@
 	if t == nil {
 		return
 	}
+	old := t.status
 	t.status, t.seen = &status, now
+	f.learn(t, status.Incarnation, status.State, now)
+	switch {
+	case old == nil || !sameShards(old.Replicas, status.Replicas):
+		f.assignDue, f.changed, f.eagerUntil = true, true, now.Add(eagerTime)
+	case !sameSnapshots(old, &status):
+		f.changed, f.eagerUntil = true, now.Add(eagerTime)
+	case old.State != status.State:
+		f.changed = true
+	}
+}
+
+// learn takes an incarnation and state from a status or a reply.
+func (f *Fleet) learn(t *tracked, incarnation string, state State, now time.Time) {
+	phase, known := t.phase, t.incarnation
+	t.observe(incarnation, state, t.bears(), now.Sub(f.started) < trustTime, now)
+	if known != "" && known != incarnation {
+		f.quarantine.lost(t.instance.ID, known, now)
+	}
+	if phase != t.phase || known != incarnation {
+		f.changed = true
+	}
+}
+
+func sameShards(a, b []Replica) bool {
+	return slices.EqualFunc(a, b, func(x, y Replica) bool { return x.Shard == y.Shard })
+}
+
+func sameSnapshots(a, b *Status) bool {
+	return slices.EqualFunc(a.Replicas, b.Replicas, func(x, y Replica) bool { return slices.Equal(x.Snapshots, y.Snapshots) }) &&
+		slices.EqualFunc(a.Manifests, b.Manifests, func(x, y Manifest) bool {
+			return x.Snapshot == y.Snapshot && slices.Equal(x.Shards, y.Shards)
+		})
+}
+
+// Lost notes that a target's status could not be read. Its last report stays in use, since a report that fails
+// does not prove that requests fail.
+func (f *Fleet) Lost(id string, now time.Time) {
+	if t := f.targets[id]; t != nil && t.incarnation != "" {
+		f.quarantine.lost(id, t.incarnation, now)
+	}
+}
+
+// Leg takes a report of traffic about one leg.
+func (f *Fleet) Leg(r LegReport, now time.Time) {
+	t := f.targets[r.Target]
+	if t == nil {
+		return
+	}
+	if r.Incarnation != "" && (r.Incarnation != t.incarnation || r.State == StateCold) {
+		f.learn(t, r.Incarnation, r.State, now)
+	}
+	if r.State == StateDraining && t.status != nil && t.status.State != StateDraining {
+		draining := *t.status
+		draining.State = StateDraining
+		t.status, t.nextRead, f.changed = &draining, now, true
+	}
+	phase, limit := t.phase, t.limit
+	switch {
+	case r.Outcome == Replied:
+		if t.replied(r.Elapsed, f.tail(t.instance.Service).Quantile(), t.slots, now) {
+			f.announce(t)
+		}
+	case r.Outcome == Failed && r.Reason == ReasonSnapshotGone:
+		t.nextRead, f.eagerUntil = now, now.Add(eagerTime)
+	case r.Outcome == Failed:
+		if r.Reason == ReasonConnectionLost {
+			f.quarantine.broken(r.Target, r.Fingerprint, now)
+		}
+		if r.Reason == ReasonUnreachable {
+			f.quarantine.lost(r.Target, t.incarnation, now)
+		}
+		if t.failed(r.Reason, now) {
+			t.nextRead = now
+		}
+	}
+	if phase != t.phase || limit != t.limit {
+		f.changed = true
+	}
+}
+
+// announce tells the instances that use a target that it is warm.
+func (f *Fleet) announce(t *tracked) {
+	t.announced = t.incarnation
+	var to []string
+	if a := f.holders[t.instance.Service]; a != nil {
+		to = a.Holders(t.instance.ID)
+	}
+	to = slices.DeleteFunc(to, func(id string) bool { return id == f.self.ID })
+	if len(to) > 0 {
+		f.emit(Tell{To: to, Notices: Notices{Warm: []WarmNotice{{Target: t.instance.ID, Incarnation: t.incarnation}}}})
+	}
+}
+
+// Hear takes notices of a sibling.
+func (f *Fleet) Hear(n Notices, now time.Time) {
+	for _, w := range n.Warm {
+		if t := f.targets[w.Target]; t != nil {
+			phase := t.phase
+			t.warmth.announce(w.Incarnation, now)
+			if t.incarnation != w.Incarnation {
+				t.nextRead = now
+			}
+			f.changed = f.changed || t.phase != phase
+		}
+	}
+	f.quarantine.hear(n, now)
+}
+
+// Answer returns a notice for each of the targets that is warm here. A target that a sibling asks its owner about
+// is read for a time, as the owner may have no connection to it otherwise.
+func (f *Fleet) Answer(targets []string, now time.Time) Notices {
+	var n Notices
+	for _, id := range targets {
+		t := f.targets[id]
+		if t == nil {
+			continue
+		}
+		t.askedUntil = now.Add(askedReads)
+		if t.phase == PhaseWarm {
+			n.Warm = append(n.Warm, WarmNotice{Target: id, Incarnation: t.incarnation})
+		}
+	}
+	n.Quarantined = f.quarantine.notices(now)
+	return n
 }
 
-// Lost notes that a target did not report. Its last report stays in use, since a report that fails does not
-// prove that requests fail.
-func (f *Fleet) Lost(id string, now time.Time) {}
+// reads reports whether this instance reads the target's status. Targets whose shards are unknown are read once.
+func (t *tracked) reads(now time.Time) bool {
+	return t.connections > 0 || t.status == nil || now.Before(t.askedUntil) ||
+		t.role == RoleOwner && t.phase == PhaseCold
+}
+
+// Tick does what is due at now.
+func (f *Fleet) Tick(now time.Time) {
+	if f.assignDue && !now.Before(f.nextAssign) {
+		f.assign()
+		f.assignDue, f.nextAssign = false, now.Add(assignInterval)
+	}
+	if now.Before(f.nextTick) {
+		return
+	}
+	f.nextTick = now.Add(tickInterval)
+	read := 0
+	for _, t := range f.targets {
+		if t.reads(now) {
+			read++
+		}
+		if t.tick(now) {
+			f.changed = true
+		}
+		if q := f.tail(t.instance.Service).Quantile(); q > 0 && t.gauge.Latency() > jumpFactor*q && t.jumped(now) {
+			t.nextRead = now
+			f.changed = true
+		}
+	}
+	interval := max(time.Duration(read)*time.Second/readsPerSecond, minReadInterval)
+	if now.Before(f.eagerUntil) {
+		interval = min(interval, eagerInterval)
+	}
+	for id, t := range f.targets {
+		// An interval that became shorter holds for the reads that were planned with a longer one.
+		if t.reads(now) && (!now.Before(t.nextRead) || t.nextRead.Sub(now) > interval) {
+			t.nextRead = now.Add(interval)
+			f.emit(ReadStatus{ID: id, Address: t.instance.Address})
+		}
+	}
+	if !now.Before(f.nextAsk) {
+		f.nextAsk = now.Add(askInterval)
+		f.ask()
+	}
+	f.quarantine.tick(now)
+	if n := f.quarantine.take(); !n.empty() {
+		f.emit(Tell{To: f.others(), Notices: n})
+	}
+}
+
+func (f *Fleet) others() []string {
+	var out []string
+	for _, e := range f.entrants {
+		if e.ID != f.self.ID {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// ask asks some owners about the targets that this instance uses and that are not warm here.
+func (f *Fleet) ask() {
+	byOwner := map[string][]string{}
+	for id, t := range f.targets {
+		if t.connections > 0 && !t.out && t.owner != f.self.ID && t.owner != "" && (t.phase == PhaseCold || t.phase == PhaseProbation) {
+			byOwner[t.owner] = append(byOwner[t.owner], id)
+		}
+	}
+	owners := make([]string, 0, len(byOwner))
+	for owner := range byOwner {
+		owners = append(owners, owner)
+	}
+	slices.Sort(owners)
+	for range min(asksAtOnce, len(owners)) {
+		owner := owners[f.asked%len(owners)]
+		f.asked++
+		slices.Sort(byOwner[owner])
+		f.emit(AskWarm{To: owner, Targets: byOwner[owner]})
+	}
+}
+
+// assign computes the connection assignment of every service and applies this instance's part.
+func (f *Fleet) assign() {
+	byService := map[string][]Assignable{}
+	for id, t := range f.targets {
+		t.connections = 0
+		if t.out {
+			continue
+		}
+		a := Assignable{ID: id, Zone: t.instance.Zone, Connections: t.accepts, PerInstance: t.slots}
+		if t.status != nil {
+			for _, r := range t.status.Replicas {
+				a.Shards = append(a.Shards, r.Shard)
+			}
+		}
+		byService[t.instance.Service] = append(byService[t.instance.Service], a)
+	}
+	for service, targets := range byService {
+		a := Assign(f.entrants, targets)
+		f.holders[service] = a
+		for _, g := range a.Of(f.self.ID) {
+			f.targets[g.Target].connections = g.Connections
+		}
+	}
+	for _, t := range f.targets {
+		// A target that is only read, or owned while cold, gets one connection.
+		if n := max(t.connections, 1); n != t.told {
+			t.told = n
+			f.emit(Connect{Address: t.instance.Address, Connections: n})
+		}
+	}
+	f.changed = true
+}
 
 // View builds the view of all usable targets.
-func (f *Fleet) View() View {
+func (f *Fleet) View(now time.Time) View {
 	usable := map[string][]Usable{}
 	for id, t := range f.targets {
 		if t.out || t.status == nil || t.status.State == StateDraining {
 			continue
 		}
+		connections := t.connections
+		if t.phase == PhaseCold && connections == 0 {
+			connections = 1
+		}
+		limit := t.permits(t.role, min(connections, t.slots), now)
+		if limit == 0 {
+			continue
+		}
 		name := t.instance.Service
 		usable[name] = append(usable[name], Usable{
 			Target: &Target{
@@ -83,10 +484,11 @@
 				Service:     name,
 				Zone:        t.instance.Zone,
 				Address:     t.instance.Address,
-				Incarnation: t.status.Incarnation,
-				Limit:       t.slots,
+				Incarnation: t.incarnation,
+				Limit:       limit,
 				Load:        t.status.Load,
 				Gauge:       t.gauge,
+				Ramping:     t.phase != PhaseWarm,
 			},
 			Status: *t.status,
 		})
@@ -107,6 +509,9 @@
 	return t
 }
 
+// Quarantined returns the fingerprints that are refused now. The map is not changed later.
+func (f *Fleet) Quarantined() map[Fingerprint]time.Time { return f.quarantine.published }
+
 // TargetDump is the state of one target in a dump.
 type TargetDump struct {
 	ID          string        `json:"id"`
@@ -114,24 +519,29 @@
 	Zone        string        `json:"zone"`
 	Out         bool          `json:"out"`
 	Reported    State         `json:"reported_state"`
+	Phase       Phase         `json:"phase"`
+	Owner       string        `json:"owner"`
 	Incarnation string        `json:"incarnation"`
+	Connections int           `json:"connections"`
 	Outstanding int           `json:"outstanding"`
 	Latency     time.Duration `json:"latency_ns"`
 	Seen        time.Time     `json:"last_report"`
 }
 
-// Dump returns the state of every target.
+// Dump returns the state of every target, ordered by ID.
 func (f *Fleet) Dump() []TargetDump {
 	out := make([]TargetDump, 0, len(f.targets))
 	for id, t := range f.targets {
 		d := TargetDump{
-			ID: id, Service: t.instance.Service, Zone: t.instance.Zone, Out: t.out,
+			ID: id, Service: t.instance.Service, Zone: t.instance.Zone, Out: t.out, Phase: t.phase, Owner: t.owner,
+			Incarnation: t.incarnation, Connections: t.connections,
 			Outstanding: t.gauge.Outstanding(), Latency: t.gauge.Latency(), Seen: t.seen,
 		}
 		if t.status != nil {
-			d.Reported, d.Incarnation = t.status.State, t.status.Incarnation
+			d.Reported = t.status.State
 		}
 		out = append(out, d)
 	}
+	slices.SortFunc(out, func(a, b TargetDump) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/target/query.go
+++ b/target/query.go
@@ -56,14 +56,15 @@
 
 // The reasons for a missing shard.
 const (
-	ReasonNoReplica    Reason = "no_replica"
-	ReasonBusy         Reason = "busy"
-	ReasonDeadline     Reason = "deadline"
-	ReasonFailed       Reason = "target_failed"
-	ReasonUnreachable  Reason = "target_unreachable"
-	ReasonMismatched   Reason = "reply_mismatched"
-	ReasonShed         Reason = "shed"
-	ReasonSnapshotGone Reason = "snapshot_gone"
+	ReasonNoReplica      Reason = "no_replica"
+	ReasonBusy           Reason = "busy"
+	ReasonDeadline       Reason = "deadline"
+	ReasonFailed         Reason = "target_failed"
+	ReasonUnreachable    Reason = "target_unreachable"
+	ReasonConnectionLost Reason = "connection_lost"
+	ReasonMismatched     Reason = "reply_mismatched"
+	ReasonShed           Reason = "shed"
+	ReasonSnapshotGone   Reason = "snapshot_gone"
 )
 
 // Message is an input of Query.Step.
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -49,11 +49,29 @@
 // maxReplyBytes bounds one reply of a target.
 const maxReplyBytes = 4 << 20
 
+// Reporter takes reports of legs. It must not block.
+type Reporter interface{ ReportLeg(target.LegReport) }
+
 // Client talks to targets. It is safe for concurrent use.
-type Client struct{ client *http.Client }
+type Client struct {
+	client   *http.Client
+	reporter Reporter
+}
+
+// New returns a client that sends through the given HTTP client. reporter may be nil.
+func New(client *http.Client, reporter Reporter) *Client {
+	return &Client{client: client, reporter: reporter}
+}
 
-// New returns a client that sends through the given HTTP client.
-func New(client *http.Client) *Client { return &Client{client: client} }
+// report tells control about a leg that matters to it: any failure, and replies of a target that is ramping up,
+// that says it is not warm, or that is another incarnation than the view has.
+func (c *Client) report(t *target.Target, r target.LegReport) {
+	routine := r.Outcome == target.Replied && !t.Ramping && r.Incarnation == t.Incarnation && r.State == target.StateWarm
+	if c.reporter != nil && r.Outcome != target.Cancelled && !routine {
+		r.Target = t.ID
+		c.reporter.ReportLeg(r)
+	}
+}
 
 // Search is one leg as sent to a target.
 type Search struct {
@@ -65,11 +83,12 @@
 	Body    []byte
 }
 
-// Search sends one leg. Its error wraps one of the errors of package target.
-func (c *Client) Search(ctx context.Context, s Search) (target.Reply, error) {
+// Search sends one leg. It returns the headers of the reply, if one came. Its error wraps one of the errors of
+// package target.
+func (c *Client) Search(ctx context.Context, s Search) (target.Reply, http.Header, error) {
 	req, err := c.request(ctx, s.Leg.Target.Address, SearchPath, s.Body)
 	if err != nil {
-		return target.Reply{}, err
+		return target.Reply{}, nil, err
 	}
 	req.Header.Set(HeaderRequestID, string(s.RequestID))
 	req.Header.Set(HeaderAttempt, strconv.Itoa(s.Leg.Attempt))
@@ -79,9 +98,10 @@
 	req.Header.Set(HeaderOrganisation, s.Organisation)
 	header, body, err := c.do(measureTrip(req, s.Leg.Target.Gauge))
 	if err != nil {
-		return target.Reply{}, err
+		return target.Reply{}, header, err
 	}
-	return decodeReply(header, body)
+	reply, err := decodeReply(header, body)
+	return reply, header, err
 }
 
 // measureTrip tells the gauge the time of the handshake if the request opens a connection.
@@ -121,7 +141,7 @@
 	RequestID      target.RequestID
 	Organisation   string
 	IdempotencyKey string
-	Address        string
+	Target         *target.Target
 	Timeout        time.Duration
 	Body           []byte
 }
@@ -129,7 +149,7 @@
 // Change sends a change once. An error that wraps target.ErrNotSent or target.ErrShed means that it did not
 // run; any other means that it may have run.
 func (c *Client) Change(ctx context.Context, ch Change) ([]byte, error) {
-	req, err := c.request(ctx, ch.Address, ChangePath, ch.Body)
+	req, err := c.request(ctx, ch.Target.Address, ChangePath, ch.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +159,18 @@
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(ch.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, ch.Organisation)
 	req.Header.Set(HeaderIdempotencyKey, ch.IdempotencyKey)
-	_, body, err := c.do(req)
+	start := time.Now()
+	header, body, err := c.do(req)
+	report := target.LegReport{
+		Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)), Elapsed: time.Since(start),
+	}
+	switch {
+	case err != nil && ctx.Err() != nil:
+		report.Outcome = target.Cancelled
+	case err != nil:
+		report.Outcome, report.Reason = target.Failed, FailureReason(err)
+	}
+	c.report(ch.Target, report)
 	return body, err
 }
 
@@ -177,22 +208,25 @@
 		if !sent.Load() {
 			return nil, nil, oops.In("target").Wrapf(target.ErrNotSent, "%v", err)
 		}
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "%v", err)
+		return nil, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReplyBytes))
 	if err != nil {
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "read reply: %v", err)
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "read reply: %v", err)
+		}
+		return resp.Header, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "read reply: %v", err)
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return resp.Header, body, nil
 	case resp.StatusCode == http.StatusConflict:
-		return nil, nil, oops.In("target").Wrap(target.ErrSnapshotGone)
+		return resp.Header, nil, oops.In("target").Wrap(target.ErrSnapshotGone)
 	case resp.Header.Get(HeaderRan) == RanNo:
-		return nil, nil, oops.In("target").Wrap(target.ErrShed)
+		return resp.Header, nil, oops.In("target").Wrap(target.ErrShed)
 	default:
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "status %d", resp.StatusCode)
+		return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "status %d", resp.StatusCode)
 	}
 }
 
@@ -205,6 +239,8 @@
 		return target.ReasonSnapshotGone
 	case errors.Is(err, target.ErrNotSent):
 		return target.ReasonUnreachable
+	case errors.Is(err, target.ErrConnectionLost):
+		return target.ReasonConnectionLost
 	case errors.Is(err, target.ErrMismatched):
 		return target.ReasonMismatched
 	default:
--- a/target/targethttp/run.go
+++ b/target/targethttp/run.go
@@ -13,6 +13,7 @@
 	Organisation string
 	Deadline     time.Time
 	Body         []byte
+	Fingerprint  target.Fingerprint
 }
 
 // Run drives a query to its answer: it sends the legs that the state machine asks for, feeds it replies and
@@ -49,7 +50,7 @@
 // runLeg sends one leg and delivers its outcome unless the query is over.
 func (c *Client) runLeg(ctx context.Context, r Request, leg target.Leg, messages chan<- target.Message) {
 	start := time.Now()
-	reply, err := c.Search(ctx, Search{
+	reply, header, err := c.Search(ctx, Search{
 		RequestID:    r.ID,
 		Organisation: r.Organisation,
 		Leg:          leg,
@@ -68,7 +69,12 @@
 		outcome = target.Failed
 		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
 	}
-	leg.Finish(time.Since(start), outcome)
+	elapsed := time.Since(start)
+	leg.Finish(elapsed, outcome)
+	c.report(leg.Target, target.LegReport{
+		Fingerprint: r.Fingerprint, Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)),
+		Outcome: outcome, Reason: FailureReason(err), Elapsed: elapsed,
+	})
 	if outcome == target.Cancelled {
 		return
 	}
--- a/target/view.go
+++ b/target/view.go
@@ -17,6 +17,8 @@
 	// Load is the reported part of slots in use, from 0 to 1. It may lag or mislead.
 	Load  float64
 	Gauge *Gauge
+	// Ramping says that control wants a report of every leg, since the limit depends on them.
+	Ramping bool
 }
 
 // ShardView lists the usable replicas of one shard in one snapshot.
--- /dev/null
+++ b/target/warmth.go
@@ -0,0 +1,192 @@
+package target
+
+import "time"
+
+// Phase says how much a target may be trusted with.
+type Phase string
+
+// The phases of a target.
+const (
+	// PhaseUnknown targets have not been seen.
+	PhaseUnknown Phase = "unknown"
+	// PhaseCold targets get work from their owner only.
+	PhaseCold Phase = "cold"
+	// PhaseSuspect targets get no work until their status shows which incarnation runs.
+	PhaseSuspect Phase = "suspect"
+	// PhaseProbation targets get little work from each instance, more with each fast reply.
+	PhaseProbation Phase = "probation"
+	// PhaseWarm targets get all the work they have slots for.
+	PhaseWarm Phase = "warm"
+)
+
+// Role is what an instance is to a target.
+type Role int
+
+// The roles of an instance. The second takes a cold target over when the owner is silent.
+const (
+	RoleNone Role = iota
+	RoleOwner
+	RoleSecond
+)
+
+const (
+	// takeover is how long a target may be cold before the second instance helps the owner. Each sends at most half
+	// of what the target bears, so both together are within it.
+	takeover = 15 * time.Second
+	// rampReplies is how many fast replies for each permit raise the limit.
+	rampReplies = 4
+	// fastFactor bounds a fast reply by a multiple of the service's latency quantile.
+	fastFactor = 2
+	// jumpFactor is the multiple of the service's latency quantile that is a latency jump.
+	jumpFactor = 8
+	// suspectSigns failures within signWindow make a target suspect. One may be a connection that was closed idle.
+	suspectSigns = 3
+	signWindow   = time.Second
+	// suspectLimit ends the wait for a status that cannot be read.
+	suspectLimit = time.Second
+	// A target whose requests fail is put aside for minAside, doubled each time up to maxAside, and then probed.
+	minAside = time.Second
+	maxAside = 16 * time.Second
+)
+
+// warmth is the state machine that decides how much one target may be sent. It belongs to the control goroutine.
+type warmth struct {
+	phase       Phase
+	incarnation string
+	announced   string // the incarnation last announced as warm
+	reported    State
+	since       time.Time
+	limit       int
+	fast        int
+	signs       int
+	firstSign   time.Time
+	asideUntil  time.Time
+	aside       time.Duration
+}
+
+func (w *warmth) enter(p Phase, limit int, now time.Time) {
+	w.phase, w.limit, w.since = p, max(limit, 1), now
+	w.fast, w.signs = 0, 0
+}
+
+// chill makes the target cold. An announcement from before does not hold any more.
+func (w *warmth) chill(bears int, now time.Time) {
+	w.announced = ""
+	w.enter(PhaseCold, bears/2, now)
+}
+
+// observe takes an incarnation and state, from a status or a reply. trusted says that this instance has just
+// started, so that a target it sees for the first time may have been running for long.
+func (w *warmth) observe(incarnation string, state State, bears int, trusted bool, now time.Time) {
+	before := w.reported
+	w.reported = state
+	switch {
+	case incarnation != w.incarnation:
+		first := w.phase == PhaseUnknown || w.phase == ""
+		w.incarnation = incarnation
+		switch {
+		case w.announced == incarnation:
+			w.enter(PhaseWarm, 0, now)
+		case first && trusted && state == StateWarm:
+			w.enter(PhaseProbation, 1, now)
+		default:
+			w.chill(bears, now)
+		}
+	case state == StateCold && before == StateWarm:
+		w.chill(bears, now)
+	case w.phase == PhaseSuspect:
+		w.enter(PhaseProbation, 1, now)
+	}
+}
+
+// announce takes a sibling's word that an incarnation is warm.
+func (w *warmth) announce(incarnation string, now time.Time) {
+	w.announced = incarnation
+	if incarnation == w.incarnation && (w.phase == PhaseCold || w.phase == PhaseProbation) {
+		w.enter(PhaseWarm, 0, now)
+	}
+}
+
+// replied counts a reply. full is the limit of a warm target. It reports true when a cold target became warm.
+func (w *warmth) replied(elapsed, quantile time.Duration, full int, now time.Time) bool {
+	w.aside, w.signs = 0, 0
+	if w.phase != PhaseCold && w.phase != PhaseProbation {
+		return false
+	}
+	if quantile > 0 && elapsed > fastFactor*quantile {
+		w.limit, w.fast = max(w.limit/2, 1), 0
+		return false
+	}
+	if w.fast++; w.fast < rampReplies*w.limit {
+		return false
+	}
+	w.fast = 0
+	if w.limit *= 2; w.limit < full {
+		return false
+	}
+	ramped := w.phase == PhaseCold
+	w.enter(PhaseWarm, 0, now)
+	return ramped
+}
+
+// failed counts a refused, shed or broken request. It reports true when the target's status is needed at once.
+func (w *warmth) failed(reason Reason, now time.Time) bool {
+	if w.phase == PhaseCold || w.phase == PhaseProbation {
+		w.limit, w.fast = max(w.limit/2, 1), 0
+	}
+	if w.signs == 0 || now.Sub(w.firstSign) > signWindow {
+		w.signs, w.firstSign = 0, now
+	}
+	if w.signs++; w.signs < suspectSigns {
+		return false
+	}
+	w.signs = 0
+	if reason == ReasonUnreachable {
+		w.aside = min(max(2*w.aside, minAside), maxAside)
+		w.asideUntil = now.Add(w.aside)
+	}
+	if w.phase == PhaseWarm || w.phase == PhaseProbation {
+		w.enter(PhaseSuspect, 1, now)
+	}
+	return true
+}
+
+// jumped notes a latency far above that of the service.
+func (w *warmth) jumped(now time.Time) bool {
+	if w.phase != PhaseWarm {
+		return false
+	}
+	w.enter(PhaseSuspect, 1, now)
+	return true
+}
+
+// tick ends what time ends. It reports a change of permits.
+func (w *warmth) tick(now time.Time) bool {
+	if !w.asideUntil.IsZero() && !now.Before(w.asideUntil) {
+		w.asideUntil = time.Time{}
+		return true
+	}
+	if w.phase == PhaseSuspect && now.Sub(w.since) >= suspectLimit {
+		w.enter(PhaseProbation, 1, now)
+		return true
+	}
+	return false
+}
+
+// permits returns how many requests this instance may have outstanding. full is the limit of a warm target.
+func (w *warmth) permits(role Role, full int, now time.Time) int {
+	if now.Before(w.asideUntil) {
+		return 0
+	}
+	switch w.phase {
+	case PhaseWarm:
+		return full
+	case PhaseProbation:
+		return min(w.limit, full)
+	case PhaseCold:
+		if role == RoleOwner || role == RoleSecond && now.Sub(w.since) >= takeover {
+			return min(w.limit, full)
+		}
+	}
+	return 0
+}
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -69,7 +69,6 @@
 const (
 	retrySoon   = 100 * time.Millisecond
 	retryLater  = time.Second
-	returnTrip  = 2 * time.Millisecond
 	drainPeriod = 10 * time.Millisecond
 )
 
@@ -99,13 +98,17 @@
 	if view == nil || len(view.Snapshots) == 0 {
 		return nil, caller.Refuse(caller.CodeNoTarget, retryLater, "no target of service %q is usable", q.Service)
 	}
+	fingerprint := target.FingerprintOf(q.Service, q.Text)
+	if until, ok := a.snapshot.Quarantined[fingerprint]; ok && time.Now().Before(until) {
+		return nil, caller.Refuse(caller.CodeQuarantined, time.Until(until), "the request was running on targets when they crashed")
+	}
 	id := target.RequestID(uuid.NewString())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	machine, ready := target.NewQuery(target.QueryConfig{
 		ID: id, View: view, Views: t, Deadline: q.Deadline, Rand: rng,
 	}, time.Now())
 	answer := t.targets.Run(ctx, targethttp.Request{
-		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text),
+		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text), Fingerprint: fingerprint,
 	}, machine, ready)
 	return &Answer{RequestID: id, Answer: answer}, nil
 }
@@ -132,7 +135,7 @@
 	id := target.RequestID(uuid.NewString())
 	reply, err := t.targets.Change(ctx, targethttp.Change{
 		RequestID: id, Organisation: a.organisation.Name, IdempotencyKey: c.IdempotencyKey,
-		Address: chosen.Address, Timeout: time.Until(c.Deadline) - returnTrip, Body: []byte(c.Text),
+		Target: chosen, Timeout: time.Until(c.Deadline) - chosen.Gauge.ReturnTrip(), Body: []byte(c.Text),
 	})
 	if err != nil {
 		return nil, changeRefusal(err)
