Test cold starts, quarantine and status reads

Change: tests of ownership, ramps, announcements, takeover, leaving targets, targets put aside, status reads, quarantine and notices. Shedding no longer makes a warm target suspect, as the reply names the incarnation. A leg that runs eight times the hedging delay is retried under the budget for retries when that for hedges is empty.

--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -66,7 +66,8 @@
 			IdleConnTimeout: idleConnectionTimeout,
 		}
 	}}
-	n.targets = targethttp.New(&http.Client{Transport: n.transport}, n)
+	n.targets = targethttp.New(&http.Client{Transport: n.transport})
+	n.targets.ReportTo(n)
 	n.platform = platformhttp.New(s.Platform, &http.Client{})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
--- /dev/null
+++ b/target/fleet_test.go
@@ -0,0 +1,316 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// fleetTest drives one Fleet of instance "e0" with a service "s" of one shard.
+type fleetTest struct {
+	*Fleet
+	doc     *platform.Document
+	list    *platform.InstanceList
+	now     time.Time
+	effects []Effect
+}
+
+func newFleetTest(self string, entries, targets int) *fleetTest {
+	f := &fleetTest{
+		Fleet: NewFleet(Entrant{ID: self, Zone: "a"}, DefaultPolicy()),
+		doc: &platform.Document{
+			Services: []platform.Service{{Name: "s", Sharded: true, Slots: 8, Connections: 100}},
+			Zones:    []platform.Zone{{Name: "a"}},
+		},
+		list: &platform.InstanceList{},
+		now:  time.Unix(1000, 0),
+	}
+	for i := range entries {
+		f.list.Instances = append(f.list.Instances, platform.Instance{
+			ID: fmt.Sprintf("e%d", i), Kind: platform.KindEntry, Zone: "a", State: platform.StateLive,
+		})
+	}
+	for i := range targets {
+		f.list.Instances = append(f.list.Instances, platform.Instance{
+			ID: fmt.Sprintf("t%d", i), Kind: platform.KindTarget, Service: "s", Zone: "a", Address: fmt.Sprintf("t%d:1", i), State: platform.StateLive,
+		})
+	}
+	f.configure()
+	return f
+}
+
+func (f *fleetTest) configure() {
+	f.Configure(f.doc, f.list, f.now)
+	f.collect()
+}
+
+func (f *fleetTest) collect() {
+	effects, _ := f.Take()
+	f.effects = append(f.effects, effects...)
+}
+
+func (f *fleetTest) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.Tick(f.now)
+	f.collect()
+}
+
+func (f *fleetTest) status(id, incarnation string, state State) {
+	f.Observe(id, Status{
+		Incarnation: incarnation, State: state, Slots: 8, Bears: 4,
+		Replicas: []Replica{{"a", []Snapshot{1}}}, Manifests: []Manifest{{1, []Shard{"a"}}},
+	}, f.now)
+	f.collect()
+}
+
+// limit returns how many requests may be sent to a target, zero if it is not in the view.
+func (f *fleetTest) limit(id string) int {
+	if v := f.View(f.now)["s"]; v != nil {
+		for _, t := range v.Targets {
+			if t.ID == id {
+				return t.Limit
+			}
+		}
+	}
+	return 0
+}
+
+func (f *fleetTest) leg(id, incarnation string, o Outcome, r Reason) {
+	f.Leg(LegReport{Target: id, Incarnation: incarnation, State: StateWarm, Outcome: o, Reason: r, Elapsed: time.Millisecond}, f.now)
+	f.collect()
+}
+
+func (f *fleetTest) warmUp(id, incarnation string) {
+	for range 200 {
+		f.leg(id, incarnation, Replied, "")
+	}
+}
+
+// Guards against an instance that starts among long-running targets and sends to none, or sends at full rate.
+func TestTargetsAtStartAreOnProbation(t *testing.T) {
+	f := newFleetTest("e0", 3, 1)
+	f.status("t0", "i1", StateWarm)
+	if got := f.limit("t0"); got != 1 {
+		t.Fatalf("limit of a warm target at start is %d, want 1", got)
+	}
+	f.warmUp("t0", "i1")
+	if got := f.limit("t0"); got != 8 {
+		t.Fatalf("limit after fast replies is %d, want all 8 slots", got)
+	}
+}
+
+// owners returns one fleet for each of the entry instances, the owner of t0 first.
+func owners(t *testing.T, entries int) []*fleetTest {
+	t.Helper()
+	var out []*fleetTest
+	for i := range entries {
+		f := newFleetTest(fmt.Sprintf("e%d", i), entries, 1)
+		f.pass(trustTime) // what is seen from now on has just started
+		if f.targets["t0"].role == RoleOwner {
+			out = append([]*fleetTest{f}, out...)
+		} else {
+			out = append(out, f)
+		}
+	}
+	if out[0].targets["t0"].role != RoleOwner {
+		t.Fatal("no instance owns the target")
+	}
+	return out
+}
+
+// Guards against load on a cold target from anyone but its owner, beyond half of what it bears, or before the owner
+// announced it.
+func TestColdTargetGetsWorkFromOwnerOnly(t *testing.T) {
+	signs := map[string]func(f *fleetTest){
+		"first sight":              func(f *fleetTest) { f.status("t0", "i2", StateCold) },
+		"first sight, said warm":   func(f *fleetTest) { f.status("t0", "i2", StateWarm) },
+		"incarnation in a status":  func(f *fleetTest) { f.makeWarm(); f.status("t0", "i2", StateWarm) },
+		"incarnation in a reply":   func(f *fleetTest) { f.makeWarm(); f.leg("t0", "i2", Replied, "") },
+		"reported cold":            func(f *fleetTest) { f.makeWarm(); f.status("t0", "i1", StateCold) },
+		"out of service and back":  func(f *fleetTest) { f.makeWarm(); f.bounce() },
+		"shed by next incarnation": func(f *fleetTest) { f.makeWarm(); f.leg("t0", "i2", Failed, ReasonShed) },
+	}
+	for name, sign := range signs {
+		fleets := owners(t, 3)
+		for i, f := range fleets {
+			sign(f)
+			most := 0
+			if i == 0 {
+				most = 2 // half of 4
+			}
+			if got := f.limit("t0"); got > most || got == 0 && i == 0 {
+				t.Errorf("%s: limit at instance %d is %d, want at most %d and some at the owner", name, i, got, most)
+			}
+		}
+		owner, other := fleets[0], fleets[1]
+		owner.effects = nil
+		owner.warmUp("t0", owner.targets["t0"].incarnation)
+		if got := owner.limit("t0"); got != 8 {
+			t.Errorf("%s: limit at the owner after fast replies is %d, want 8", name, got)
+		}
+		told := false
+		for _, e := range owner.effects {
+			if tell, ok := e.(Tell); ok {
+				told = len(tell.To) == 2
+				other.Hear(tell.Notices, other.now)
+			}
+		}
+		if !told || other.limit("t0") != 8 {
+			t.Errorf("%s: owner told both others: %v, limit there %d, want 8", name, told, other.limit("t0"))
+		}
+	}
+}
+
+func (f *fleetTest) makeWarm() {
+	f.status("t0", "i1", StateWarm)
+	f.Hear(Notices{Warm: []WarmNotice{{"t0", "i1"}}}, f.now)
+}
+
+// bounce takes the zone out of service and back.
+func (f *fleetTest) bounce() {
+	f.doc.Zones[0].Out = true
+	f.configure()
+	f.doc.Zones[0].Out = false
+	f.configure()
+}
+
+// Guards against a ramp that goes on while replies are slow.
+func TestSlowRepliesHoldTheRampBack(t *testing.T) {
+	f := owners(t, 1)[0]
+	f.status("t0", "i1", StateCold)
+	f.tail("s").observe(time.Millisecond, false)
+	for range 200 {
+		f.Leg(LegReport{Target: "t0", Incarnation: "i1", State: StateWarm, Elapsed: 10 * time.Millisecond}, f.now)
+	}
+	if got := f.limit("t0"); got > 2 {
+		t.Fatalf("limit after slow replies is %d, want at most 2", got)
+	}
+}
+
+// Guards against a target that stays cold for ever because an announcement was lost or its owner died.
+func TestColdTargetDoesNotStayUnused(t *testing.T) {
+	fleets := owners(t, 3)
+	for _, f := range fleets {
+		f.status("t0", "i1", StateCold)
+	}
+	owner, other := fleets[0], fleets[1]
+	other.effects = nil
+	other.pass(askInterval)
+	var ask *AskWarm
+	for _, e := range other.effects {
+		if a, ok := e.(AskWarm); ok {
+			ask = &a
+		}
+	}
+	if ask == nil || ask.To != owner.self.ID {
+		t.Fatalf("question is %v, want one to the owner", ask)
+	}
+	if n := owner.Answer(ask.Targets, owner.now); len(n.Warm) != 0 {
+		t.Fatalf("owner says that the cold target is warm")
+	}
+	owner.warmUp("t0", "i1")
+	other.Hear(owner.Answer(ask.Targets, owner.now), other.now)
+	if got := other.limit("t0"); got != 8 {
+		t.Errorf("limit after the owner's answer is %d, want 8", got)
+	}
+
+	// The owner falls silent: one other instance sends, within half of what the target bears.
+	fleets = owners(t, 3)
+	sending := 0
+	for _, f := range fleets[1:] {
+		f.status("t0", "i1", StateCold)
+		f.pass(takeover)
+		if n := f.limit("t0"); n > 0 {
+			sending++
+			if n > 2 {
+				t.Errorf("limit at the second instance is %d, want at most 2", n)
+			}
+		}
+	}
+	if sending != 1 {
+		t.Errorf("%d instances took over from the owner, want 1", sending)
+	}
+}
+
+// Guards against new legs to leaving targets, to what operators took out, and to targets that say they drain.
+func TestLeavingTargetsGetNoLegs(t *testing.T) {
+	cases := map[string]func(f *fleetTest){
+		"leaving":  func(f *fleetTest) { f.list.Instances[1].State = platform.StateLeaving; f.configure() },
+		"instance": func(f *fleetTest) { f.doc.InstancesOut = []string{"t0"}; f.configure() },
+		"zone":     func(f *fleetTest) { f.doc.Zones[0].Out = true; f.configure() },
+		"draining": func(f *fleetTest) { f.status("t0", "i1", StateDraining) },
+		"draining in a reply": func(f *fleetTest) {
+			f.Leg(LegReport{Target: "t0", Incarnation: "i1", State: StateDraining}, f.now)
+		},
+	}
+	for name, do := range cases {
+		f := newFleetTest("e0", 1, 1)
+		f.makeWarm()
+		if f.limit("t0") != 8 {
+			t.Fatalf("%s: target is not in use before", name)
+		}
+		if do(f); f.limit("t0") != 0 {
+			t.Errorf("%s: target still gets legs", name)
+		}
+	}
+}
+
+// Guards against dropping targets whose status cannot be read, and against keeping those whose requests fail.
+func TestFailingTargetIsPutAsideAndProbed(t *testing.T) {
+	f := newFleetTest("e0", 1, 1)
+	f.makeWarm()
+	for range 10 {
+		f.Lost("t0", f.now)
+		f.pass(time.Second)
+	}
+	if got := f.limit("t0"); got != 8 {
+		t.Fatalf("limit after failed status reads is %d, want 8", got)
+	}
+	for range suspectSigns {
+		f.leg("t0", "", Failed, ReasonUnreachable)
+	}
+	if got := f.limit("t0"); got != 0 {
+		t.Fatalf("limit after refused connections is %d, want 0", got)
+	}
+	f.pass(minAside)
+	if got := f.limit("t0"); got != 1 {
+		t.Fatalf("limit of the probe is %d, want 1", got)
+	}
+	for range suspectSigns {
+		f.leg("t0", "", Failed, ReasonUnreachable)
+	}
+	f.pass(suspectLimit)
+	if got := f.limit("t0"); got != 0 {
+		t.Fatalf("limit %v after the probe failed too is %d, want 0", suspectLimit, got)
+	}
+	f.pass(2*minAside - suspectLimit)
+	f.warmUp("t0", "i1")
+	if got := f.limit("t0"); got != 8 {
+		t.Fatalf("limit after fast replies is %d, want 8", got)
+	}
+}
+
+// Guards against status reads that grow with the number of targets.
+func TestStatusReadsAreBounded(t *testing.T) {
+	f := newFleetTest("e0", 1, 140)
+	for i := range 140 {
+		f.status(fmt.Sprintf("t%d", i), "i1", StateWarm)
+	}
+	f.pass(eagerTime)
+	f.effects = nil
+	const seconds = 60
+	for range seconds * 10 {
+		f.pass(tickInterval)
+	}
+	reads := 0
+	for _, e := range f.effects {
+		if _, ok := e.(ReadStatus); ok {
+			reads++
+		}
+	}
+	if reads > seconds*readsPerSecond+140 || reads < 140 {
+		t.Fatalf("%d status reads of 140 targets in %d s, want at most %d a second", reads, seconds, readsPerSecond)
+	}
+}
--- a/target/query.go
+++ b/target/query.go
@@ -160,6 +160,9 @@
 	// busyWait bounds the time between two tries at a shard whose replicas have no room.
 	minBusyWait = time.Millisecond
 	maxBusyWait = 10 * time.Millisecond
+	// stallFactor is the multiple of the hedging delay after which a leg counts as failed, so that it is retried
+	// under the budget for retries when that for hedges is empty.
+	stallFactor = 8
 	// newSnapshotWait is the time between two looks for a snapshot that replaces one that is gone.
 	newSnapshotWait = 10 * time.Millisecond
 	// loadHint is the weight of a target's reported load, which lags or misleads: a target that reports full
@@ -182,6 +185,7 @@
 	reason  Reason // empty once the reply is merged
 	// hedgeAfter is when to hedge, counted from the start of the plan.
 	hedgeAfter time.Duration
+	sentAfter  time.Duration // of the last leg
 	attempts   [maxAttemptsPerShard]int32
 	tried      uint8
 	open       uint8
@@ -289,7 +293,7 @@
 	p.open++
 	p.paid = false
 	p.state = shardRunning
-	p.hedgeAfter = neverHedge
+	p.hedgeAfter, p.sentAfter = neverHedge, now.Sub(q.started)
 	if d, ok := q.View.Tail.hedgeDelay(); ok && p.tried < maxAttemptsPerShard {
 		q.hedgeIn(p, d, now)
 	}
@@ -607,13 +611,19 @@
 	if !ok {
 		return
 	}
-	if !tail.hedges.take() {
+	budget := &tail.hedges
+	paid := budget.take()
+	if !paid && now.Sub(q.started)-p.sentAfter >= stallFactor*delay {
+		budget = &tail.retries
+		paid = budget.take()
+	}
+	if !paid {
 		q.hedgeIn(p, max(delay, minBusyWait), now)
 		return
 	}
 	t, busy := q.choose(p, false)
 	if t == nil {
-		tail.hedges.giveBack()
+		budget.giveBack()
 		p.hedgeAfter = neverHedge
 		if busy {
 			q.hedgeIn(p, max(delay, minBusyWait), now)
--- a/target/query_test.go
+++ b/target/query_test.go
@@ -255,3 +255,26 @@
 		t.Fatalf("answered after %v and %d events, want room at 50ms and a bounded number of events", waited, s.seq)
 	}
 }
+
+// Guards against a leg on a silent connection that holds its shard until the deadline when the budget for hedges is
+// empty.
+func TestStalledLegIsRetriedWithoutHedgeBudget(t *testing.T) {
+	s := newSim(1)
+	status := Status{Manifests: []Manifest{{1, []Shard{"a"}}}, Replicas: []Replica{{"a", []Snapshot{1}}}}
+	v := BuildServiceView("s", NewTail(DefaultPolicy()), []Usable{
+		{&Target{ID: "x", Limit: 1, Gauge: &Gauge{}}, status}, {&Target{ID: "y", Limit: 1, Gauge: &Gauge{}}, status},
+	})
+	v.Tail.observe(time.Millisecond, false)
+	legs := 0
+	var got *Answer
+	s.query(QueryConfig{ID: "q", View: v, Deadline: s.now.Add(time.Second), Rand: s.rng},
+		func(l *runningLeg, deliver func(Message)) {
+			if legs++; legs > 1 {
+				s.after(0, func() { deliver(Reply{RequestID: "q", Attempt: l.Attempt, Shard: "a", Snapshot: 1}) })
+			}
+		}, func(a *Answer) { got = a })
+	s.run()
+	if !got.Whole() || legs != 2 {
+		t.Fatalf("answer is %+v after %d legs, want a whole one after 2", got, legs)
+	}
+}
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -58,10 +58,11 @@
 	reporter Reporter
 }
 
-// New returns a client that sends through the given HTTP client. reporter may be nil.
-func New(client *http.Client, reporter Reporter) *Client {
-	return &Client{client: client, reporter: reporter}
-}
+// New returns a client that sends through the given HTTP client.
+func New(client *http.Client) *Client { return &Client{client: client} }
+
+// ReportTo has the client report legs. It must be called before the client is used.
+func (c *Client) ReportTo(r Reporter) { c.reporter = r }
 
 // report tells control about a leg that matters to it: any failure, and replies of a target that is ramping up,
 // that says it is not warm, or that is another incarnation than the view has.
--- a/target/warmth.go
+++ b/target/warmth.go
@@ -134,6 +134,10 @@
 	if w.phase == PhaseCold || w.phase == PhaseProbation {
 		w.limit, w.fast = max(w.limit/2, 1), 0
 	}
+	// A target that sheds names its incarnation and state in the reply; under load a warm target sheds too.
+	if reason == ReasonShed {
+		return false
+	}
 	if w.signs == 0 || now.Sub(w.firstSign) > signWindow {
 		w.signs, w.firstSign = 0, now
 	}
@@ -161,16 +165,16 @@
 }
 
 // tick ends what time ends. It reports a change of permits.
-func (w *warmth) tick(now time.Time) bool {
+func (w *warmth) tick(now time.Time) (changed bool) {
 	if !w.asideUntil.IsZero() && !now.Before(w.asideUntil) {
 		w.asideUntil = time.Time{}
-		return true
+		changed = true
 	}
 	if w.phase == PhaseSuspect && now.Sub(w.since) >= suspectLimit {
 		w.enter(PhaseProbation, 1, now)
-		return true
+		changed = true
 	}
-	return false
+	return changed
 }
 
 // permits returns how many requests this instance may have outstanding. full is the limit of a warm target.
