Replace silent connections at a limited rate

Cause: a shard with one usable replica waited until its deadline when its connection had gone silent, and the other idle connections to that target were used next.

Change: a leg that runs eight times the hedging delay without another replica gets a second leg to the same target, on another connection; the loser's connection is closed. Idle connections are closed when a later request was answered. Both at most once a second for each target.

Conclusion: covered for queries; a change still waits for its deadline, as it is sent once.

--- a/target/gauge.go
+++ b/target/gauge.go
@@ -10,6 +10,8 @@
 	outstanding atomic.Int64
 	latency     atomic.Int64 // nanoseconds, exponentially weighted
 	trip        atomic.Int64 // nanoseconds, shortest connect time seen, slowly rising
+	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
+	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
 }
 
 const (
@@ -98,3 +100,29 @@
 	}
 	return min(max(trip, minReturnTrip), maxReturnTrip)
 }
+
+// replaceInterval bounds the replacement of silent connections to one target, since a new connection costs the
+// target 1 to 6 ms.
+const replaceInterval = time.Second
+
+// Answered notes a reply to a request that was sent at started.
+func (g *Gauge) Answered(started time.Time) {
+	for {
+		old := g.answered.Load()
+		if old >= started.UnixNano() || g.answered.CompareAndSwap(old, started.UnixNano()) {
+			return
+		}
+	}
+}
+
+// ReplaceSilent decides about a request that got no reply: it reports true when the request ran far longer than
+// others, one that was sent later on another connection was answered, and no connection to the target was replaced
+// shortly before.
+func (g *Gauge) ReplaceSilent(started, now time.Time) bool {
+	return now.Sub(started) >= stallFactor*g.Latency() && g.answered.Load() > started.UnixNano() && g.mayReplace(now)
+}
+
+func (g *Gauge) mayReplace(now time.Time) bool {
+	old := g.replaced.Load()
+	return now.UnixNano()-old >= int64(replaceInterval) && g.replaced.CompareAndSwap(old, now.UnixNano())
+}
--- a/target/query.go
+++ b/target/query.go
@@ -596,14 +596,14 @@
 // allows it.
 func (q *Query) hedge(i int, now time.Time, ready *Ready) {
 	p := &q.shards[i]
-	if p.hedgeAfter == neverHedge {
+	if p.hedgeAfter == neverHedge { // nothing was known of the latency, or no attempt is left
 		return
 	}
 	if at := q.started.Add(p.hedgeAfter); now.Before(at) {
 		q.wakeAt(at)
 		return
 	}
-	if p.open > 1 || p.tried >= maxAttemptsPerShard || len(p.view.Replicas) < 2 {
+	if p.open > 1 || p.tried >= maxAttemptsPerShard {
 		return
 	}
 	tail := q.View.Tail
@@ -611,9 +611,14 @@
 	if !ok {
 		return
 	}
+	stalled := now.Sub(q.started)-p.sentAfter >= stallFactor*delay
+	if len(p.view.Replicas) < 2 && !stalled {
+		q.hedgeIn(p, stallFactor*delay-(now.Sub(q.started)-p.sentAfter), now)
+		return
+	}
 	budget := &tail.hedges
 	paid := budget.take()
-	if !paid && now.Sub(q.started)-p.sentAfter >= stallFactor*delay {
+	if !paid && stalled {
 		budget = &tail.retries
 		paid = budget.take()
 	}
@@ -622,15 +627,30 @@
 		return
 	}
 	t, busy := q.choose(p, false)
-	if t == nil {
-		budget.giveBack()
-		p.hedgeAfter = neverHedge
-		if busy {
-			q.hedgeIn(p, max(delay, minBusyWait), now)
-		}
+	if t == nil && !busy && stalled {
+		t = q.sameTarget(p, now)
+	}
+	if t != nil {
+		q.send(i, t, now, ready)
 		return
 	}
-	q.send(i, t, now, ready)
+	budget.giveBack()
+	q.hedgeIn(p, max(delay, minBusyWait), now)
+}
+
+// sameTarget reserves a place at the target of the open leg, whose connection may be silent: the new leg takes
+// another one, and if its reply comes first, cancelling the old leg closes the silent connection.
+func (q *Query) sameTarget(p *shardProgress, now time.Time) *Target {
+	for _, attempt := range p.attempts[:p.tried] {
+		l := q.state(int(attempt))
+		if l.open && l.target.Gauge.TryStart(l.target.Limit) {
+			if l.target.Gauge.mayReplace(now) {
+				return l.target
+			}
+			l.target.Gauge.Finish(0)
+		}
+	}
+	return nil
 }
 
 // end gives up all open shards.
--- a/target/tail_test.go
+++ b/target/tail_test.go
@@ -185,3 +185,25 @@
 		})
 	}
 }
+
+// Guards against connections that are replaced because a target is slow, or all at once.
+func TestSilentConnectionsAreReplacedAtLimitedRate(t *testing.T) {
+	g := &Gauge{}
+	g.TryStart(1)
+	g.Finish(time.Millisecond)
+	start := time.Unix(1000, 0)
+	late := start.Add(100 * time.Millisecond)
+	if g.ReplaceSilent(start, late) {
+		t.Error("replaced though no later request was answered")
+	}
+	g.Answered(start.Add(time.Millisecond))
+	if g.ReplaceSilent(start, start.Add(2*time.Millisecond)) {
+		t.Error("replaced though the request ran for a usual time only")
+	}
+	if !g.ReplaceSilent(start, late) {
+		t.Error("not replaced though a later request was answered")
+	}
+	if g.ReplaceSilent(start, late.Add(time.Millisecond)) || !g.ReplaceSilent(start, late.Add(replaceInterval)) {
+		t.Error("want one replacement in each interval")
+	}
+}
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -64,6 +64,19 @@
 // ReportTo has the client report legs. It must be called before the client is used.
 func (c *Client) ReportTo(r Reporter) { c.reporter = r }
 
+// checkSilence closes the idle connections to a target when a request on one of them got no reply while fresh ones
+// work. The connection of the request itself is closed by its cancellation.
+func (c *Client) checkSilence(t *target.Target, started time.Time, o target.Outcome) {
+	switch o {
+	case target.Replied:
+		t.Gauge.Answered(started)
+	case target.Cancelled:
+		if transport, ok := c.client.Transport.(*Transport); ok && t.Gauge.ReplaceSilent(started, time.Now()) {
+			transport.CloseIdle(t.Address)
+		}
+	}
+}
+
 // report tells control about a leg that matters to it: any failure, and replies of a target that is ramping up,
 // that says it is not warm, or that is another incarnation than the view has.
 func (c *Client) report(t *target.Target, r target.LegReport) {
@@ -172,6 +185,7 @@
 		report.Outcome, report.Reason = target.Failed, FailureReason(err)
 	}
 	c.report(ch.Target, report)
+	c.checkSilence(ch.Target, start, report.Outcome)
 	return body, err
 }
 
--- a/target/targethttp/run.go
+++ b/target/targethttp/run.go
@@ -70,6 +70,7 @@
 		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
 	}
 	elapsed := time.Since(start)
+	c.checkSilence(leg.Target, start, outcome) // before Finish raises the latency that it compares with
 	leg.Finish(elapsed, outcome)
 	c.report(leg.Target, target.LegReport{
 		Fingerprint: r.Fingerprint, Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)),
--- a/target/targethttp/run_test.go
+++ b/target/targethttp/run_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -112,3 +114,62 @@
 		}
 	}
 }
+
+// Guards against a shard that a silent connection holds until the deadline, and against a silent connection that
+// stays open.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var silence sync.Map // remote addresses whose requests get no reply
+	var fresh atomic.Int64
+	gone := make(chan struct{}, 1)
+	view := replicas(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, silent := silence.Load(r.RemoteAddr); silent {
+			<-r.Context().Done()
+			gone <- struct{}{}
+			return
+		}
+		if fresh.Load() == 0 {
+			silence.Store(r.RemoteAddr, true) // from the next request on
+		}
+		echo(w, r)
+	})
+	transport := &Transport{New: func() *http.Transport { return &http.Transport{} }}
+	transport.Limit(view.Targets[0].Address, 4)
+	c := New(&http.Client{Transport: transport})
+	if a := runQuery(t, c, view, 10*time.Second); !a.Whole() {
+		t.Fatalf("missing: %v", a.Missing)
+	}
+	fresh.Store(1)
+	if a := runQuery(t, c, view, 10*time.Second); !a.Whole() {
+		t.Fatalf("missing: %v", a.Missing)
+	}
+	<-gone
+}
+
+// Guards against a transport that opens more connections to a target than it was granted.
+func TestConnectionsOfTargetAreLimited(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	view := replicas(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen[r.RemoteAddr] = true
+		mu.Unlock()
+		echo(w, r)
+	})
+	transport := &Transport{New: func() *http.Transport { return &http.Transport{} }}
+	transport.Limit(view.Targets[0].Address, 2)
+	c := New(&http.Client{Transport: transport})
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Go(func() {
+			for range 20 {
+				if _, err := c.Status(context.Background(), view.Targets[0].Address); errors.Is(err, target.ErrNotSent) {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	if len(seen) > 2 {
+		t.Fatalf("%d connections were opened, limit 2", len(seen))
+	}
+}
--- a/target/targethttp/transport.go
+++ b/target/targethttp/transport.go
@@ -54,3 +54,13 @@
 	}
 	return target.RoundTrip(r)
 }
+
+// CloseIdle closes the idle connections to one target.
+func (t *Transport) CloseIdle(address string) {
+	t.mu.RLock()
+	target := t.targets[address]
+	t.mu.RUnlock()
+	if target != nil {
+		target.CloseIdleConnections()
+	}
+}
