--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -22,6 +22,7 @@
 			consoleCommand(),
 			dumpCommand(),
 			demoCommand(),
+			loadCommand(),
 			standinCommand(),
 		},
 	}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -38,6 +38,7 @@
 	targets   *targethttp.Client
 	transport *targethttp.Transport
 	siblings  *siblinggrpc.Client
+	receiver  *siblinggrpc.Receiver
 	platform  *platformhttp.Client
 	metrics   *metrics
 
@@ -52,25 +53,49 @@
 	readHeaderTimeout     = 5 * time.Second
 )
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes how New builds a node.
+type Option func(*options)
+
+type options struct{ dial Dial }
+
+// WithDial makes the node open all its connections with dial. Deployments in one process use it to emulate the
+// network between zones.
+func WithDial(dial Dial) Option { return func(o *options) { o.dial = dial } }
+
 // New binds the addresses of the settings and returns a node that is ready to run.
-func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+func New(s settings.Settings, log zerolog.Logger, opts ...Option) (*Node, error) {
+	o := options{dial: (&net.Dialer{}).DialContext}
+	for _, option := range opts {
+		option(&o)
+	}
+	dial := o.dial
 	n := &Node{
 		settings: s,
 		log:      log.With().Str("instance", s.ID).Logger(),
-		siblings: siblinggrpc.NewClient(),
-		metrics:  newMetrics(),
+		siblings: siblinggrpc.NewClient(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, "tcp", address)
+		})),
+		metrics: newMetrics(),
 	}
 	n.transport = &targethttp.Transport{New: func() *http.Transport {
 		return &http.Transport{
-			DialContext:     (&net.Dialer{Timeout: connectTimeout}).DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+				defer cancel()
+				return dial(ctx, network, address)
+			},
 			IdleConnTimeout: idleConnectionTimeout,
 		}
 	}}
 	n.targets = targethttp.New(&http.Client{Transport: n.transport})
 	n.targets.ReportTo(n)
-	n.platform = platformhttp.New(s.Platform, &http.Client{})
+	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.targets)
 	for _, l := range []struct {
 		listener *net.Listener
@@ -96,6 +121,9 @@
 // CallersAddress returns the address that callers use.
 func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
 
+// SiblingsAddress returns the address that siblings use.
+func (n *Node) SiblingsAddress() string { return n.peers.Addr().String() }
+
 // OperatorsAddress returns the address that operators use.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
@@ -108,13 +136,11 @@
 	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.scope}), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
-	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.Register(peers, n.loop, n.receiver)
 	siblinggrpc.RegisterNotices(peers, n.loop)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
-	group.Go(func() error { return n.watchDocument(work) })
-	group.Go(func() error { return n.watchInstances(work) })
 	group.Go(func() error { n.sampleMetrics(work); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
--- a/control/notices.go
+++ b/control/notices.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/sibling"
@@ -31,6 +33,15 @@
 	Reply   chan<- target.Notices
 }
 
+// member returns the listed sibling of that ID.
+func (s *State) member(id string) (sibling.Member, bool) {
+	i, ok := slices.BinarySearchFunc(s.members, id, func(m sibling.Member, id string) int { return cmp.Compare(m.ID, id) })
+	if !ok {
+		return sibling.Member{}, false
+	}
+	return s.members[i], true
+}
+
 func (e NoticesHeard) apply(s *State, now time.Time) { s.fleet.Hear(e.Notices, now) }
 
 func (e NoticesAsked) apply(s *State, now time.Time) { e.Reply <- s.fleet.Answer(e.Targets, now) }
--- a/sibling/siblinggrpc/notices.go
+++ b/sibling/siblinggrpc/notices.go
@@ -45,21 +45,15 @@
 	return encodeNotices(known), nil
 }
 
-func (c *Client) noticeBoard(address string) (siblingpb.NoticeBoardClient, error) {
-	conn, err := c.conn(address)
-	if err != nil {
-		return nil, err
-	}
-	return siblingpb.NewNoticeBoardClient(conn), nil
-}
-
 // Tell sends notices to a sibling.
 func (c *Client) Tell(ctx context.Context, to sibling.Member, n target.Notices) error {
-	board, err := c.noticeBoard(to.PeerAddress)
+	conn, err := c.connect(to.PeerAddress)
 	if err != nil {
 		return err
 	}
-	if _, err := board.Tell(ctx, encodeNotices(n)); err != nil {
+	_, err = siblingpb.NewNoticeBoardClient(conn).Tell(ctx, encodeNotices(n))
+	conn.Done(err)
+	if err != nil {
 		return translate(err)
 	}
 	return nil
@@ -67,11 +61,12 @@
 
 // Ask returns what a sibling knows about the targets.
 func (c *Client) Ask(ctx context.Context, to sibling.Member, targets []string) (target.Notices, error) {
-	board, err := c.noticeBoard(to.PeerAddress)
+	conn, err := c.connect(to.PeerAddress)
 	if err != nil {
 		return target.Notices{}, err
 	}
-	reply, err := board.Ask(ctx, &siblingpb.AskRequest{Targets: targets})
+	reply, err := siblingpb.NewNoticeBoardClient(conn).Ask(ctx, &siblingpb.AskRequest{Targets: targets})
+	conn.Done(err)
 	if err != nil {
 		return target.Notices{}, translate(err)
 	}
