--- a/target/fleet.go
+++ b/target/fleet.go
@@ -56,10 +56,14 @@
 	// size. A few targets are read every minReadInterval. Replies to legs carry incarnation and state meanwhile.
 	readsPerSecond  = 4
 	minReadInterval = 250 * time.Millisecond
-	// After a change of snapshots all targets are read every eagerInterval for a time, since a snapshot can only be
-	// used once it is known of every shard.
-	eagerInterval = 500 * time.Millisecond
-	eagerTime     = 5 * time.Second
+	// After a change of snapshots all targets are read more often for eagerTime, since a snapshot can only be used
+	// once it is known of every shard. The interval grows with the targets: 200 ms at 100 targets.
+	eagerPerTarget   = 2 * time.Millisecond
+	minEagerInterval = 100 * time.Millisecond
+	maxEagerInterval = 500 * time.Millisecond
+	eagerTime        = 2 * time.Second
+	// changingStep bounds how often a new end of a change is published.
+	changingStep = 500 * time.Millisecond
 	// trustTime is how long after its start an instance takes targets for long-running ones.
 	trustTime = 10 * time.Second
 	// askInterval is the time between two questions about targets that are not warm here.
@@ -79,8 +83,9 @@
 	policy   Policy
 	started  time.Time
 	targets  map[string]*tracked
-	tails    map[string]*Tail // by service
-	entrants []Entrant        // instances that take work
+	tails    map[string]*Tail     // by service
+	changing map[string]time.Time // by service: ServiceView.ChangingUntil
+	entrants []Entrant            // instances that take work
 	holders  map[string]*Assignment
 
 	assignDue  bool
@@ -117,7 +122,7 @@
 func NewFleet(self Entrant, policy Policy) *Fleet {
 	return &Fleet{
 		self: self, policy: policy,
-		targets: map[string]*tracked{}, tails: map[string]*Tail{}, holders: map[string]*Assignment{},
+		targets: map[string]*tracked{}, tails: map[string]*Tail{}, changing: map[string]time.Time{}, holders: map[string]*Assignment{},
 		quarantine: newQuarantine(),
 	}
 }
@@ -231,14 +236,26 @@
 	f.learn(t, status.Incarnation, status.State, now)
 	switch {
 	case old == nil || !sameShards(old.Replicas, status.Replicas):
-		f.assignDue, f.changed, f.eagerUntil = true, true, now.Add(eagerTime)
+		f.assignDue, f.changed = true, true
+		f.snapshotsChange(t.instance.Service, now)
 	case !sameSnapshots(old, &status):
-		f.changed, f.eagerUntil = true, now.Add(eagerTime)
+		f.changed = true
+		f.snapshotsChange(t.instance.Service, now)
 	case old.State != status.State:
 		f.changed = true
 	}
 }
 
+// snapshotsChange notes a sign that the targets of a service move to another snapshot.
+func (f *Fleet) snapshotsChange(service string, now time.Time) {
+	until := now.Add(eagerTime)
+	f.eagerUntil = until
+	if until.Sub(f.changing[service]) >= changingStep {
+		f.changing[service] = until
+		f.changed = true
+	}
+}
+
 // learn takes an incarnation and state from a status or a reply.
 func (f *Fleet) learn(t *tracked, incarnation string, state State, now time.Time) {
 	phase, known := t.phase, t.incarnation
@@ -291,7 +308,8 @@
 			f.announce(t)
 		}
 	case r.Outcome == Failed && r.Reason == ReasonSnapshotGone:
-		t.nextRead, f.eagerUntil = now, now.Add(eagerTime)
+		t.nextRead = now
+		f.snapshotsChange(t.instance.Service, now)
 	case r.Outcome == Failed:
 		if r.Reason == ReasonConnectionLost {
 			f.quarantine.broken(r.Target, r.Fingerprint, now)
@@ -385,7 +403,7 @@
 	}
 	interval := max(time.Duration(read)*time.Second/readsPerSecond, minReadInterval)
 	if now.Before(f.eagerUntil) {
-		interval = min(interval, eagerInterval)
+		interval = min(interval, max(minEagerInterval, min(maxEagerInterval, time.Duration(read)*eagerPerTarget)))
 	}
 	for id, t := range f.targets {
 		// An interval that became shorter holds for the reads that were planned with a longer one.
@@ -502,6 +520,7 @@
 	view := View{}
 	for name, list := range usable {
 		view[name] = BuildServiceView(name, f.tail(name), list)
+		view[name].ChangingUntil = f.changing[name]
 	}
 	return view
 }
--- a/target/query.go
+++ b/target/query.go
@@ -165,6 +165,11 @@
 	stallFactor = 8
 	// newSnapshotWait is the time between two looks for a snapshot that replaces one that is gone.
 	newSnapshotWait = 10 * time.Millisecond
+	// settleTime is how long a newer snapshot is awaited after a target said that the present one is gone.
+	settleTime = time.Second
+	// A new plan needs planTime times the latency quantile, at least minPlanTime.
+	planTime    = 4
+	minPlanTime = 10 * time.Millisecond
 	// loadHint is the weight of a target's reported load, which lags or misleads: a target that reports full
 	// load counts as a quarter slower.
 	loadHint = 0.25
@@ -173,9 +178,9 @@
 type shardState uint8
 
 const (
-	shardRunning      shardState = iota // a leg is open
-	shardWaiting                        // for room at a replica
-	shardSnapshotGone                   // for a newer snapshot
+	shardRunning  shardState = iota // a leg is open
+	shardWaiting                    // for room at a replica
+	shardUnserved                   // for a snapshot with a replica of it
 	shardDone
 )
 
@@ -207,7 +212,9 @@
 	open     int // shards that are not done
 	waiting  int // shards that wait for room or for a snapshot
 	wake     time.Time
-	previous *Answer // the best of earlier plans
+	previous *Answer  // the best of earlier plans
+	gone     Snapshot // the newest snapshot that a target said is gone
+	goneAt   time.Time
 }
 
 type legState struct {
@@ -279,6 +286,8 @@
 	case busy:
 		p.reason = ReasonBusy
 		q.wait(p, shardWaiting, now)
+	case q.mayWaitForSnapshot(now):
+		q.wait(p, shardUnserved, now)
 	default:
 		q.giveUp(p)
 	}
@@ -327,7 +336,7 @@
 func (q *Query) wait(p *shardProgress, state shardState, now time.Time) {
 	p.state = state
 	q.waiting++
-	if state == shardSnapshotGone {
+	if state == shardUnserved {
 		q.wakeAt(now.Add(newSnapshotWait))
 		return
 	}
@@ -460,8 +469,9 @@
 	p.reason = f.Reason
 	if f.Reason == ReasonSnapshotGone {
 		l.gone = true
-		if newer := q.newer(); newer != nil && newer.Covered == len(newer.Shards) && q.mayStillSend(now) {
-			*ready = q.replan(newer, now)
+		q.gone, q.goneAt = max(q.gone, q.snapshot), now
+		if s := q.replacement(); s.whole() && q.mayStillSend(now) {
+			*ready = q.replan(s, now)
 			return true
 		}
 	}
@@ -481,11 +491,7 @@
 		return
 	}
 	if p.tried >= maxAttemptsPerShard {
-		if p.reason == ReasonSnapshotGone {
-			q.wait(p, shardSnapshotGone, now)
-		} else {
-			q.giveUp(p)
-		}
+		q.unserved(p, now)
 		return
 	}
 	t, busy := q.choose(p, false)
@@ -493,11 +499,7 @@
 		t, busy = q.choose(p, true)
 	}
 	if t == nil && !busy {
-		if p.reason == ReasonSnapshotGone {
-			q.wait(p, shardSnapshotGone, now)
-		} else {
-			q.giveUp(p)
-		}
+		q.unserved(p, now)
 		return
 	}
 	free := p.paid || p.reason == ReasonUnreachable || p.reason == ReasonSnapshotGone
@@ -516,6 +518,21 @@
 	q.send(i, t, now, ready)
 }
 
+// unserved has a shard whose replicas have all moved on wait for another snapshot, and gives any other up.
+func (q *Query) unserved(p *shardProgress, now time.Time) {
+	if p.reason == ReasonSnapshotGone && q.mayWaitForSnapshot(now) {
+		q.wait(p, shardUnserved, now)
+		return
+	}
+	q.giveUp(p)
+}
+
+// mayWaitForSnapshot reports whether a whole snapshot is expected and time remains to run a plan on it.
+func (q *Query) mayWaitForSnapshot(now time.Time) bool {
+	expected := now.Before(q.View.ChangingUntil) || !q.goneAt.IsZero() && now.Before(q.goneAt.Add(settleTime))
+	return expected && now.Add(max(planTime*q.View.Tail.Quantile(), minPlanTime)).Before(q.Deadline)
+}
+
 func (q *Query) mayStillSend(now time.Time) bool { return now.Add(minLegTime).Before(q.Deadline) }
 
 // sendWaiting tries the shards that wait for room again.
@@ -539,12 +556,12 @@
 	}
 }
 
-// newer returns the snapshot to plan on in place of one that is gone, from the newest view.
-func (q *Query) newer() *SnapshotView {
+// replacement returns the snapshot to plan on next, from the newest view: never one that is gone.
+func (q *Query) replacement() *SnapshotView {
 	if view := q.Views.ServiceView(q.View.Name); view != nil {
 		q.View = view
 	}
-	return q.View.Pick(q.snapshot)
+	return q.View.Pick(q.gone)
 }
 
 // replan starts again on a newer snapshot. An answer has one snapshot, so nothing merged so far goes into the
@@ -571,11 +588,17 @@
 	}
 	// Planning again comes before hedging: it drops the legs of this step, whose places are taken already.
 	if q.waitsForSnapshot() {
-		if newer := q.newer(); newer != nil && newer.Covered > 0 {
-			*ready = q.replan(newer, now)
+		s := q.replacement()
+		waits := q.mayWaitForSnapshot(now)
+		if s.whole() || !waits && s != nil && s.Snapshot != q.snapshot && s.Covered > q.merged() {
+			*ready = q.replan(s, now)
 			return true
 		}
-		q.wakeAt(now.Add(newSnapshotWait))
+		if waits {
+			q.wakeAt(now.Add(newSnapshotWait))
+		} else {
+			q.endWait()
+		}
 	}
 	for i := range q.shards {
 		if q.shards[i].state == shardRunning {
@@ -589,7 +612,27 @@
 	if q.waiting == 0 {
 		return false
 	}
-	return slices.ContainsFunc(q.shards, func(p shardProgress) bool { return p.state == shardSnapshotGone })
+	return slices.ContainsFunc(q.shards, func(p shardProgress) bool { return p.state == shardUnserved })
+}
+
+// endWait gives up the shards that wait for a snapshot.
+func (q *Query) endWait() {
+	for i := range q.shards {
+		if p := &q.shards[i]; p.state == shardUnserved {
+			q.waiting--
+			q.giveUp(p)
+		}
+	}
+}
+
+func (q *Query) merged() int {
+	n := 0
+	for i := range q.shards {
+		if q.shards[i].reason == "" {
+			n++
+		}
+	}
+	return n
 }
 
 // hedge sends a second leg of a shard to another replica when the first has run long enough and the budget
--- a/target/query_test.go
+++ b/target/query_test.go
@@ -67,6 +67,7 @@
 		usable = append(usable, u)
 	}
 	x.view = BuildServiceView("index", x.tail, usable)
+	x.view.ChangingUntil = x.now.Add(simEpoch)
 }
 
 func (x *changingIndex) schedule(epochs int) {
@@ -278,3 +279,37 @@
 		t.Fatalf("answer is %+v after %d legs, want a whole one after 2", got, legs)
 	}
 }
+
+// Guards against queries that wait until their deadline for replicas that are lost for long, and against partial
+// answers while targets are only moving to another snapshot.
+func TestMissingReplicasAreAwaitedOnlyDuringChange(t *testing.T) {
+	for _, changing := range []bool{false, true} {
+		x := newChangingIndex(1)
+		x.clean = true
+		for i := range x.serves {
+			if holds(i, 0) {
+				x.serves[i] = nil // the first shard has no replica
+			}
+		}
+		x.refresh()
+		x.after(100*time.Millisecond, func() {
+			for i := range x.serves {
+				x.serves[i] = map[Snapshot]bool{2: true}
+			}
+			x.refresh()
+		})
+		start := x.now
+		x.view.ChangingUntil = x.view.ChangingUntil.Add(time.Second)
+		if !changing {
+			x.view.ChangingUntil = time.Time{}
+		}
+		x.query(QueryConfig{ID: "q", View: x.view, Views: x, Deadline: x.now.Add(time.Second), Rand: x.rng},
+			func(l *runningLeg, deliver func(Message)) { x.serve("q", l, deliver) },
+			func(a *Answer) {
+				if took := x.now.Sub(start); a.Whole() != changing || !changing && took > 50*time.Millisecond {
+					t.Errorf("snapshots changing: %v: whole answer: %v after %v", changing, a.Whole(), took)
+				}
+			})
+		x.run()
+	}
+}
--- a/target/view.go
+++ b/target/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Target is one usable target in a View. It is immutable but for its gauge.
@@ -42,6 +43,9 @@
 	Targets []*Target
 	// Snapshots lists the known snapshots, newest first.
 	Snapshots []SnapshotView
+	// ChangingUntil is when targets are expected to have agreed on their snapshots again. Before that, queries wait
+	// for a whole snapshot while their deadlines allow; after it, missing replicas are not expected soon.
+	ChangingUntil time.Time
 	// Tail is shared by all queries of the service.
 	Tail *Tail
 }
@@ -109,6 +113,9 @@
 	return sv
 }
 
+// whole reports whether every shard has a usable replica. It is false for nil.
+func (s *SnapshotView) whole() bool { return s != nil && s.Covered == len(s.Shards) }
+
 // Pick returns the snapshot that a query is pinned to: the newest that every shard can serve, else the one
 // with the best coverage, the newest of equals. Snapshots not above after are passed over. It returns nil
 // if there is none.
@@ -119,7 +126,7 @@
 		if s.Snapshot <= after {
 			break
 		}
-		if s.Covered == len(s.Shards) {
+		if s.whole() {
 			return s
 		}
 		if best == nil || s.Covered*len(best.Shards) > best.Covered*len(s.Shards) {
