Serve from instances that are not listed as live

Cause: in one of four runs of driftctl demo on a loaded machine about a sixth of all requests was refused with no_target.

Change: an instance always counts itself in the assignment.

Conclusion: TestInstanceServesWhileNotListedAsLive fails without the change for leaving and out.

--- a/target/fleet.go
+++ b/target/fleet.go
@@ -147,15 +147,14 @@
 	}
 	f.changed = true
 	f.entrants = f.entrants[:0]
-	listedSelf := false
 	for _, in := range list.Entries() {
-		listedSelf = listedSelf || in.ID == f.self.ID
 		if in.State == platform.StateLive && !doc.InstanceOut(in.ID) && !doc.ZoneOut(in.Zone) {
 			f.entrants = append(f.entrants, Entrant{ID: in.ID, Zone: in.Zone})
 		}
 	}
-	// The list lags: an instance that it does not name yet uses the headroom of the targets.
-	if !listedSelf && !doc.InstanceOut(f.self.ID) && !doc.ZoneOut(f.self.Zone) {
+	// An instance that is not listed yet, or that is leaving or out of service, still serves the requests that it
+	// gets. It uses the headroom of the targets.
+	if !slices.Contains(f.entrants, f.self) {
 		f.entrants = append(f.entrants, f.self)
 	}
 	listed := map[string]bool{}
--- a/target/fleet_test.go
+++ b/target/fleet_test.go
@@ -314,3 +314,22 @@
 		t.Fatalf("%d status reads of 140 targets in %d s, want at most %d a second", reads, seconds, readsPerSecond)
 	}
 }
+
+// Guards against requests that are cut off at an instance that is leaving, out of service or not listed yet.
+func TestInstanceServesWhileNotListedAsLive(t *testing.T) {
+	cases := map[string]func(f *fleetTest){
+		"leaving":      func(f *fleetTest) { f.list.Instances[0].State = platform.StateLeaving },
+		"out":          func(f *fleetTest) { f.doc.InstancesOut = []string{"e0"} },
+		"not listed":   func(f *fleetTest) { f.list.Instances[0].ID = "another" },
+		"other's zone": func(f *fleetTest) { f.list.Instances[0].Zone = "b" },
+	}
+	for name, do := range cases {
+		f := newFleetTest("e0", 1, 1)
+		f.makeWarm()
+		do(f)
+		f.configure()
+		if f.limit("t0") == 0 {
+			t.Errorf("%s: no target is usable", name)
+		}
+	}
+}
