--- a/cmd/dogwooddrift/main.go
+++ b/cmd/dogwooddrift/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -15,6 +16,9 @@
 	"dogwooddrift.org/drift/cmd/internal/settings"
 )
 
+// errAborted makes the exit status tell a stop that was cut short from a graceful one.
+var errAborted = errors.New("the stop was cut short by a second signal")
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "dogwooddrift",
@@ -45,7 +49,13 @@
 		return err
 	}
 	stop, abort := signals()
-	return n.Run(stop, abort)
+	if err := n.Run(stop, abort); err != nil {
+		return err
+	}
+	if abort.Err() != nil {
+		return errAborted
+	}
+	return nil
 }
 
 // signals returns a context that ends at the first SIGTERM or SIGINT, and one that ends at the second.
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -41,6 +41,8 @@
 	receiver  *siblinggrpc.Receiver
 	platform  *platformhttp.Client
 	metrics   *metrics
+	// handOvers counts the messages with records of changes that are under way.
+	handOvers pending
 
 	callers   net.Listener
 	peers     net.Listener
@@ -96,7 +98,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings}, rng))
 	n.receiver = siblinggrpc.NewReceiver(n.loop)
-	n.tier = traffic.New(n.loop, n.targets)
+	n.tier = traffic.New(n.loop, n.siblings, n.targets, s.Queue.Limits())
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -138,6 +140,7 @@
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop, n.receiver)
 	siblinggrpc.RegisterNotices(peers, n.loop)
+	siblinggrpc.RegisterChanges(peers, n.loop, n.tier)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
@@ -150,7 +153,7 @@
 		case <-ctx.Done():
 		case <-work.Done():
 		}
-		n.drain(abort, callers)
+		n.drain(abort, callers, peers)
 		_ = operators.Close()
 		peers.Stop()
 		n.siblings.Close()
@@ -168,26 +171,6 @@
 	return err
 }
 
-// drain performs the planned stop of the callers' side.
-func (n *Node) drain(abort context.Context, callers *http.Server) {
-	n.log.Info().Dur("notice", n.settings.Drain.Notice).Msg("node: draining")
-	n.loop.Post(control.Drain{})
-	notice := time.NewTimer(n.settings.Drain.Notice)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-abort.Done():
-	}
-	limit, cancel := context.WithTimeout(abort, n.settings.Drain.Limit)
-	defer cancel()
-	if err := n.tier.Drain(limit); err != nil {
-		n.log.Warn().Err(err).Msg("node: requests still running at the limit")
-	}
-	if err := callers.Shutdown(limit); err != nil {
-		_ = callers.Close()
-	}
-}
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/control/config.go
+++ b/control/config.go
@@ -179,4 +179,5 @@
 	}
 	s.fleet.Configure(s.document, s.list, now)
 	s.rates.configure(s.document, len(s.members))
+	s.handOver(s.changes.Configure(s.members, s.document.ChangeWindow.Duration(), now))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -43,6 +44,12 @@
 	Pools    map[string]*caller.TokenPool
 	// Quarantined holds the requests that are refused since they crash targets, and until when.
 	Quarantined map[target.Fingerprint]time.Time
+	// Self is the ID of this instance.
+	Self string
+	// ChangeMembers lists the instances that take part in remembering changes.
+	ChangeMembers sibling.Members
+	// Polled says that every listed target was asked for its status. Before, requests would find no target.
+	Polled bool
 	// DocumentHeld and ListHeld are the published texts of the values in force, for siblings that are behind.
 	DocumentHeld, ListHeld platform.Held
 	// Configured says that a document and a list are in force and that siblings were asked for newer ones.
@@ -73,6 +80,7 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	changes  *sibling.ChangeLog
 	spread   *sibling.Spread
 	draining bool
 
@@ -96,6 +104,8 @@
 		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, target.DefaultPolicy()),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
+		// A process must not take the attempts of an earlier one of the same instance for its own.
+		changes: sibling.NewChangeLog(self.ID, fmt.Sprintf("%s/%016x", self.ID, rng.Uint64())),
 	}
 }
 
@@ -105,6 +115,7 @@
 	e.apply(s, now)
 	s.tickTargets(now)
 	s.rates.refill(now)
+	s.rejoin(now)
 	wake := now.Add(refillInterval)
 	if due := s.spreadStep(sibling.Tick{}, now); due.Before(wake) {
 		wake = due
@@ -123,26 +134,24 @@
 // Snapshot builds the snapshot that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	return &Snapshot{
-		Document:     s.document,
-		List:         s.list,
-		DocumentHeld: s.spread.Held(sibling.Document),
-		ListHeld:     s.spread.Held(sibling.InstanceList),
-		KeyedUntil:   s.keyedUntil(),
-		Accounts:     s.accounts,
-		Targets:      s.fleet.View(s.now),
-		Quarantined:  s.fleet.Quarantined(),
-		Members:      s.members,
-		Pools:        s.rates.pools(),
-		Configured:   s.configured(),
-		Draining:     s.draining,
+		Document:      s.document,
+		List:          s.list,
+		DocumentHeld:  s.spread.Held(sibling.Document),
+		ListHeld:      s.spread.Held(sibling.InstanceList),
+		KeyedUntil:    s.keyedUntil(),
+		Accounts:      s.accounts,
+		Targets:       s.fleet.View(s.now),
+		Quarantined:   s.fleet.Quarantined(),
+		Members:       s.members,
+		Pools:         s.rates.pools(),
+		Configured:    s.configured(),
+		Draining:      s.draining,
+		Self:          s.self.ID,
+		ChangeMembers: s.changes.Members(),
+		Polled:        s.fleet.Polled(),
 	}
 }
 
-// Drain is the event of a planned stop.
-type Drain struct{}
-
-func (Drain) apply(s *State, _ time.Time) { s.draining, s.changed = true, true }
-
 // TakeDump asks for a dump of the state. Reply must have room for one value.
 type TakeDump struct{ Reply chan<- operator.Dump }
 
--- a/target/errors.go
+++ b/target/errors.go
@@ -1,6 +1,9 @@
 package target
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // The errors of this layer. targethttp turns those of the transport into them.
 var (
@@ -13,7 +16,7 @@
 	// ErrMismatched means that the reply belongs to another leg.
 	ErrMismatched = errors.New("reply belongs to another leg")
 	// ErrConnectionLost means that the connection broke while the request was running.
-	ErrConnectionLost = errors.New("connection to the target broke")
+	ErrConnectionLost = fmt.Errorf("connection to the target broke: %w", ErrFailed)
 	// ErrFailed means that the request may have run and no usable reply came.
 	ErrFailed = errors.New("target gave no usable reply")
 )
--- a/target/fleet.go
+++ b/target/fleet.go
@@ -113,6 +113,7 @@
 	owner       string
 	status      *Status
 	seen        time.Time
+	polled      bool // a read of the status has ended
 	nextRead    time.Time
 	askedUntil  time.Time
 	gauge       *Gauge
@@ -232,6 +233,7 @@
 	}
 	old := t.status
 	t.status, t.seen = &status, now
+	f.polled(t)
 	f.learn(t, status.Incarnation, status.State, now)
 	switch {
 	case old == nil || !sameShards(old.Replicas, status.Replicas):
@@ -281,11 +283,32 @@
 // Lost notes that a target's status could not be read. Its last report stays in use, since a report that fails
 // does not prove that requests fail.
 func (f *Fleet) Lost(id string, now time.Time) {
-	if t := f.targets[id]; t != nil && t.incarnation != "" {
+	t := f.targets[id]
+	if t == nil {
+		return
+	}
+	f.polled(t)
+	if t.incarnation != "" {
 		f.quarantine.lost(id, t.incarnation, now)
 	}
 }
 
+func (f *Fleet) polled(t *tracked) {
+	if !t.polled {
+		t.polled, f.changed = true, true
+	}
+}
+
+// Polled reports whether every listed target was asked for its status.
+func (f *Fleet) Polled() bool {
+	for _, t := range f.targets {
+		if !t.polled {
+			return false
+		}
+	}
+	return true
+}
+
 // Leg takes a report of traffic about one leg.
 func (f *Fleet) Leg(r LegReport, now time.Time) {
 	t := f.targets[r.Target]
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -59,7 +59,12 @@
 }
 
 // New returns a client that sends through the given HTTP client.
-func New(client *http.Client) *Client { return &Client{client: client} }
+func New(client *http.Client) *Client {
+	direct := *client
+	// A redirect would run a request a second time.
+	direct.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{client: &direct}
+}
 
 // ReportTo has the client report legs. It must be called before the client is used.
 func (c *Client) ReportTo(r Reporter) { c.reporter = r }
@@ -167,14 +172,15 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody, net/http cannot send the body a second time on another connection.
-	req.GetBody = nil
 	req.Header.Set(HeaderRequestID, string(ch.RequestID))
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(ch.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, ch.Organisation)
 	req.Header.Set(HeaderIdempotencyKey, ch.IdempotencyKey)
 	start := time.Now()
 	header, body, err := c.do(req)
+	if got := header.Get(HeaderRequestID); err == nil && got != string(ch.RequestID) {
+		err = oops.In("target").Wrapf(target.ErrFailed, "the reply is for request %q", got)
+	}
 	report := target.LegReport{
 		Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)), Elapsed: time.Since(start),
 	}
@@ -186,7 +192,10 @@
 	}
 	c.report(ch.Target, report)
 	c.checkSilence(ch.Target, start, report.Outcome)
-	return body, err
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
 }
 
 // Status reads a target's own report.
@@ -216,8 +225,14 @@
 
 // do sends the request and turns transport errors and statuses into the errors of package target.
 func (c *Client) do(req *http.Request) (http.Header, []byte, error) {
+	// Once the request has a connection, another goroutine of net/http writes to it. That it ends before Do returns
+	// is not documented, so a request with a connection counts as sent. net/http takes another connection only if
+	// nothing was written to the first: it resends a POST without an Idempotency-Key header in no other case.
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
 	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !sent.Load() {
