--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -31,15 +31,16 @@
 
 // Node is one entry instance.
 type Node struct {
-	settings settings.Settings
-	log      zerolog.Logger
-	loop     *control.Loop
-	tier     *traffic.Tier
-	targets  *targethttp.Client
-	siblings *siblinggrpc.Client
-	receiver *siblinggrpc.Receiver
-	platform *platformhttp.Client
-	metrics  *metrics
+	settings  settings.Settings
+	log       zerolog.Logger
+	loop      *control.Loop
+	tier      *traffic.Tier
+	targets   *targethttp.Client
+	transport *targethttp.Transport
+	siblings  *siblinggrpc.Client
+	receiver  *siblinggrpc.Receiver
+	platform  *platformhttp.Client
+	metrics   *metrics
 	// handOvers counts the messages with records of changes that are under way.
 	handOvers pending
 
@@ -49,10 +50,9 @@
 }
 
 const (
-	idleConnectionsPerTarget = 4
-	idleConnectionTimeout    = 90 * time.Second
-	connectTimeout           = time.Second
-	readHeaderTimeout        = 5 * time.Second
+	idleConnectionTimeout = 90 * time.Second
+	connectTimeout        = time.Second
+	readHeaderTimeout     = 5 * time.Second
 )
 
 // Dial opens a connection to an address.
@@ -82,17 +82,18 @@
 		})),
 		metrics: newMetrics(),
 	}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
-		MaxIdleConnsPerHost: idleConnectionsPerTarget,
-		IdleConnTimeout:     idleConnectionTimeout,
-	}
-	client := &http.Client{Transport: transport}
-	n.targets = targethttp.New(client)
+	n.transport = &targethttp.Transport{New: func() *http.Transport {
+		return &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+				defer cancel()
+				return dial(ctx, network, address)
+			},
+			IdleConnTimeout: idleConnectionTimeout,
+		}
+	}}
+	n.targets = targethttp.New(&http.Client{Transport: n.transport})
+	n.targets.ReportTo(n)
 	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings}, rng))
@@ -138,6 +139,7 @@
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop, n.receiver)
+	siblinggrpc.RegisterNotices(peers, n.loop)
 	siblinggrpc.RegisterChanges(peers, n.loop, n.tier)
 
 	exec := newExecutor(work, n)
--- a/control/config.go
+++ b/control/config.go
@@ -177,15 +177,7 @@
 	if s.document == nil || s.list == nil {
 		return
 	}
-	added, removed := s.fleet.Configure(s.document, s.list)
-	for _, in := range added {
-		s.unpolled[in.ID] = true
-		s.emit(PollTarget{ID: in.ID, Address: in.Address})
-	}
-	for _, id := range removed {
-		delete(s.unpolled, id)
-		s.emit(ForgetTarget{ID: id})
-	}
+	s.fleet.Configure(s.document, s.list, now)
 	s.rates.configure(s.document, len(s.members))
 	s.handOver(s.changes.Configure(s.members, s.document.ChangeWindow.Duration(), now))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,8 @@
 	Targets  target.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
+	// Quarantined holds the requests that are refused since they crash targets, and until when.
+	Quarantined map[target.Fingerprint]time.Time
 	// Self is the ID of this instance.
 	Self string
 	// ChangeMembers lists the instances that take part in remembering changes.
@@ -81,13 +83,12 @@
 	changes  *sibling.ChangeLog
 	spread   *sibling.Spread
 	draining bool
-	// unpolled lists the targets whose status has not been read yet.
-	unpolled map[string]bool
 
 	published struct {
 		configured bool
 		keyedUntil time.Time
 	}
+	now     time.Time // of the last Step
 	effects []Effect
 	changed bool
 }
@@ -97,13 +98,12 @@
 // NewState returns the state of an instance that knows nothing yet. rng chooses siblings.
 func NewState(self Identity, rng *rand.Rand) *State {
 	return &State{
-		self:     self,
-		rng:      rng,
-		spread:   sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
-		fleet:    target.NewFleet(),
-		roster:   sibling.NewRoster(),
-		rates:    newRates(),
-		unpolled: map[string]bool{},
+		self:   self,
+		rng:    rng,
+		spread: sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
+		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, target.DefaultPolicy()),
+		roster: sibling.NewRoster(),
+		rates:  newRates(),
 		// A process must not take the attempts of an earlier one of the same instance for its own.
 		changes: sibling.NewChangeLog(self.ID, fmt.Sprintf("%s/%016x", self.ID, rng.Uint64())),
 	}
@@ -111,8 +111,9 @@
 
 // Step applies one event and whatever is due at now.
 func (s *State) Step(e Event, now time.Time) Ready {
-	s.effects, s.changed = nil, false
+	s.effects, s.changed, s.now = nil, false, now
 	e.apply(s, now)
+	s.tickTargets(now)
 	s.rates.refill(now)
 	s.rejoin(now)
 	wake := now.Add(refillInterval)
@@ -139,14 +140,15 @@
 		ListHeld:      s.spread.Held(sibling.InstanceList),
 		KeyedUntil:    s.keyedUntil(),
 		Accounts:      s.accounts,
-		Targets:       s.fleet.View(),
+		Targets:       s.fleet.View(s.now),
+		Quarantined:   s.fleet.Quarantined(),
 		Members:       s.members,
 		Pools:         s.rates.pools(),
 		Configured:    s.configured(),
 		Draining:      s.draining,
 		Self:          s.self.ID,
 		ChangeMembers: s.changes.Members(),
-		Polled:        len(s.unpolled) == 0,
+		Polled:        s.fleet.Polled(),
 	}
 }
 
--- a/target/errors.go
+++ b/target/errors.go
@@ -1,6 +1,9 @@
 package target
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // The errors of this layer. targethttp turns those of the transport into them.
 var (
@@ -10,6 +13,10 @@
 	ErrSnapshotGone = errors.New("target no longer serves the snapshot")
 	// ErrNotSent means that no byte of the request left this instance.
 	ErrNotSent = errors.New("request was not sent to the target")
+	// ErrMismatched means that the reply belongs to another leg.
+	ErrMismatched = errors.New("reply belongs to another leg")
+	// ErrConnectionLost means that the connection broke while the request was running.
+	ErrConnectionLost = fmt.Errorf("connection to the target broke: %w", ErrFailed)
 	// ErrFailed means that the request may have run and no usable reply came.
 	ErrFailed = errors.New("target gave no usable reply")
 )
--- a/target/targethttp/change_test.go
+++ b/target/targethttp/change_test.go
@@ -46,7 +46,7 @@
 }
 
 func testChange(address, id, body string) Change {
-	return Change{RequestID: target.RequestID(id), IdempotencyKey: "k", Address: address, Timeout: time.Second, Body: []byte(body)}
+	return Change{RequestID: target.RequestID(id), IdempotencyKey: "k", Target: &target.Target{Address: address, Gauge: &target.Gauge{}}, Timeout: time.Second, Body: []byte(body)}
 }
 
 // Guards against a second run of a change whose connection broke after the request was written, on a fresh and on a
--- a/target/targethttp/client.go
+++ b/target/targethttp/client.go
@@ -49,8 +49,14 @@
 // maxReplyBytes bounds one reply of a target.
 const maxReplyBytes = 4 << 20
 
+// Reporter takes reports of legs. It must not block.
+type Reporter interface{ ReportLeg(target.LegReport) }
+
 // Client talks to targets. It is safe for concurrent use.
-type Client struct{ client *http.Client }
+type Client struct {
+	client   *http.Client
+	reporter Reporter
+}
 
 // New returns a client that sends through the given HTTP client.
 func New(client *http.Client) *Client {
@@ -60,6 +66,32 @@
 	return &Client{client: &direct}
 }
 
+// ReportTo has the client report legs. It must be called before the client is used.
+func (c *Client) ReportTo(r Reporter) { c.reporter = r }
+
+// checkSilence closes the idle connections to a target when a request on one of them got no reply while fresh ones
+// work. The connection of the request itself is closed by its cancellation.
+func (c *Client) checkSilence(t *target.Target, started time.Time, o target.Outcome) {
+	switch o {
+	case target.Replied:
+		t.Gauge.Answered(started)
+	case target.Cancelled:
+		if transport, ok := c.client.Transport.(*Transport); ok && t.Gauge.ReplaceSilent(started, time.Now()) {
+			transport.CloseIdle(t.Address)
+		}
+	}
+}
+
+// report tells control about a leg that matters to it: any failure, and replies of a target that is ramping up,
+// that says it is not warm, or that is another incarnation than the view has.
+func (c *Client) report(t *target.Target, r target.LegReport) {
+	routine := r.Outcome == target.Replied && !t.Ramping && r.Incarnation == t.Incarnation && r.State == target.StateWarm
+	if c.reporter != nil && r.Outcome != target.Cancelled && !routine {
+		r.Target = t.ID
+		c.reporter.ReportLeg(r)
+	}
+}
+
 // Search is one leg as sent to a target.
 type Search struct {
 	RequestID    target.RequestID
@@ -70,11 +102,12 @@
 	Body    []byte
 }
 
-// Search sends one leg. Its error wraps one of the errors of package target.
-func (c *Client) Search(ctx context.Context, s Search) (target.Reply, error) {
+// Search sends one leg. It returns the headers of the reply, if one came. Its error wraps one of the errors of
+// package target.
+func (c *Client) Search(ctx context.Context, s Search) (target.Reply, http.Header, error) {
 	req, err := c.request(ctx, s.Leg.Target.Address, SearchPath, s.Body)
 	if err != nil {
-		return target.Reply{}, err
+		return target.Reply{}, nil, err
 	}
 	req.Header.Set(HeaderRequestID, string(s.RequestID))
 	req.Header.Set(HeaderAttempt, strconv.Itoa(s.Leg.Attempt))
@@ -82,11 +115,26 @@
 	req.Header.Set(HeaderShard, string(s.Leg.Shard))
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, s.Organisation)
-	header, body, err := c.do(req)
+	header, body, err := c.do(measureTrip(req, s.Leg.Target.Gauge))
 	if err != nil {
-		return target.Reply{}, err
+		return target.Reply{}, header, err
 	}
-	return decodeReply(header, body)
+	reply, err := decodeReply(header, body)
+	return reply, header, err
+}
+
+// measureTrip tells the gauge the time of the handshake if the request opens a connection.
+func measureTrip(req *http.Request, g *target.Gauge) *http.Request {
+	var start atomic.Pointer[time.Time] // the transport dials on other goroutines
+	trace := &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { now := time.Now(); start.Store(&now) },
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				g.Connected(time.Since(*start.Load()))
+			}
+		},
+	}
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 }
 
 func decodeReply(h http.Header, body []byte) (target.Reply, error) {
@@ -112,7 +160,7 @@
 	RequestID      target.RequestID
 	Organisation   string
 	IdempotencyKey string
-	Address        string
+	Target         *target.Target
 	Timeout        time.Duration
 	Body           []byte
 }
@@ -120,7 +168,7 @@
 // Change sends a change once. An error that wraps target.ErrNotSent or target.ErrShed means that it did not
 // run; any other means that it may have run.
 func (c *Client) Change(ctx context.Context, ch Change) ([]byte, error) {
-	req, err := c.request(ctx, ch.Address, ChangePath, ch.Body)
+	req, err := c.request(ctx, ch.Target.Address, ChangePath, ch.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -128,13 +176,25 @@
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(ch.Timeout.Milliseconds(), 10))
 	req.Header.Set(HeaderOrganisation, ch.Organisation)
 	req.Header.Set(HeaderIdempotencyKey, ch.IdempotencyKey)
+	start := time.Now()
 	header, body, err := c.do(req)
+	if got := header.Get(HeaderRequestID); err == nil && got != string(ch.RequestID) {
+		err = oops.In("target").Wrapf(target.ErrFailed, "the reply is for request %q", got)
+	}
+	report := target.LegReport{
+		Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)), Elapsed: time.Since(start),
+	}
+	switch {
+	case err != nil && ctx.Err() != nil:
+		report.Outcome = target.Cancelled
+	case err != nil:
+		report.Outcome, report.Reason = target.Failed, FailureReason(err)
+	}
+	c.report(ch.Target, report)
+	c.checkSilence(ch.Target, start, report.Outcome)
 	if err != nil {
 		return nil, err
 	}
-	if got := header.Get(HeaderRequestID); got != string(ch.RequestID) {
-		return nil, oops.In("target").Wrapf(target.ErrFailed, "the reply is for request %q", got)
-	}
 	return body, nil
 }
 
@@ -178,22 +238,25 @@
 		if !sent.Load() {
 			return nil, nil, oops.In("target").Wrapf(target.ErrNotSent, "%v", err)
 		}
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "%v", err)
+		return nil, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReplyBytes))
 	if err != nil {
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "read reply: %v", err)
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "read reply: %v", err)
+		}
+		return resp.Header, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "read reply: %v", err)
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return resp.Header, body, nil
 	case resp.StatusCode == http.StatusConflict:
-		return nil, nil, oops.In("target").Wrap(target.ErrSnapshotGone)
+		return resp.Header, nil, oops.In("target").Wrap(target.ErrSnapshotGone)
 	case resp.Header.Get(HeaderRan) == RanNo:
-		return nil, nil, oops.In("target").Wrap(target.ErrShed)
+		return resp.Header, nil, oops.In("target").Wrap(target.ErrShed)
 	default:
-		return nil, nil, oops.In("target").Wrapf(target.ErrFailed, "status %d", resp.StatusCode)
+		return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "status %d", resp.StatusCode)
 	}
 }
 
@@ -204,6 +267,12 @@
 		return target.ReasonShed
 	case errors.Is(err, target.ErrSnapshotGone):
 		return target.ReasonSnapshotGone
+	case errors.Is(err, target.ErrNotSent):
+		return target.ReasonUnreachable
+	case errors.Is(err, target.ErrConnectionLost):
+		return target.ReasonConnectionLost
+	case errors.Is(err, target.ErrMismatched):
+		return target.ReasonMismatched
 	default:
 		return target.ReasonFailed
 	}
--- a/target/targethttp/run.go
+++ b/target/targethttp/run.go
@@ -7,15 +7,13 @@
 	"dogwooddrift.org/drift/target"
 )
 
-// returnTrip is taken off the deadline that a target gets, so that its reply can still arrive.
-const returnTrip = 2 * time.Millisecond
-
 // Request is what Run needs of one caller's query.
 type Request struct {
 	ID           target.RequestID
 	Organisation string
 	Deadline     time.Time
 	Body         []byte
+	Fingerprint  target.Fingerprint
 }
 
 // Run drives a query to its answer: it sends the legs that the state machine asks for, feeds it replies and
@@ -52,19 +50,34 @@
 // runLeg sends one leg and delivers its outcome unless the query is over.
 func (c *Client) runLeg(ctx context.Context, r Request, leg target.Leg, messages chan<- target.Message) {
 	start := time.Now()
-	reply, err := c.Search(ctx, Search{
+	reply, header, err := c.Search(ctx, Search{
 		RequestID:    r.ID,
 		Organisation: r.Organisation,
 		Leg:          leg,
-		Timeout:      time.Until(r.Deadline) - returnTrip,
+		Timeout:      r.Deadline.Sub(start) - leg.Target.Gauge.ReturnTrip(),
 		Body:         r.Body,
 	})
+	if err == nil && !leg.Matches(r.ID, reply) {
+		err = target.ErrMismatched
+	}
 	var m target.Message = reply
-	if err != nil {
-		leg.Target.Gauge.Finish(0)
+	outcome := target.Replied
+	switch {
+	case err != nil && ctx.Err() != nil:
+		outcome = target.Cancelled
+	case err != nil:
+		outcome = target.Failed
 		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
-	} else {
-		leg.Target.Gauge.Finish(time.Since(start))
+	}
+	elapsed := time.Since(start)
+	c.checkSilence(leg.Target, start, outcome) // before Finish raises the latency that it compares with
+	leg.Finish(elapsed, outcome)
+	c.report(leg.Target, target.LegReport{
+		Fingerprint: r.Fingerprint, Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)),
+		Outcome: outcome, Reason: FailureReason(err), Elapsed: elapsed,
+	})
+	if outcome == target.Cancelled {
+		return
 	}
 	select {
 	case messages <- m:
--- a/target/view.go
+++ b/target/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Target is one usable target in a View. It is immutable but for its gauge.
@@ -14,7 +15,11 @@
 	Incarnation string
 	// Limit is how many requests this instance may have outstanding at the target.
 	Limit int
+	// Load is the reported part of slots in use, from 0 to 1. It may lag or mislead.
+	Load  float64
 	Gauge *Gauge
+	// Ramping says that control wants a report of every leg, since the limit depends on them.
+	Ramping bool
 }
 
 // ShardView lists the usable replicas of one shard in one snapshot.
@@ -38,6 +43,11 @@
 	Targets []*Target
 	// Snapshots lists the known snapshots, newest first.
 	Snapshots []SnapshotView
+	// ChangingUntil is when targets are expected to have agreed on their snapshots again. Before that, queries wait
+	// for a whole snapshot while their deadlines allow; after it, missing replicas are not expected soon.
+	ChangingUntil time.Time
+	// Tail is shared by all queries of the service.
+	Tail *Tail
 }
 
 // View maps the name of a service to its view. It is immutable.
@@ -50,15 +60,17 @@
 }
 
 // BuildServiceView arranges the usable targets of a service by snapshot and shard. A snapshot is known when
-// any target reports its manifest.
-func BuildServiceView(name string, usable []Usable) *ServiceView {
-	v := &ServiceView{Name: name}
+// any target reports its manifest. Where targets disagree about a manifest, its shards are those that any of them
+// names: a shard too many lowers the reported coverage, one too few would make it false.
+func BuildServiceView(name string, tail *Tail, usable []Usable) *ServiceView {
+	v := &ServiceView{Name: name, Tail: tail}
+	slices.SortFunc(usable, func(a, b Usable) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
 	manifests := map[Snapshot][]Shard{}
 	replicas := map[Snapshot]map[Shard][]*Target{}
 	for _, u := range usable {
 		v.Targets = append(v.Targets, u.Target)
 		for _, m := range u.Status.Manifests {
-			manifests[m.Snapshot] = m.Shards
+			manifests[m.Snapshot] = union(manifests[m.Snapshot], m.Shards)
 		}
 		for _, r := range u.Status.Replicas {
 			for _, s := range r.Snapshots {
@@ -70,13 +82,25 @@
 		}
 	}
 	for snapshot, shards := range manifests {
+		if len(shards) == 0 {
+			continue
+		}
 		v.Snapshots = append(v.Snapshots, buildSnapshotView(snapshot, shards, replicas[snapshot]))
 	}
 	slices.SortFunc(v.Snapshots, func(a, b SnapshotView) int { return cmp.Compare(b.Snapshot, a.Snapshot) })
-	slices.SortFunc(v.Targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
 	return v
 }
 
+// union returns the sorted union of a, which is sorted, and b. It returns a itself when b adds nothing.
+func union(a, b []Shard) []Shard {
+	if slices.Equal(a, b) {
+		return a
+	}
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func buildSnapshotView(snapshot Snapshot, shards []Shard, replicas map[Shard][]*Target) SnapshotView {
 	sv := SnapshotView{Snapshot: snapshot, Shards: make([]ShardView, 0, len(shards))}
 	for _, shard := range shards {
@@ -89,6 +113,9 @@
 	return sv
 }
 
+// whole reports whether every shard has a usable replica. It is false for nil.
+func (s *SnapshotView) whole() bool { return s != nil && s.Covered == len(s.Shards) }
+
 // Pick returns the snapshot that a query is pinned to: the newest that every shard can serve, else the one
 // with the best coverage, the newest of equals. Snapshots not above after are passed over. It returns nil
 // if there is none.
@@ -99,7 +126,7 @@
 		if s.Snapshot <= after {
 			break
 		}
-		if s.Covered == len(s.Shards) {
+		if s.whole() {
 			return s
 		}
 		if best == nil || s.Covered*len(best.Shards) > best.Covered*len(s.Shards) {
--- a/traffic/home.go
+++ b/traffic/home.go
@@ -145,7 +145,7 @@
 		sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 		reply, err := t.targets.Change(sendCtx, targethttp.Change{
 			RequestID: target.RequestID(r.RequestID), Organisation: r.Organisation, IdempotencyKey: r.IdempotencyKey,
-			Address: chosen.Address, Timeout: deadline.Sub(start) - returnTrip, Body: r.Body,
+			Target: chosen, Timeout: deadline.Sub(start) - chosen.Gauge.ReturnTrip(), Body: r.Body,
 		})
 		cancel()
 		t.step("sent")
--- a/traffic/query.go
+++ b/traffic/query.go
@@ -26,6 +26,11 @@
 	*target.Answer
 }
 
+// ServiceView returns the newest view of a service, nil if there is none.
+func (t *Tier) ServiceView(service string) *target.ServiceView {
+	return t.control.Snapshot().Targets[service]
+}
+
 // Query runs a query. The error, if any, is a *caller.Refusal.
 func (t *Tier) Query(ctx context.Context, q Query) (*Answer, *caller.Refusal) {
 	if refusal := t.begin(); refusal != nil {
@@ -41,11 +46,17 @@
 	if view == nil || len(view.Snapshots) == 0 {
 		return nil, caller.Refuse(caller.CodeNoTarget, retryLater, "no target of service %q is usable", q.Service)
 	}
+	fingerprint := target.FingerprintOf(q.Service, q.Text)
+	if until, ok := a.snapshot.Quarantined[fingerprint]; ok && time.Now().Before(until) {
+		return nil, caller.Refuse(caller.CodeQuarantined, time.Until(until), "the request was running on targets when they crashed")
+	}
 	id := target.RequestID(uuid.NewString())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	machine, ready := target.NewQuery(id, view, q.Deadline, rng, time.Now())
+	machine, ready := target.NewQuery(target.QueryConfig{
+		ID: id, View: view, Views: t, Deadline: q.Deadline, Rand: rng,
+	}, time.Now())
 	answer := t.targets.Run(ctx, targethttp.Request{
-		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text),
+		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text), Fingerprint: fingerprint,
 	}, machine, ready)
 	return &Answer{RequestID: id, Answer: answer}, nil
 }
