--- a/caller/pool.go
+++ b/caller/pool.go
@@ -1,42 +1,133 @@
 package caller
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
 
+// Expiry is an instant after which tokens are void. Control may extend it while the instance keeps its lease;
+// several lots may share one. It keeps the monotonic reading, so a step of the wall clock moves nothing.
+type Expiry struct{ at atomic.Pointer[time.Time] }
+
+// NewExpiry returns an expiry at t.
+func NewExpiry(t time.Time) *Expiry {
+	e := &Expiry{}
+	e.Set(t)
+	return e
+}
+
+// Set moves the expiry to t.
+func (e *Expiry) Set(t time.Time) { e.at.Store(&t) }
+
+func (e *Expiry) passed(now time.Time) bool { return !now.Before(*e.at.Load()) }
+
+// lot is a number of tokens with one expiry. An expiry never changes hands: a taker that paused after it took a
+// token checks the expiry of that token, never that of a later deposit.
+type lot struct {
+	tokens  atomic.Int64
+	expires *Expiry
+}
+
 // TokenPool holds the tokens that one organisation may spend at this instance. Control deposits and withdraws;
-// traffic spends. Tokens expire: a process that slept must not spend what it held before.
+// traffic spends. Tokens are of two kinds: own tokens belong to this instance's share, pulled tokens to the
+// share of a sibling.
 type TokenPool struct {
-	tokens  atomic.Int64
-	expires atomic.Int64 // Unix nanoseconds
+	own     atomic.Pointer[lot]
+	pulled  atomic.Pointer[[]*lot] // replaced, never changed in place
 	spent   atomic.Int64
 	refused atomic.Int64
 }
 
-// Take spends one token and reports whether there was one. now must have been read right before the call.
-func (p *TokenPool) Take(now time.Time) bool {
+// Take spends one token and reports whether there was one. It reads the clock after it has taken the token, so
+// a process that paused in between does not spend an expired one; such a token is lost. The request counts as
+// admitted at the instant of that reading.
+func (p *TokenPool) Take(clock func() time.Time) bool {
+	if lots := p.pulled.Load(); lots != nil {
+		for _, l := range *lots {
+			if l.take(clock) {
+				p.spent.Add(1)
+				return true
+			}
+		}
+	}
+	if l := p.own.Load(); l != nil && l.take(clock) {
+		p.spent.Add(1)
+		return true
+	}
+	p.refused.Add(1)
+	return false
+}
+
+func (l *lot) take(clock func() time.Time) bool {
 	for {
-		n := p.tokens.Load()
-		if n < 1 || now.UnixNano() >= p.expires.Load() {
-			p.refused.Add(1)
+		n := l.tokens.Load()
+		if n < 1 || l.expires.passed(clock()) {
 			return false
 		}
-		if p.tokens.CompareAndSwap(n, n-1) {
-			p.spent.Add(1)
-			return true
+		if l.tokens.CompareAndSwap(n, n-1) {
+			return !l.expires.passed(clock())
 		}
 	}
 }
 
-// Deposit adds tokens that all expire at the given time. Only control calls it.
-func (p *TokenPool) Deposit(tokens int64, expires time.Time) {
-	p.expires.Store(expires.UnixNano())
-	p.tokens.Add(tokens)
+// Deposit adds own tokens. Only control calls it. A change of the expiry's identity needs a Withdraw first.
+func (p *TokenPool) Deposit(tokens int64, expires *Expiry) {
+	if l := p.own.Load(); l != nil && l.expires == expires {
+		l.tokens.Add(tokens)
+		return
+	}
+	l := &lot{expires: expires}
+	l.tokens.Store(tokens)
+	p.own.Store(l)
+}
+
+// Withdraw takes back all unspent own tokens. Only control calls it.
+func (p *TokenPool) Withdraw() int64 {
+	if l := p.own.Swap(nil); l != nil {
+		return l.tokens.Swap(0)
+	}
+	return 0
+}
+
+// Unspent returns the own tokens that are left.
+func (p *TokenPool) Unspent() int64 {
+	if l := p.own.Load(); l != nil {
+		return l.tokens.Load()
+	}
+	return 0
 }
 
-// Withdraw takes back all unspent tokens. Only control calls it.
-func (p *TokenPool) Withdraw() int64 { return p.tokens.Swap(0) }
+// DepositPulled adds tokens of a sibling's share that expire at the given time, and forgets the lots that have
+// expired or are spent. Only control calls it.
+func (p *TokenPool) DepositPulled(tokens int64, expires, now time.Time) {
+	l := &lot{expires: NewExpiry(expires)}
+	l.tokens.Store(tokens)
+	keep := []*lot{l}
+	if lots := p.pulled.Load(); lots != nil {
+		for _, old := range *lots {
+			if old.tokens.Load() > 0 && !old.expires.passed(now) {
+				keep = append(keep, old)
+			}
+		}
+	}
+	// The lot that expires first is spent first.
+	slices.SortStableFunc(keep, func(a, b *lot) int { return a.expires.at.Load().Compare(*b.expires.at.Load()) })
+	p.pulled.Store(&keep)
+}
+
+// Pulled returns the unspent tokens of siblings' shares that have not expired.
+func (p *TokenPool) Pulled(now time.Time) int64 {
+	var n int64
+	if lots := p.pulled.Load(); lots != nil {
+		for _, l := range *lots {
+			if !l.expires.passed(now) {
+				n += l.tokens.Load()
+			}
+		}
+	}
+	return n
+}
 
 // Spent returns how many tokens were spent since the start.
 func (p *TokenPool) Spent() int64 { return p.spent.Load() }
--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -46,6 +46,12 @@
 		x.start(func() { n.exchange(x.ctx, e) })
 	case control.FetchDocument:
 		x.start(func() { n.fetch(x.ctx, e) })
+	case control.SendCount:
+		x.start(func() { n.count(x.ctx, e) })
+	case control.SendPull:
+		x.start(func() { n.pull(x.ctx, e) })
+	case control.ConfirmInstances:
+		x.start(func() { n.confirmInstances(x.ctx) })
 	case control.Refused:
 		n.log.Warn().Err(e.Err).Msg("platform: value refused")
 	}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -108,6 +108,7 @@
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop)
+	siblinggrpc.RegisterTokens(peers, n.loop)
 
 	exec := newExecutor(work, n)
 	group.Go(func() error { n.loop.Run(work, exec); return nil })
--- a/control/config.go
+++ b/control/config.go
@@ -19,7 +19,7 @@
 
 func (Refused) effect() {}
 
-func (e DocumentRead) apply(s *State, _ time.Time) {
+func (e DocumentRead) apply(s *State, now time.Time) {
 	if s.document != nil && !e.Document.Revision.Supersedes(s.document.Revision) {
 		return
 	}
@@ -28,10 +28,10 @@
 		return
 	}
 	s.document, s.accounts = e.Document, caller.NewAccounts(e.Document)
-	s.configure()
+	s.configure(now)
 }
 
-func (e InstancesRead) apply(s *State, _ time.Time) {
+func (e InstancesRead) apply(s *State, now time.Time) {
 	if s.list != nil && !e.List.Revision.Supersedes(s.list.Revision) {
 		return
 	}
@@ -40,11 +40,11 @@
 		return
 	}
 	s.list, s.members = e.List, sibling.MembersOf(e.List)
-	s.configure()
+	s.configure(now)
 }
 
 // configure applies the document and the list in force to the other parts of the state.
-func (s *State) configure() {
+func (s *State) configure(now time.Time) {
 	s.changed = true
 	if s.document == nil || s.list == nil {
 		return
@@ -56,5 +56,5 @@
 	for _, id := range removed {
 		s.emit(ForgetTarget{ID: id})
 	}
-	s.rates.configure(s.document, len(s.members))
+	s.rates.configure(s.document, s.members, now)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,9 @@
 	Pools    map[string]*caller.TokenPool
 	// Configured says that a document and a list are in force.
 	Configured bool
-	Draining   bool
+	// Settled says that the instance has joined the accounting of rates, or tried for long enough.
+	Settled  bool
+	Draining bool
 }
 
 // Identity is who this instance is, from its settings.
@@ -63,6 +65,7 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	settled  bool
 	draining bool
 
 	nextHeartbeat time.Time
@@ -89,8 +92,12 @@
 // Step applies one event and whatever is due at now.
 func (s *State) Step(e Event, now time.Time) Ready {
 	s.effects, s.changed = nil, false
+	s.rates.start(s.self, s.rng, now)
 	e.apply(s, now)
-	s.rates.refill(now)
+	s.rateEffects(s.rates.step(now))
+	if settled := s.rates.shares.Settled(now); settled != s.settled {
+		s.settled, s.changed = settled, true
+	}
 	s.heartbeat(now)
 	return Ready{Effects: s.effects, Changed: s.changed, Wake: now.Add(refillInterval)}
 }
@@ -112,6 +119,7 @@
 		Members:    s.members,
 		Pools:      s.rates.pools(),
 		Configured: s.document != nil && s.list != nil,
+		Settled:    s.settled,
 		Draining:   s.draining,
 	}
 }
@@ -119,7 +127,10 @@
 // Drain is the event of a planned stop.
 type Drain struct{}
 
-func (Drain) apply(s *State, _ time.Time) { s.draining, s.changed = true, true }
+func (Drain) apply(s *State, _ time.Time) {
+	s.draining, s.changed = true, true
+	s.rates.shares.Drain()
+}
 
 // TakeDump asks for a dump of the state. Reply must have room for one value.
 type TakeDump struct{ Reply chan<- operator.Dump }
--- /dev/null
+++ b/sibling/shares_pull.go
@@ -0,0 +1,152 @@
+package sibling
+
+import (
+	"slices"
+	"time"
+)
+
+const confirmInterval = time.Second
+
+// Tick moves the sets on and returns the messages that are due.
+func (s *Shares) Tick(now time.Time) []ShareEffect {
+	s.fraction.settle(now)
+	confirm := false
+	for _, set := range s.sets {
+		s.step(set, now)
+		confirm = confirm || set.phase == PhaseJoining ||
+			set.phase == PhaseActive && !set.stopping && set.leaseUntil.Sub(now) < ShareLease/2
+	}
+	out := s.count(now)
+	if confirm && !now.Before(s.nextConfirm) {
+		s.nextConfirm = now.Add(confirmInterval)
+		out = append(out, ConfirmInstances{})
+	}
+	if !now.Before(s.nextPull) {
+		s.nextPull = now.Add(pullInterval)
+		out = append(out, s.pull()...)
+	}
+	return out
+}
+
+// pull asks other holders for what the expected demand needs beyond the stock: those of this zone first, and
+// those of the other zones too when the round before brought less than half of what was asked for. All
+// organisations share one message to a sibling. An organisation without demand causes none.
+func (s *Shares) pull() []ShareEffect {
+	wants := map[string]*SendPull{}
+	var order []string
+	for _, name := range s.active {
+		a := s.accounts[name]
+		if a == nil || a.demand == 0 {
+			continue
+		}
+		short := a.granted < a.asked/2
+		if a.asked > 0 {
+			a.wide = short || a.wide && a.granted < a.asked
+		}
+		a.granted, a.asked = 0, 0
+		life := a.tokenLife()
+		want := Tokens(a.demand*life.Seconds()*stockPerLife+1) - a.deposited - a.pulled - a.level - a.crumbs
+		if want <= 0 || s.draining {
+			continue
+		}
+		from := s.givers(a)
+		if len(from) == 0 {
+			a.wide = true
+			continue
+		}
+		a.asked = want
+		part := want/Amount(len(from)) + want/Amount(2*len(from)) + 1
+		for _, m := range from {
+			send := wants[m.ID]
+			if send == nil {
+				send = &SendPull{To: m}
+				wants[m.ID] = send
+				order = append(order, m.ID)
+			}
+			send.Request.Wants = append(send.Request.Wants, Wanted{Organisation: a.organisation, Amount: part, Life: life})
+		}
+	}
+	out := make([]ShareEffect, 0, len(order))
+	for _, id := range order {
+		out = append(out, *wants[id])
+	}
+	return out
+}
+
+// givers chooses the siblings that one account asks in this round.
+func (s *Shares) givers(a *Account) Members {
+	var out Members
+	for i, holders := range s.holders[a.set.group] {
+		if i > 0 && !a.wide {
+			break
+		}
+		for _, m := range holders {
+			if m.ID != s.self {
+				out = append(out, m)
+			}
+		}
+	}
+	if len(out) > maxPulls {
+		s.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:maxPulls]
+	}
+	return out
+}
+
+// Pulled takes a grant of a pull that was sent at the given time, and returns whole tokens to deposit and when
+// they expire. Fractions of several givers add up to whole tokens, which expire with their oldest part.
+func (s *Shares) Pulled(grant Wanted, sent, now time.Time) (tokens int64, expires time.Time) {
+	a := s.accounts[grant.Organisation]
+	expires = sent.Add(grant.Life)
+	if a == nil || grant.Amount <= 0 || grant.Life > maxTokenLife || !now.Before(expires) {
+		return 0, expires
+	}
+	a.granted += grant.Amount
+	whole := grant.Amount.Whole()
+	a.addCrumbs(grant.Amount-Amount(whole)*nano, expires, now)
+	a.pulled += Amount(whole) * nano
+	return whole, expires
+}
+
+func (a *Account) addCrumbs(amount Amount, expires, now time.Time) {
+	if a.crumbs == 0 || !now.Before(a.crumbsUntil) {
+		a.crumbs, a.crumbsUntil = 0, expires
+	}
+	a.crumbs += amount
+	if expires.Before(a.crumbsUntil) {
+		a.crumbsUntil = expires
+	}
+}
+
+// Combine makes a whole token of fractions that were pulled and, if they do not suffice, of this instance's own
+// level, which is lent for the same time as if a sibling had asked for it.
+func (s *Shares) Combine(a *Account, now time.Time) (tokens int64, expires time.Time) {
+	if !now.Before(a.crumbsUntil) {
+		a.crumbs = 0
+	}
+	if a.crumbs == 0 {
+		return 0, time.Time{}
+	}
+	if lack := nano - a.crumbs; lack > 0 {
+		if a.level < lack || !a.available(now) {
+			return 0, time.Time{}
+		}
+		a.lend(lack, a.crumbsUntil.Sub(now), now)
+		a.crumbs += lack
+	}
+	tokens = a.crumbs.Whole()
+	a.crumbs -= Amount(tokens) * nano
+	a.pulled += Amount(tokens) * nano
+	return tokens, a.crumbsUntil
+}
+
+// noteDemand keeps the list of accounts that had demand lately.
+func (s *Shares) noteDemand(a *Account) {
+	i, found := slices.BinarySearch(s.active, a.organisation)
+	switch {
+	case a.demand > 0 && !found:
+		s.active = slices.Insert(s.active, i, a.organisation)
+	case a.demand == 0 && found:
+		s.active = slices.Delete(s.active, i, i+1)
+	}
+}
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -36,6 +36,14 @@
 }
 
 func (c *Client) sibling(address string) (siblingpb.SiblingClient, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return siblingpb.NewSiblingClient(conn), nil
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn := c.conns[address]
@@ -46,7 +54,7 @@
 		}
 		c.conns[address] = conn
 	}
-	return siblingpb.NewSiblingClient(conn), nil
+	return conn, nil
 }
 
 // Exchange sends a heartbeat and returns the sibling's.
--- /dev/null
+++ b/sibling/siblinggrpc/tokens.go
@@ -0,0 +1,169 @@
+package siblinggrpc
+
+//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/tokens.proto
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+)
+
+// RegisterTokens adds the service for rate shares to a gRPC server.
+func RegisterTokens(s grpc.ServiceRegistrar, loop *control.Loop) {
+	siblingpb.RegisterTokensServer(s, &tokensServer{loop: loop})
+}
+
+type tokensServer struct {
+	siblingpb.UnimplementedTokensServer
+	loop *control.Loop
+}
+
+// Count passes a claim to the control goroutine.
+func (s *tokensServer) Count(ctx context.Context, r *siblingpb.CountRequest) (*siblingpb.CountReply, error) {
+	request := decodeCountRequest(r)
+	reply, err := control.Ask(ctx, s.loop, func(reply chan<- sibling.CountReply) control.Event {
+		return control.CountHeard{Request: request, Reply: reply}
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return encodeCountReply(reply), nil
+}
+
+// Pull passes a request for tokens to the control goroutine.
+func (s *tokensServer) Pull(ctx context.Context, r *siblingpb.PullRequest) (*siblingpb.PullReply, error) {
+	request := sibling.PullRequest{Wants: decodeAmounts(r.GetWants())}
+	reply, err := control.Ask(ctx, s.loop, func(reply chan<- sibling.PullReply) control.Event {
+		return control.PullHeard{Request: request, Reply: reply}
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &siblingpb.PullReply{Grants: encodeAmounts(reply.Grants)}, nil
+}
+
+// Count sends a claim and returns the reply.
+func (c *Client) Count(ctx context.Context, e sibling.SendCount) (sibling.CountReply, error) {
+	conn, err := c.conn(e.To.PeerAddress)
+	if err != nil {
+		return sibling.CountReply{}, err
+	}
+	reply, err := siblingpb.NewTokensClient(conn).Count(ctx, encodeCountRequest(e.Request))
+	if err != nil {
+		return sibling.CountReply{}, translate(err)
+	}
+	return decodeCountReply(reply), nil
+}
+
+// Pull sends a request for tokens and returns the reply.
+func (c *Client) Pull(ctx context.Context, e sibling.SendPull) (sibling.PullReply, error) {
+	conn, err := c.conn(e.To.PeerAddress)
+	if err != nil {
+		return sibling.PullReply{}, err
+	}
+	reply, err := siblingpb.NewTokensClient(conn).Pull(ctx, &siblingpb.PullRequest{Wants: encodeAmounts(e.Request.Wants)})
+	if err != nil {
+		return sibling.PullReply{}, translate(err)
+	}
+	return sibling.PullReply{Grants: decodeAmounts(reply.GetGrants())}, nil
+}
+
+func encodeAmounts(in []sibling.Wanted) []*siblingpb.Amount {
+	out := make([]*siblingpb.Amount, len(in))
+	for i, w := range in {
+		out[i] = &siblingpb.Amount{Organisation: w.Organisation, Nano: int64(w.Amount), LifeMs: uint32(w.Life.Milliseconds())}
+	}
+	return out
+}
+
+func decodeAmounts(in []*siblingpb.Amount) []sibling.Wanted {
+	out := make([]sibling.Wanted, len(in))
+	for i, a := range in {
+		out[i] = sibling.Wanted{
+			Organisation: a.GetOrganisation(), Amount: sibling.Amount(a.GetNano()),
+			Life: time.Duration(a.GetLifeMs()) * time.Millisecond,
+		}
+	}
+	return out
+}
+
+func encodeMember(m sibling.Member) *siblingpb.TokenMember {
+	return &siblingpb.TokenMember{Id: m.ID, Zone: m.Zone, PeerAddress: m.PeerAddress}
+}
+
+func decodeMember(m *siblingpb.TokenMember) sibling.Member {
+	return sibling.Member{ID: m.GetId(), Zone: m.GetZone(), PeerAddress: m.GetPeerAddress()}
+}
+
+func encodeEpochs(in []sibling.Epoch) []*siblingpb.TokenEpoch {
+	var out []*siblingpb.TokenEpoch
+	for _, e := range in {
+		out = append(out, &siblingpb.TokenEpoch{Id: e.ID, Epoch: e.Epoch})
+	}
+	return out
+}
+
+func decodeEpochs(in []*siblingpb.TokenEpoch) []sibling.Epoch {
+	var out []sibling.Epoch
+	for _, e := range in {
+		out = append(out, sibling.Epoch{ID: e.GetId(), Epoch: e.GetEpoch()})
+	}
+	return out
+}
+
+func encodeCountRequest(r sibling.CountRequest) *siblingpb.CountRequest {
+	out := &siblingpb.CountRequest{From: encodeMember(r.From), Order: r.Order}
+	for _, c := range r.Claims {
+		out.Claims = append(out.Claims, &siblingpb.Claim{
+			Group: uint32(c.Group), Epoch: c.Epoch, Phase: uint32(c.Phase), Dropped: encodeEpochs(c.Dropped),
+		})
+	}
+	return out
+}
+
+func decodeCountRequest(r *siblingpb.CountRequest) sibling.CountRequest {
+	out := sibling.CountRequest{From: decodeMember(r.GetFrom()), Order: r.GetOrder()}
+	for _, c := range r.GetClaims() {
+		out.Claims = append(out.Claims, sibling.Claim{
+			Group: int(c.GetGroup()), Epoch: c.GetEpoch(), Phase: sibling.Phase(c.GetPhase()), Dropped: decodeEpochs(c.GetDropped()),
+		})
+	}
+	return out
+}
+
+func encodeCountReply(r sibling.CountReply) *siblingpb.CountReply {
+	out := &siblingpb.CountReply{From: encodeMember(r.From), Order: r.Order, Fraction: r.Fraction}
+	for _, a := range r.Acknowledgements {
+		ack := &siblingpb.Acknowledgement{
+			Group: uint32(a.Group), Epoch: a.Epoch, Counted: a.Counted, Void: a.Void, Phase: uint32(a.Phase),
+			Own: a.Own, Dropped: encodeEpochs(a.Dropped),
+		}
+		for _, m := range a.Members {
+			ack.Members = append(ack.Members, encodeMember(m))
+		}
+		out.Acknowledgements = append(out.Acknowledgements, ack)
+	}
+	return out
+}
+
+func decodeCountReply(r *siblingpb.CountReply) sibling.CountReply {
+	out := sibling.CountReply{From: decodeMember(r.GetFrom()), Order: r.GetOrder(), Fraction: r.GetFraction()}
+	for _, a := range r.GetAcknowledgements() {
+		ack := sibling.Acknowledgement{
+			Group: int(a.GetGroup()), Epoch: a.GetEpoch(), Counted: a.GetCounted(), Void: a.GetVoid(),
+			Phase: sibling.Phase(a.GetPhase()), Own: a.GetOwn(), Dropped: decodeEpochs(a.GetDropped()),
+		}
+		for _, m := range a.GetMembers() {
+			ack.Members = append(ack.Members, decodeMember(m))
+		}
+		out.Acknowledgements = append(out.Acknowledgements, ack)
+	}
+	return out
+}
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -76,7 +76,7 @@
 // Ready reports whether the instance takes new work.
 func (t *Tier) Ready() bool {
 	s := t.snapshots.Snapshot()
-	return s.Configured && !s.Draining
+	return s.Configured && s.Settled && !s.Draining
 }
 
 // Query runs a query. The error, if any, is a *caller.Refusal.
@@ -182,7 +182,7 @@
 	if refusal != nil {
 		return admission{}, refusal
 	}
-	if pool := s.Pools[organisation.Name]; pool == nil || !pool.Take(time.Now()) {
+	if pool := s.Pools[organisation.Name]; pool == nil || !pool.Take(time.Now) {
 		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", organisation.Name)
 	}
 	return admission{snapshot: s, service: svc, organisation: organisation}, nil
