--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -32,7 +32,7 @@
 	demoKey           = "demo-key"
 	instancesPerZone  = 2
 	workersPerClass   = 4
-	readyTimeout      = 10 * time.Second
+	readyTimeout      = 20 * time.Second
 	readyPoll         = 20 * time.Millisecond
 	histogramMaxMicro = int64(60 * time.Second / time.Microsecond)
 	histogramDigits   = 3
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer fleet.Close()
-	platformAddress, stopPlatform, err := startPlatform(fleet)
+	p, platformAddress, stopPlatform, err := startPlatform(fleet)
 	if err != nil {
 		return err
 	}
@@ -62,6 +62,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	var entries []string
+	listed := fleet.Instances
 	for _, zone := range zones {
 		for i := range instancesPerZone {
 			n, err := startNode(group, ctx, fmt.Sprintf("%s-%d", zone, i), zone, platformAddress)
@@ -70,8 +71,13 @@
 				return errors.Join(err, group.Wait())
 			}
 			entries = append(entries, n.CallersAddress())
+			listed = append(listed, n.Instance())
 		}
 	}
+	if err := p.PublishInstances(&platform.InstanceList{Revision: 2, Instances: listed}); err != nil {
+		cancel()
+		return errors.Join(err, group.Wait())
+	}
 	err = waitReady(ctx, entries)
 	if err == nil {
 		err = drive(ctx, out, entries, duration)
@@ -80,22 +86,22 @@
 	return errors.Join(err, group.Wait())
 }
 
-func startPlatform(fleet *standin.Fleet) (string, func(), error) {
+func startPlatform(fleet *standin.Fleet) (*standin.Platform, string, func(), error) {
 	p := standin.NewPlatform()
 	doc := Document()
 	if err := p.PublishDocument(doc); err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	if err := p.PublishInstances(&platform.InstanceList{Revision: 1, Instances: fleet.Instances}); err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		return nil, "", nil, err
 	}
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), func() { _ = server.Close() }, nil
+	return p, listener.Addr().String(), func() { _ = server.Close() }, nil
 }
 
 // Document returns the document of the demo.
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -20,6 +20,7 @@
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/operator"
 	"dogwooddrift.org/drift/operator/operatorhttp"
+	"dogwooddrift.org/drift/platform"
 	"dogwooddrift.org/drift/platform/platformhttp"
 	"dogwooddrift.org/drift/sibling/siblinggrpc"
 	"dogwooddrift.org/drift/target/targethttp"
@@ -98,6 +99,14 @@
 // OperatorsAddress returns the address that operators use.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
+// Instance returns the entry of the platform's list that describes this node.
+func (n *Node) Instance() platform.Instance {
+	return platform.Instance{
+		ID: n.settings.ID, Kind: platform.KindEntry, Zone: n.settings.Zone, Address: n.CallersAddress(),
+		PeerAddress: n.peers.Addr().String(), State: platform.StateLive,
+	}
+}
+
 // Run serves until ctx ends, then stops gracefully: unready first, then no new work, then running requests
 // finish. abort, when it ends, cuts the stop short.
 func (n *Node) Run(ctx, abort context.Context) error {
