--- a/caller/pool.go
+++ b/caller/pool.go
@@ -22,10 +22,11 @@
 
 func (e *Expiry) passed(now time.Time) bool { return !now.Before(*e.at.Load()) }
 
-// lot is a number of tokens with one expiry. An expiry never changes hands: a taker that paused after it took a
+// Lot is a number of tokens with one expiry. An expiry never changes hands: a taker that paused after it took a
 // token checks the expiry of that token, never that of a later deposit.
-type lot struct {
+type Lot struct {
 	tokens  atomic.Int64
+	pending atomic.Int64 // takers that may hold a token but have not yet checked its expiry
 	expires *Expiry
 }
 
@@ -33,8 +34,8 @@
 // traffic spends. Tokens are of two kinds: own tokens belong to this instance's share, pulled tokens to the
 // share of a sibling.
 type TokenPool struct {
-	own     atomic.Pointer[lot]
-	pulled  atomic.Pointer[[]*lot] // replaced, never changed in place
+	own     atomic.Pointer[Lot]
+	pulled  atomic.Pointer[[]*Lot] // replaced, never changed in place
 	spent   atomic.Int64
 	refused atomic.Int64
 }
@@ -59,7 +60,9 @@
 	return false
 }
 
-func (l *lot) take(clock func() time.Time) bool {
+func (l *Lot) take(clock func() time.Time) bool {
+	l.pending.Add(1)
+	defer l.pending.Add(-1)
 	for {
 		n := l.tokens.Load()
 		if n < 1 || l.expires.passed(clock()) {
@@ -71,39 +74,49 @@
 	}
 }
 
+// Unspent returns the tokens that are left or may be about to be spent.
+func (l *Lot) Unspent() int64 {
+	// The order matters: a token that left the first counter is in the second until it is spent.
+	n := l.tokens.Load()
+	return n + l.pending.Load()
+}
+
+// Withdraw takes back all tokens that are left.
+func (l *Lot) Withdraw() int64 { return l.tokens.Swap(0) }
+
 // Deposit adds own tokens. Only control calls it. A change of the expiry's identity needs a Withdraw first.
 func (p *TokenPool) Deposit(tokens int64, expires *Expiry) {
 	if l := p.own.Load(); l != nil && l.expires == expires {
 		l.tokens.Add(tokens)
 		return
 	}
-	l := &lot{expires: expires}
+	l := &Lot{expires: expires}
 	l.tokens.Store(tokens)
 	p.own.Store(l)
 }
 
-// Withdraw takes back all unspent own tokens. Only control calls it.
+// Withdraw takes back all own tokens that are left. Only control calls it.
 func (p *TokenPool) Withdraw() int64 {
-	if l := p.own.Swap(nil); l != nil {
-		return l.tokens.Swap(0)
+	if l := p.own.Load(); l != nil {
+		return l.Withdraw()
 	}
 	return 0
 }
 
-// Unspent returns the own tokens that are left.
+// Unspent returns the own tokens that are left or may be about to be spent.
 func (p *TokenPool) Unspent() int64 {
 	if l := p.own.Load(); l != nil {
-		return l.tokens.Load()
+		return l.Unspent()
 	}
 	return 0
 }
 
 // DepositPulled adds tokens of a sibling's share that expire at the given time, and forgets the lots that have
 // expired or are spent. Only control calls it.
-func (p *TokenPool) DepositPulled(tokens int64, expires, now time.Time) {
-	l := &lot{expires: NewExpiry(expires)}
+func (p *TokenPool) DepositPulled(tokens int64, expires, now time.Time) *Lot {
+	l := &Lot{expires: NewExpiry(expires)}
 	l.tokens.Store(tokens)
-	keep := []*lot{l}
+	keep := []*Lot{l}
 	if lots := p.pulled.Load(); lots != nil {
 		for _, old := range *lots {
 			if old.tokens.Load() > 0 && !old.expires.passed(now) {
@@ -112,8 +125,9 @@
 		}
 	}
 	// The lot that expires first is spent first.
-	slices.SortStableFunc(keep, func(a, b *lot) int { return a.expires.at.Load().Compare(*b.expires.at.Load()) })
+	slices.SortStableFunc(keep, func(a, b *Lot) int { return a.expires.at.Load().Compare(*b.expires.at.Load()) })
 	p.pulled.Store(&keep)
+	return l
 }
 
 // Pulled returns the unspent tokens of siblings' shares that have not expired.
--- a/cmd/internal/node/rates.go
+++ b/cmd/internal/node/rates.go
@@ -37,7 +37,7 @@
 		return
 	}
 	if len(reply.Grants) > 0 {
-		n.loop.Post(control.PullAnswered{Reply: reply, Sent: sent})
+		n.loop.Post(control.PullAnswered{From: e.To.ID, Reply: reply, Sent: sent})
 	}
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -52,6 +52,8 @@
 type Identity struct {
 	ID   string
 	Zone string
+	// StaticRates replaces rate shares by a static split over the listed instances, for comparison.
+	StaticRates bool
 }
 
 // State is the control state of one instance. It belongs to one goroutine.
@@ -95,7 +97,7 @@
 	s.rates.start(s.self, s.rng, now)
 	e.apply(s, now)
 	s.rateEffects(s.rates.step(now))
-	if settled := s.rates.shares.Settled(now); settled != s.settled {
+	if settled := s.rates.shares.Joined(now); settled != s.settled {
 		s.settled, s.changed = settled, true
 	}
 	s.heartbeat(now)
--- a/control/rates.go
+++ b/control/rates.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
@@ -43,6 +44,7 @@
 
 // PullAnswered is the reply to a request for tokens. Sent was read before the request was sent.
 type PullAnswered struct {
+	From  string
 	Reply sibling.PullReply
 	Sent  time.Time
 }
@@ -62,7 +64,7 @@
 
 func (e PullHeard) apply(s *State, now time.Time) { e.Reply <- s.rates.grant(e.Request, now) }
 
-func (e PullAnswered) apply(s *State, now time.Time) { s.rates.pulled(e.Reply, e.Sent, now) }
+func (e PullAnswered) apply(s *State, now time.Time) { s.rates.pulled(e, now) }
 
 func (e InstancesConfirmed) apply(s *State, _ time.Time) {
 	if s.list == nil || s.list.Revision.Supersedes(e.Revision) {
@@ -76,6 +78,8 @@
 	// idleSettleInterval is how often an organisation without traffic is settled. Its pool is refilled by then.
 	idleSettleInterval = 250 * time.Millisecond
 	busyTime           = 2 * time.Second
+	// returnPart is the last part of a token's life, in which it goes back to its giver.
+	returnPart = 0.25
 )
 
 // rates joins the rate shares with the token pools that traffic spends from.
@@ -99,6 +103,17 @@
 	requests  int64 // spent and refused at the last settlement
 	settled   time.Time
 	busyUntil time.Time
+	lots      []*pulledLot
+}
+
+// pulledLot is a whole grant of a sibling that can be settled before it expires.
+type pulledLot struct {
+	lot      *caller.Lot
+	giver    string
+	loan     uint64
+	returned int64
+	back     time.Time // when unspent tokens go back
+	expires  time.Time
 }
 
 func newRates() *rates {
@@ -109,6 +124,9 @@
 func (r *rates) start(self Identity, rng *rand.Rand, now time.Time) {
 	if r.shares == nil {
 		r.shares = sibling.NewShares(self.ID, self.Zone, rng, now)
+		if self.StaticRates {
+			r.shares.Static()
+		}
 	}
 }
 
@@ -174,6 +192,7 @@
 
 func (r *rates) settle(p *purse, requests int64, now time.Time) {
 	a := p.account
+	r.settleLots(p, now)
 	stock := sibling.Stock{
 		Own: p.pool.Unspent(), Pulled: p.pool.Pulled(now),
 		Demand: float64(requests - p.requests), Elapsed: now.Sub(p.settled),
@@ -185,14 +204,12 @@
 func (r *rates) deposit(p *purse, tokens int64, now time.Time) {
 	switch {
 	case tokens < 0:
-		r.shares.Returned(p.account, p.pool.Withdraw())
+		r.withdraw(p)
 	case tokens > 0:
 		number, _ := r.shares.Lease(p.account.Group())
 		p.pool.Deposit(tokens, r.expiry[epoch{p.account.Group(), number}])
 	}
-	if n, expires := r.shares.Combine(p.account, now); n > 0 {
-		p.pool.DepositPulled(n, expires, now)
-	}
+	r.combine(p, now)
 }
 
 // grant answers a request for tokens. Own tokens leave the pool before any are promised to a sibling.
@@ -205,30 +222,64 @@
 			continue
 		}
 		r.settle(p, p.pool.Spent()+p.pool.Refused(), now)
-		r.shares.Returned(p.account, p.pool.Withdraw())
-		if want.Amount = r.shares.Grant(want, now); want.Amount > 0 {
-			reply.Grants = append(reply.Grants, want)
+		r.withdraw(p)
+		if amount, loan := r.shares.Grant(want, now); amount > 0 {
+			reply.Grants = append(reply.Grants, sibling.Wanted{
+				Organisation: want.Organisation, Amount: amount, Life: want.Life, Loan: loan,
+			})
 		}
 		r.settle(p, p.requests, now)
 	}
 	return reply
 }
 
-func (r *rates) pulled(reply sibling.PullReply, sent, now time.Time) {
-	for _, grant := range reply.Grants {
+func (r *rates) pulled(e PullAnswered, now time.Time) {
+	for _, grant := range e.Reply.Grants {
 		p := r.purses[grant.Organisation]
 		if p == nil {
 			continue
 		}
-		if n, expires := r.shares.Pulled(grant, sent, now); n > 0 {
-			p.pool.DepositPulled(n, expires, now)
-		}
-		if n, expires := r.shares.Combine(p.account, now); n > 0 {
-			p.pool.DepositPulled(n, expires, now)
+		if n, expires := r.shares.Pulled(grant, e.Sent, now); n > 0 {
+			lot := p.pool.DepositPulled(n, expires, now)
+			if grant.Loan != 0 {
+				back := expires.Add(-time.Duration(float64(grant.Life) * returnPart))
+				p.lots = append(p.lots, &pulledLot{lot: lot, giver: e.From, loan: grant.Loan, back: back, expires: expires})
+			}
 		}
+		r.combine(p, now)
 	}
 }
 
+// combine deposits the whole tokens that pulled fractions add up to.
+func (r *rates) combine(p *purse, now time.Time) {
+	if n, expires := r.shares.Combine(p.account, now); n > 0 {
+		p.pool.DepositPulled(n, expires, now)
+	}
+}
+
+// withdraw takes the own tokens back from traffic.
+func (r *rates) withdraw(p *purse) {
+	n := p.pool.Withdraw()
+	r.shares.Returned(p.account, n, p.pool.Unspent())
+}
+
+// settleLots reports lots that are spent, and takes back and reports those that traffic will hardly spend.
+func (r *rates) settleLots(p *purse, now time.Time) {
+	p.lots = slices.DeleteFunc(p.lots, func(l *pulledLot) bool {
+		if !now.Before(l.expires) {
+			return true
+		}
+		if !now.Before(l.back) {
+			l.returned += l.lot.Withdraw()
+		}
+		if l.lot.Unspent() > 0 {
+			return false
+		}
+		r.shares.Settled(p.account, l.giver, sibling.Settlement{Loan: l.loan, Returned: l.returned})
+		return true
+	})
+}
+
 func (r *rates) pool(organisation string) *caller.TokenPool {
 	if p := r.purses[organisation]; p != nil {
 		return p.pool
--- a/sibling/shares.go
+++ b/sibling/shares.go
@@ -45,12 +45,16 @@
 	// for it. Documents are in force everywhere within 4 s.
 	documentHold = 5 * time.Second
 
-	pullInterval = 100 * time.Millisecond
-	demandWindow = 500 * time.Millisecond
-	lifePerBurst = 0.4
-	stockPerLife = 0.6 // part of a token's life for which a puller keeps stock
-	maxPulls     = 16  // siblings asked in one round
-	nano         = 1_000_000_000
+	// settleTime is how long an instance that joined waits before it reports ready, so that its pools fill.
+	settleTime = 500 * time.Millisecond
+
+	pullInterval  = 100 * time.Millisecond
+	demandWindow  = 500 * time.Millisecond
+	lifePerBurst  = 0.4
+	stockPerLife  = 0.6 // part of a token's life for which a puller keeps stock
+	stockPerBurst = 0.4 // part of the fleet's burst that one puller may keep in stock
+	maxPulls      = 16  // siblings asked in one round
+	nano          = 1_000_000_000
 )
 
 // Amount is a number of tokens in units of 1e-9 token. Integers keep the accounting exact.
@@ -70,6 +74,16 @@
 	Organisation string
 	Amount       Amount
 	Life         time.Duration
+	// Loan names a grant that the puller can settle before it expires; zero if it cannot.
+	Loan uint64
+	// Settled lists earlier grants of the receiver that are spent or come back.
+	Settled []Settlement
+}
+
+// Settlement says that no token of a loan can be spent any more, and how many were never spent.
+type Settlement struct {
+	Loan     uint64
+	Returned int64
 }
 
 // PullRequest asks for tokens of any number of organisations.
@@ -125,14 +139,16 @@
 	accrued      time.Time
 	crumbs       Amount // pulled fractions of a token
 	crumbsUntil  time.Time
-	demand       float64 // requests a second, smoothed
-	granted      Amount  // since the last round of pulls
-	asked        Amount  // in the last round of pulls
-	pulled       Amount  // whole pulled tokens in the pool
-	wide         bool    // ask other zones too
+	demand       float64                 // requests a second, smoothed
+	granted      Amount                  // since the last round of pulls
+	asked        Amount                  // in the last round of pulls
+	pulled       Amount                  // whole pulled tokens in the pool
+	wide         int                     // rounds for which other zones are asked too
+	settled      map[string][]Settlement // to report, by giver
 }
 
 type loan struct {
+	id     uint64
 	amount Amount
 	until  time.Time
 }
@@ -165,6 +181,9 @@
 
 // share returns this instance's part of a fleet-wide value.
 func (s *Shares) share(a *Account, value float64) float64 {
+	if s.static {
+		return value / float64(max(len(s.members), 1))
+	}
 	return value * s.fraction.inForce / float64(a.set.size())
 }
 
@@ -190,6 +209,7 @@
 	active   []string              // organisations with demand, sorted
 	nextPull time.Time
 	draining bool
+	static   bool
 
 	started       time.Time
 	confirmed     time.Time // when the last read of the platform's list that contains this instance was sent
@@ -211,6 +231,15 @@
 	return s
 }
 
+// Static makes the shares a static split: every listed instance owns the same part of every rate, without
+// accounting sets and transfers. It is kept for comparison; it breaks the bound while lists differ.
+func (s *Shares) Static() {
+	s.static = true
+	for _, set := range s.sets {
+		set.phase = PhaseActive
+	}
+}
+
 // Configure applies a document.
 func (s *Shares) Configure(doc *platform.Document, now time.Time) {
 	value := 0.0
@@ -304,9 +333,9 @@
 // Drain begins the planned leave.
 func (s *Shares) Drain() { s.draining = true }
 
-// Settled reports whether this instance has joined its sets, holds none, or has tried for long enough. Until
+// Joined reports whether this instance has joined its sets, holds none, or has tried for long enough. Until
 // then callers are better served by others.
-func (s *Shares) Settled(now time.Time) bool {
+func (s *Shares) Joined(now time.Time) bool {
 	if now.Sub(s.started) > bootstrapWait+2*countInterval {
 		return true
 	}
@@ -314,7 +343,8 @@
 		return false
 	}
 	for _, set := range s.sets {
-		if set.phase == PhaseJoining || (set.phase == PhaseOut && s.holds(set)) {
+		// The pools fill in the second after the join.
+		if set.phase == PhaseJoining || (set.phase == PhaseOut || now.Sub(set.since) < settleTime) && s.holds(set) {
 			return false
 		}
 	}
@@ -384,9 +414,10 @@
 	return whole
 }
 
-// Returned takes back own tokens that were withdrawn. Tokens of an earlier epoch are void.
-func (s *Shares) Returned(a *Account, tokens int64) {
-	a.deposited = 0
+// Returned takes back own tokens that were withdrawn; left are those that takers may still spend. Tokens of an
+// earlier epoch are void.
+func (s *Shares) Returned(a *Account, tokens, left int64) {
+	a.deposited = Amount(left) * nano
 	if a.epoch == a.set.epoch && a.set.phase == PhaseActive && !a.set.stopping {
 		a.level += max(0, min(Amount(tokens)*nano, s.cap(a)-a.held()))
 	}
@@ -402,11 +433,11 @@
 	})
 }
 
-func (a *Account) lend(amount Amount, life time.Duration, now time.Time) {
+func (a *Account) lend(id uint64, amount Amount, life time.Duration, now time.Time) {
 	a.level -= amount
 	a.lentSum += amount
 	hold := time.Duration(float64(life)*clockSlack*clockSlack) + time.Millisecond
-	a.lent = append(a.lent, loan{amount: amount, until: now.Add(hold)})
+	a.lent = append(a.lent, loan{id: id, amount: amount, until: now.Add(hold)})
 }
 
 // available reports whether the account may give.
@@ -415,18 +446,47 @@
 }
 
 // Grant answers one want from the account's level; own tokens in the pool must have been Returned before. Half
-// of what this instance itself expects to need soon stays.
-func (s *Shares) Grant(want Wanted, now time.Time) Amount {
+// of what this instance itself expects to need soon stays. A grant of one token or more is whole, so that the
+// puller can settle it.
+func (s *Shares) Grant(want Wanted, now time.Time) (amount Amount, loan uint64) {
 	a := s.accounts[want.Organisation]
 	if a == nil || !a.available(now) || want.Life <= 0 || want.Life > maxTokenLife {
-		return 0
+		return 0, 0
 	}
 	a.expire(now)
+	for _, settled := range want.Settled {
+		a.settleLoan(settled, s.cap(a))
+	}
 	reserve := Tokens(a.demand * minTokenLife.Seconds() / 2)
-	amount := min(want.Amount, a.level-reserve)
+	amount = min(want.Amount, a.level-reserve)
+	if amount >= nano {
+		amount = Amount(amount.Whole()) * nano
+		s.order++
+		loan = s.order
+	}
 	if amount <= 0 {
-		return 0
+		return 0, 0
+	}
+	a.lend(loan, amount, want.Life, now)
+	return amount, loan
+}
+
+// settleLoan ends a loan early. A loan that has expired, or was settled before, changes nothing.
+func (a *Account) settleLoan(settled Settlement, limit Amount) {
+	i := slices.IndexFunc(a.lent, func(l loan) bool { return settled.Loan != 0 && l.id == settled.Loan })
+	if i < 0 || settled.Returned < 0 {
+		return
+	}
+	amount := a.lent[i].amount
+	a.lent = slices.Delete(a.lent, i, i+1)
+	a.lentSum -= amount
+	a.level += max(0, min(Amount(settled.Returned)*nano, amount, limit-a.held()))
+}
+
+// Settled notes that a grant of the giver is spent or comes back. The next round of pulls reports it.
+func (s *Shares) Settled(a *Account, giver string, settled Settlement) {
+	if a.settled == nil {
+		a.settled = map[string][]Settlement{}
 	}
-	a.lend(amount, want.Life, now)
-	return amount
+	a.settled[giver] = append(a.settled[giver], settled)
 }
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -5,11 +5,20 @@
 	"time"
 )
 
-const confirmInterval = time.Second
+const (
+	confirmInterval = time.Second
+	wideRounds      = 30
+)
 
 // Tick moves the sets on and returns the messages that are due.
 func (s *Shares) Tick(now time.Time) []ShareEffect {
 	s.fraction.settle(now)
+	if s.static {
+		for _, set := range s.sets {
+			set.leaseUntil = now.Add(ShareLease)
+		}
+		return nil
+	}
 	confirm := false
 	for _, set := range s.sets {
 		s.step(set, now)
@@ -29,7 +38,7 @@
 }
 
 // pull asks other holders for what the expected demand needs beyond the stock: those of this zone first, and
-// those of the other zones too when the round before brought less than half of what was asked for. All
+// those of the other zones too for wideRounds after a round that brought less than half of what was asked for. All
 // organisations share one message to a sibling. An organisation without demand causes none.
 func (s *Shares) pull() []ShareEffect {
 	wants := map[string]*SendPull{}
@@ -39,31 +48,47 @@
 		if a == nil || a.demand == 0 {
 			continue
 		}
-		short := a.granted < a.asked/2
-		if a.asked > 0 {
-			a.wide = short || a.wide && a.granted < a.asked
+		if a.wide > 0 {
+			a.wide--
+		} else if a.granted < a.asked/2 {
+			a.wide = wideRounds
 		}
 		a.granted, a.asked = 0, 0
 		life := a.tokenLife()
-		want := Tokens(a.demand*life.Seconds()*stockPerLife+1) - a.deposited - a.pulled - a.level - a.crumbs
-		if want <= 0 || s.draining {
-			continue
-		}
-		from := s.givers(a)
-		if len(from) == 0 {
-			a.wide = true
-			continue
+		stock := min(a.demand*life.Seconds()*stockPerLife, a.burst*stockPerBurst)
+		want := Tokens(stock+1) - a.deposited - a.pulled - a.level - a.crumbs
+		settled := a.settled
+		a.settled = nil
+		var from Members
+		var part Amount
+		if want > 0 && !s.draining {
+			if from = s.givers(a); len(from) == 0 {
+				a.wide = wideRounds
+			} else {
+				a.asked = want
+				part = want/Amount(len(from)) + want/Amount(2*len(from)) + 1
+			}
 		}
-		a.asked = want
-		part := want/Amount(len(from)) + want/Amount(2*len(from)) + 1
-		for _, m := range from {
+		ask := func(m Member, amount Amount) {
 			send := wants[m.ID]
 			if send == nil {
 				send = &SendPull{To: m}
 				wants[m.ID] = send
 				order = append(order, m.ID)
 			}
-			send.Request.Wants = append(send.Request.Wants, Wanted{Organisation: a.organisation, Amount: part, Life: life})
+			send.Request.Wants = append(send.Request.Wants, Wanted{
+				Organisation: a.organisation, Amount: amount, Life: life, Settled: settled[m.ID],
+			})
+		}
+		for _, m := range from {
+			ask(m, part)
+		}
+		for _, holders := range s.holders[a.set.group] {
+			for _, m := range holders {
+				if settled[m.ID] != nil && !slices.ContainsFunc(from, func(f Member) bool { return f.ID == m.ID }) {
+					ask(m, 0)
+				}
+			}
 		}
 	}
 	out := make([]ShareEffect, 0, len(order))
@@ -77,7 +102,7 @@
 func (s *Shares) givers(a *Account) Members {
 	var out Members
 	for i, holders := range s.holders[a.set.group] {
-		if i > 0 && !a.wide {
+		if i > 0 && a.wide == 0 {
 			break
 		}
 		for _, m := range holders {
@@ -131,7 +156,7 @@
 		if a.level < lack || !a.available(now) {
 			return 0, time.Time{}
 		}
-		a.lend(lack, a.crumbsUntil.Sub(now), now)
+		a.lend(0, lack, a.crumbsUntil.Sub(now), now)
 		a.crumbs += lack
 	}
 	tokens = a.crumbs.Whole()
--- a/sibling/siblinggrpc/tokens.go
+++ b/sibling/siblinggrpc/tokens.go
@@ -78,7 +78,12 @@
 func encodeAmounts(in []sibling.Wanted) []*siblingpb.Amount {
 	out := make([]*siblingpb.Amount, len(in))
 	for i, w := range in {
-		out[i] = &siblingpb.Amount{Organisation: w.Organisation, Nano: int64(w.Amount), LifeMs: uint32(w.Life.Milliseconds())}
+		out[i] = &siblingpb.Amount{
+			Organisation: w.Organisation, Nano: int64(w.Amount), LifeMs: uint32(w.Life.Milliseconds()), Loan: w.Loan,
+		}
+		for _, s := range w.Settled {
+			out[i].Settled = append(out[i].Settled, &siblingpb.Settlement{Loan: s.Loan, Returned: s.Returned})
+		}
 	}
 	return out
 }
@@ -88,7 +93,10 @@
 	for i, a := range in {
 		out[i] = sibling.Wanted{
 			Organisation: a.GetOrganisation(), Amount: sibling.Amount(a.GetNano()),
-			Life: time.Duration(a.GetLifeMs()) * time.Millisecond,
+			Life: time.Duration(a.GetLifeMs()) * time.Millisecond, Loan: a.GetLoan(),
+		}
+		for _, s := range a.GetSettled() {
+			out[i].Settled = append(out[i].Settled, sibling.Settlement{Loan: s.GetLoan(), Returned: s.GetReturned()})
 		}
 	}
 	return out
