--- a/sibling/shares.go
+++ b/sibling/shares.go
@@ -50,7 +50,7 @@
 
 	pullInterval  = 100 * time.Millisecond
 	demandWindow  = 500 * time.Millisecond
-	lifePerBurst  = 0.4
+	lifePerBurst  = 0.8
 	stockPerLife  = 0.6 // part of a token's life for which a puller keeps stock
 	stockPerBurst = 0.4 // part of the fleet's burst that one puller may keep in stock
 	maxPulls      = 16  // siblings asked in one round
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -8,6 +8,8 @@
 const (
 	confirmInterval = time.Second
 	wideRounds      = 30
+	// spareTokens is stock beyond the expected demand, for organisations whose rate is a few requests a second.
+	spareTokens = 2
 )
 
 // Tick moves the sets on and returns the messages that are due.
@@ -56,7 +58,7 @@
 		a.granted, a.asked = 0, 0
 		life := a.tokenLife()
 		stock := min(a.demand*life.Seconds()*stockPerLife, a.burst*stockPerBurst)
-		want := Tokens(stock+1) - a.deposited - a.pulled - a.level - a.crumbs
+		want := Tokens(stock+spareTokens) - a.deposited - a.pulled - a.level - a.crumbs
 		settled := a.settled
 		a.settled = nil
 		var from Members
