--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -70,7 +70,7 @@
 	n.targets = targethttp.New(client)
 	n.platform = platformhttp.New(s.Platform, &http.Client{})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone}, rng))
+	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, StaticRates: s.StaticRates}, rng))
 	n.tier = traffic.New(n.loop, n.targets)
 	for _, l := range []struct {
 		listener *net.Listener
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	Listen   Listen `yaml:"listen"`
 	Drain    Drain  `yaml:"drain"`
 	Log      Log    `yaml:"log"`
+	// StaticRates replaces rate shares by a static split over the listed instances, for comparison.
+	StaticRates bool `yaml:"static_rates"`
 }
 
 // Listen holds the addresses of the instance, each an IP number with a port.
--- a/control/rates_test.go
+++ b/control/rates_test.go
@@ -61,8 +61,8 @@
 		static, shares := eight(true, c.rate, c.burst), eight(false, c.rate, c.burst)
 		shares.ideal = &bucket{rate: c.rate, burst: c.burst, level: c.burst}
 		static.ideal = &bucket{rate: c.rate, burst: c.burst, level: c.burst}
-		a := static.offer(static.instances[0], 0.9*c.rate, 30*time.Second)
-		b := shares.offer(shares.instances[0], 0.9*c.rate, 30*time.Second)
-		t.Logf("rate %v burst %v: static split refuses %.3f%%, shares %.3f%%, %d pulls in 30 s", c.rate, c.burst, 100*a, 100*b, shares.pulls)
+		a := static.offer(static.instances[0], 0.9*c.rate, 120*time.Second)
+		b := shares.offer(shares.instances[0], 0.9*c.rate, 120*time.Second)
+		t.Logf("rate %v burst %v: static split refuses %.3f%%, shares %.3f%%, %d pulls in 120 s", c.rate, c.burst, 100*a, 100*b, shares.pulls)
 	}
 }
--- a/sibling/shares.go
+++ b/sibling/shares.go
@@ -446,8 +446,8 @@
 }
 
 // Grant answers one want from the account's level; own tokens in the pool must have been Returned before. Half
-// of what this instance itself expects to need soon stays. A grant of one token or more is whole, so that the
-// puller can settle it.
+// of what this instance itself expects to need soon stays. Grants are whole tokens, which the puller can settle, unless
+// it asks for less or the account can never hold one.
 func (s *Shares) Grant(want Wanted, now time.Time) (amount Amount, loan uint64) {
 	a := s.accounts[want.Organisation]
 	if a == nil || !a.available(now) || want.Life <= 0 || want.Life > maxTokenLife {
@@ -459,12 +459,12 @@
 	}
 	reserve := Tokens(a.demand * minTokenLife.Seconds() / 2)
 	amount = min(want.Amount, a.level-reserve)
-	if amount >= nano {
+	switch {
+	case amount >= nano:
 		amount = Amount(amount.Whole()) * nano
 		s.order++
 		loan = s.order
-	}
-	if amount <= 0 {
+	case amount <= 0 || want.Amount >= nano && s.cap(a) >= nano:
 		return 0, 0
 	}
 	a.lend(loan, amount, want.Life, now)
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -68,7 +68,16 @@
 				a.wide = wideRounds
 			} else {
 				a.asked = want
-				part = want/Amount(len(from)) + want/Amount(2*len(from)) + 1
+				// Fewer siblings are asked for whole tokens rather than all of them for fractions.
+				n := int(want/nano) + 1
+				if fragments := a.deposited+a.pulled+a.level < nano; fragments {
+					// What is left lies in fractions at many holders.
+					part = nano - 1
+				} else if n < len(from) {
+					s.rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+					from, part = from[:n], nano
+				}
+				part = max(part, want/Amount(len(from))+want/Amount(2*len(from)))
 			}
 		}
 		ask := func(m Member, amount Amount) {
