--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -126,6 +126,9 @@
 
 func (s *sim) publishDocument(d *platform.Document) {
 	d.Revision = platform.Revision(len(s.documents) + 1)
+	if err := d.Validate(); err != nil {
+		panic(err)
+	}
 	s.documents = append(s.documents, published[*platform.Document]{s.now, d})
 }
 
@@ -173,10 +176,13 @@
 	if in.dead {
 		return
 	}
-	if in.running() && !in.platformCut {
+	if in.running() {
+		// Siblings spread the document, so an instance that is cut off from the platform has it too.
 		if d := visible(s.documents, s.now-in.lag); d != nil {
 			in.step(DocumentRead{Document: d})
 		}
+	}
+	if in.running() && !in.platformCut {
 		if l := visible(s.lists, s.now-in.lag); l != nil {
 			in.step(InstancesRead{List: l})
 		}
--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"dogwooddrift.org/drift/platform"
 )
 
 // Phase is the part that an instance takes in an accounting set.
@@ -66,7 +68,9 @@
 	From  Member
 	Order uint64
 	// Fraction is the part of the rates that the replier's zone has in force.
-	Fraction         float64
+	Fraction float64
+	// Document is the revision that the replier has in force.
+	Document         platform.Revision
 	Acknowledgements []Acknowledgement
 }
 
@@ -365,7 +369,7 @@
 // Count answers a sibling's claims.
 func (s *Shares) Count(r CountRequest, now time.Time) CountReply {
 	s.order++
-	reply := CountReply{From: s.me, Order: s.order, Fraction: s.fraction.inForce}
+	reply := CountReply{From: s.me, Order: s.order, Fraction: s.fraction.inForce, Document: s.document}
 	if reply.From.ID == "" {
 		reply.From = Member{ID: s.self, Zone: s.zone}
 	}
@@ -435,7 +439,8 @@
 		p.order, p.epoch, p.heard = r.Order, ack.Own, now
 		p.phase, p.members, p.dropped = ack.Phase, ack.Members, ack.Dropped
 		p.counted = ack.Phase != PhaseOut
-		if ack.Counted && sent.After(p.acked) {
+		// A process that paused for long must not go on with the rates of an old document.
+		if ack.Counted && sent.After(p.acked) && !r.Document.Supersedes(s.document) {
 			p.acked = sent
 		}
 		if set.phase == PhaseJoining && ack.Phase == PhaseActive && r.Fraction < s.fraction.inForce {
--- a/sibling/siblinggrpc/tokens.go
+++ b/sibling/siblinggrpc/tokens.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/platform"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
@@ -147,7 +148,7 @@
 }
 
 func encodeCountReply(r sibling.CountReply) *siblingpb.CountReply {
-	out := &siblingpb.CountReply{From: encodeMember(r.From), Order: r.Order, Fraction: r.Fraction}
+	out := &siblingpb.CountReply{From: encodeMember(r.From), Order: r.Order, Fraction: r.Fraction, DocumentRevision: uint64(r.Document)}
 	for _, a := range r.Acknowledgements {
 		ack := &siblingpb.Acknowledgement{
 			Group: uint32(a.Group), Epoch: a.Epoch, Counted: a.Counted, Void: a.Void, Phase: uint32(a.Phase),
@@ -162,7 +163,7 @@
 }
 
 func decodeCountReply(r *siblingpb.CountReply) sibling.CountReply {
-	out := sibling.CountReply{From: decodeMember(r.GetFrom()), Order: r.GetOrder(), Fraction: r.GetFraction()}
+	out := sibling.CountReply{From: decodeMember(r.GetFrom()), Order: r.GetOrder(), Fraction: r.GetFraction(), Document: platform.Revision(r.GetDocumentRevision())}
 	for _, a := range r.GetAcknowledgements() {
 		ack := sibling.Acknowledgement{
 			Group: int(a.GetGroup()), Epoch: a.GetEpoch(), Counted: a.GetCounted(), Void: a.GetVoid(),
