--- /dev/null
+++ b/caller/pool_test.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against tokens that come into being between take, withdraw and deposit.
+func TestPoolNeitherCreatesNorLosesTokens(t *testing.T) {
+	const deposits, each, takers = 2000, 3, 4
+	var p TokenPool
+	now := time.Unix(100, 0)
+	clock := func() time.Time { return now }
+	expiry := NewExpiry(now.Add(time.Hour))
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for range takers {
+		running.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					p.Take(clock)
+				}
+			}
+		})
+	}
+	var withdrawn int64
+	for range deposits {
+		p.Deposit(each, expiry)
+		withdrawn += p.Withdraw()
+	}
+	close(stop)
+	running.Wait()
+	withdrawn += p.Withdraw()
+	if got := p.Spent() + withdrawn; got != deposits*each {
+		t.Fatalf("%d spent and %d withdrawn of %d deposited", p.Spent(), withdrawn, deposits*each)
+	}
+}
+
+// Guards against a process that pauses between the check of the expiry and the spend. The clock moves at its
+// second reading, which must come after the token was taken.
+func TestPausedTakerDoesNotSpendExpiredToken(t *testing.T) {
+	start := time.Unix(100, 0)
+	var p TokenPool
+	expiry := NewExpiry(start.Add(time.Second))
+	p.Deposit(1, expiry)
+	readings := 0
+	paused := func() time.Time {
+		readings++
+		if readings == 1 {
+			return start
+		}
+		// Meanwhile control woke too, and made a new deposit of a new membership.
+		p.Withdraw()
+		expiry.Set(time.Time{})
+		p.Deposit(1, NewExpiry(start.Add(time.Hour)))
+		return start.Add(time.Minute)
+	}
+	if p.Take(paused) {
+		t.Fatal("a token was spent after it had expired")
+	}
+	if readings < 2 {
+		t.Fatal("the clock was not read again after the token was taken")
+	}
+}
+
+// Guards against a token that is counted as spent before its request was admitted: control would accrue another
+// in its place.
+func TestTokenBeingTakenCountsAsUnspent(t *testing.T) {
+	var p TokenPool
+	now := time.Unix(100, 0)
+	lot := p.DepositPulled(1, now.Add(time.Second), now)
+	p.Deposit(1, NewExpiry(now.Add(time.Second)))
+	readings := 0
+	p.Take(func() time.Time {
+		if readings++; readings == 2 && lot.Unspent() != 1 {
+			t.Errorf("%d unspent while a taker holds the token, want 1", lot.Unspent())
+		}
+		return now
+	})
+	if lot.Unspent() != 0 || p.Unspent() != 1 {
+		t.Fatalf("%d pulled and %d own unspent after one spend, want 0 and 1", lot.Unspent(), p.Unspent())
+	}
+}
