--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -21,6 +21,10 @@
 const (
 	countInterval = time.Second
 	joinInterval  = 200 * time.Millisecond
+	// lapseLimit is how long a lease may have ended before the instance joins again as if it were new. Others
+	// remove it no earlier than shareHold after they heard it, 9.9 s on a fast clock; ShareLease and lapseLimit
+	// are 8.08 s on a slow one.
+	lapseLimit = 5 * time.Second
 )
 
 // Epoch is one membership of an instance in a set.
@@ -133,7 +137,8 @@
 func (s *set) drops() []Epoch {
 	var out []Epoch
 	for id, p := range s.peers {
-		if p.marked != 0 && p.counted {
+		// Those already removed here stay in the list, since others still need this vote.
+		if p.marked != 0 {
 			out = append(out, Epoch{ID: id, Epoch: p.marked})
 		}
 	}
@@ -285,7 +290,13 @@
 	case len(acks) >= needed && acks[needed-1].After(basis):
 		basis = acks[needed-1]
 	}
-	set.leaseUntil = basis.Add(ShareLease)
+	if until := basis.Add(ShareLease); now.Sub(until) < lapseLimit {
+		set.leaseUntil = until
+		return
+	}
+	if !set.leaseUntil.IsZero() {
+		set.begin(PhaseJoining, now)
+	}
 }
 
 // forget drops silent unlisted peers while this instance has no share, since it asks again before it has one.
@@ -311,6 +322,10 @@
 func (s *Shares) remove(set *set, now time.Time) {
 	n := set.size()
 	for id, p := range set.peers {
+		if !p.counted && now.Sub(p.heard) >= orphanHold {
+			delete(set.peers, id)
+			continue
+		}
 		if !p.counted || now.Sub(p.heard) < shareHold || s.unlistedFor(id, now) < shareHold {
 			continue
 		}
--- /dev/null
+++ b/sibling/shares_test.go
@@ -0,0 +1,293 @@
+package sibling
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+)
+
+// trio is three instances of one zone that exchange claims without delay.
+type trio struct {
+	t      *testing.T
+	now    time.Time
+	shares []*Shares
+	down   map[string]bool
+}
+
+func newTrio(t *testing.T, n int) *trio {
+	f := &trio{t: t, now: time.Unix(1_000_000, 0), down: map[string]bool{}}
+	for range n {
+		f.add()
+	}
+	f.list(n)
+	f.run(7 * time.Second)
+	return f
+}
+
+func (f *trio) add() *Shares {
+	s := NewShares(string(rune('a'+len(f.shares))), "z", rand.New(rand.NewPCG(1, 1)), f.now)
+	s.Configure(testRates(1, 1), f.now)
+	f.shares = append(f.shares, s)
+	return s
+}
+
+// list gives every instance the list of the first n.
+func (f *trio) list(n int) {
+	var members Members
+	for _, s := range f.shares[:n] {
+		members = append(members, Member{ID: s.self, Zone: "z"})
+	}
+	for _, s := range f.shares {
+		if !f.down[s.self] {
+			s.SetMembers(members, f.now)
+		}
+	}
+}
+
+func testRates(revision platform.Revision, fraction float64) *platform.Document {
+	return &platform.Document{
+		Revision:      revision,
+		Organisations: []platform.Organisation{{Name: "o", Rate: 60, Burst: 60}},
+		Zones:         []platform.Zone{{Name: "z", RateFraction: fraction}},
+	}
+}
+
+func (f *trio) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(roundInterval) {
+		for _, s := range f.shares {
+			if f.down[s.self] {
+				continue
+			}
+			for _, e := range s.Tick(f.now) {
+				switch e := e.(type) {
+				case SendCount:
+					to := f.find(e.To.ID)
+					if !f.down[to.self] {
+						s.Counted(to.Count(e.Request, f.now), f.now, f.now)
+					}
+				case ConfirmInstances:
+					s.InstancesConfirmed(f.now)
+				}
+			}
+			if s.Settle(s.account(), Stock{Own: int64(s.account().deposited / nano)}, f.now) < 0 {
+				s.take()
+			}
+		}
+	}
+}
+
+func (f *trio) find(id string) *Shares { return f.shares[id[0]-'a'] }
+
+func (s *Shares) account() *Account { return s.accounts["o"] }
+
+func (s *Shares) testSet() *set { return s.account().set }
+
+// take withdraws the own tokens, as a pull does.
+func (s *Shares) take() { s.Returned(s.account(), int64(s.account().deposited/nano), 0) }
+
+// Guards against tokens in flight that are counted nowhere: the giver would accrue others in their place.
+func TestGiverKeepsItsCapDownUntilTokensExpired(t *testing.T) {
+	s := newTrio(t, 1).shares[0]
+	now := s.testSet().leaseUntil.Add(-ShareLease)
+	s.Settle(s.account(), Stock{Own: 60}, now)
+	s.take()
+	if amount, _ := s.Grant(Wanted{Organisation: "o", Amount: 60 * nano, Life: time.Second}, now); amount != 60*nano {
+		t.Fatalf("granted %d, want all", amount)
+	}
+	late := now.Add(time.Duration(float64(time.Second) * clockSlack * clockSlack))
+	if n := s.Settle(s.account(), Stock{}, late); n != 0 {
+		t.Fatalf("%d tokens accrued while the granted ones may still be spent", n)
+	}
+	late = late.Add(500 * time.Millisecond)
+	if n := s.Settle(s.account(), Stock{}, late); n == 0 {
+		t.Fatal("nothing accrued after the granted tokens had expired")
+	}
+}
+
+// Guards against pulled tokens whose time starts at the reply, which may have been under way for long.
+func TestPulledTokensExpireFromBeforeTheRequest(t *testing.T) {
+	f := newTrio(t, 1)
+	s := f.shares[0]
+	grant := Wanted{Organisation: "o", Amount: 2 * nano, Life: 300 * time.Millisecond}
+	if n, expires := s.Pulled(grant, f.now, f.now.Add(100*time.Millisecond)); n != 2 || !expires.Equal(f.now.Add(grant.Life)) {
+		t.Fatalf("%d tokens until %v, want 2 until %v", n, expires, f.now.Add(grant.Life))
+	}
+	if n, _ := s.Pulled(grant, f.now, f.now.Add(grant.Life)); n != 0 {
+		t.Fatalf("%d tokens of a reply that came after they had expired", n)
+	}
+}
+
+// Guards against a loan that is settled twice, or after it expired, and so creates tokens.
+func TestLoanSettlesOnce(t *testing.T) {
+	f := newTrio(t, 1)
+	s := f.shares[0]
+	s.take()
+	_, loan := s.Grant(Wanted{Organisation: "o", Amount: 10 * nano, Life: time.Second}, f.now)
+	before := s.account().held()
+	settled := Wanted{Organisation: "o", Amount: 0, Life: time.Second, Settled: []Settlement{{Loan: loan, Returned: 4}, {Loan: loan, Returned: 4}}}
+	s.Grant(settled, f.now)
+	if got := before - s.account().held(); got != 6*nano {
+		t.Fatalf("the account holds %d less after 6 of 10 tokens were spent, want %d", got, 6*nano)
+	}
+}
+
+// Guards against an instance that accrues before all others count it, or starts with tokens.
+func TestJoinStartsEmptyAndNeedsEveryMember(t *testing.T) {
+	f := newTrio(t, 2)
+	f.add()
+	f.down["b"] = true
+	f.list(3)
+	f.run(5 * time.Second)
+	c := f.shares[2]
+	if c.testSet().phase == PhaseActive {
+		t.Fatal("an instance accrues although a member does not count it")
+	}
+	f.down["b"] = false
+	f.list(3)
+	f.run(time.Second)
+	if c.testSet().phase != PhaseActive || c.account().held() > 15*nano {
+		t.Fatalf("phase %d with %d held a second after all counted it", c.testSet().phase, c.account().held())
+	}
+}
+
+// Guards against an acknowledgement while tokens that were granted under a larger share may be spent.
+func TestMemberIsCountedOnlyOnceLoansFit(t *testing.T) {
+	f := newTrio(t, 1)
+	a := f.shares[0]
+	f.add()
+	f.down["b"] = true
+	a.take()
+	a.Grant(Wanted{Organisation: "o", Amount: 50 * nano, Life: time.Second}, f.now)
+	r := CountRequest{From: Member{ID: "b", Zone: "z"}, Order: 1, Claims: []Claim{{Group: GroupOf("o"), Epoch: 1, Phase: PhaseJoining}}}
+	if ack := a.Count(r, f.now).Acknowledgements[0]; ack.Counted {
+		t.Fatal("counted while 50 of 60 tokens are lent and the share is 30")
+	}
+	f.run(1200 * time.Millisecond)
+	r.Order++
+	if ack := a.Count(r, f.now).Acknowledgements[0]; !ack.Counted {
+		t.Fatal("not counted after the loans had expired")
+	}
+}
+
+// Guards against an instance that accrues although others may have removed it.
+func TestAccrualEndsWithTheLease(t *testing.T) {
+	f := newTrio(t, 3)
+	a := f.shares[0]
+	until := a.testSet().leaseUntil
+	a.Settle(a.account(), Stock{}, until)
+	held := a.account().held()
+	a.Settle(a.account(), Stock{Own: int64(a.account().deposited / nano)}, until.Add(time.Minute))
+	if got := a.account().held(); got != held {
+		t.Fatalf("%d accrued after the lease had ended", got-held)
+	}
+	if amount, _ := a.Grant(Wanted{Organisation: "o", Amount: nano, Life: time.Second}, until); amount != 0 {
+		t.Fatal("granted after the lease had ended")
+	}
+}
+
+// Guards against the removal of a member that is only silent, or only unlisted, or for too short a time, and
+// against one that goes on after its removal.
+func TestRemovalNeedsSilenceAndTheList(t *testing.T) {
+	f := newTrio(t, 3)
+	a, c := f.shares[0], f.shares[2]
+	f.down["c"] = true
+	f.run(shareHold + 5*time.Second)
+	if n := a.testSet().size(); n != 3 {
+		t.Fatalf("%d members after one fell silent but is listed, want 3", n)
+	}
+	f.list(2)
+	f.run(shareHold - time.Second)
+	if n := a.testSet().size(); n != 3 {
+		t.Fatalf("%d members before the hold time, want 3", n)
+	}
+	f.run(4 * time.Second)
+	if n := a.testSet().size(); n != 2 {
+		t.Fatalf("%d members after the hold time, want 2", n)
+	}
+	epoch := c.testSet().epoch
+	f.down["c"] = false
+	f.run(time.Second)
+	if c.testSet().epoch == epoch || c.testSet().phase == PhaseActive {
+		t.Fatal("the removed instance goes on with its old membership")
+	}
+}
+
+// Guards against a late message that undoes a newer one.
+func TestLateClaimChangesNothing(t *testing.T) {
+	f := newTrio(t, 1)
+	a := f.shares[0]
+	claim := func(order uint64, phase Phase) {
+		a.Count(CountRequest{From: Member{ID: "b", Zone: "z"}, Order: order, Claims: []Claim{{Group: GroupOf("o"), Epoch: 1, Phase: phase}}}, f.now)
+	}
+	claim(2, PhaseActive)
+	claim(1, PhaseOut)
+	if n := a.testSet().size(); n != 2 {
+		t.Fatalf("%d members after a late claim, want 2", n)
+	}
+}
+
+// Guards against zones that together own more than the whole rate while a document spreads.
+func TestFractionRisesLateAndFallsAtOnce(t *testing.T) {
+	f := newTrio(t, 1)
+	a := f.shares[0]
+	a.Configure(testRates(2, 0.2), f.now)
+	if a.fraction.inForce != 0.2 {
+		t.Fatalf("fraction %v right after it was lowered, want 0.2", a.fraction.inForce)
+	}
+	a.Configure(testRates(3, 0.9), f.now)
+	f.run(documentHold - time.Second)
+	if a.fraction.inForce != 0.2 {
+		t.Fatalf("fraction %v before others have lowered theirs, want 0.2", a.fraction.inForce)
+	}
+	f.run(1200 * time.Millisecond)
+	if a.fraction.inForce != 0.9 {
+		t.Fatalf("fraction %v after the hold time, want 0.9", a.fraction.inForce)
+	}
+}
+
+// Guards against a sole member that pauses, is replaced, and goes on.
+func TestSoleMemberJoinsAgainAfterAPause(t *testing.T) {
+	f := newTrio(t, 1)
+	f.now = f.now.Add(time.Minute)
+	f.run(200 * time.Millisecond)
+	if got := f.shares[0].testSet().phase; got != PhaseJoining {
+		t.Fatalf("phase %d after a pause of a minute, want joining", got)
+	}
+}
+
+// Guards against a process that pauses and goes on with the rates of an old document.
+func TestOldDocumentDoesNotRenewTheLease(t *testing.T) {
+	f := newTrio(t, 3)
+	a := f.shares[0]
+	for _, s := range f.shares[1:] {
+		s.Configure(testRates(2, 1), f.now)
+	}
+	f.run(2 * time.Second)
+	if until := a.testSet().leaseUntil; until.After(f.now.Add(2*time.Second)) && a.confirmed.IsZero() {
+		t.Fatalf("lease of an instance with an old document is renewed until %v at %v", until, f.now)
+	}
+}
+
+// Guards against messages about organisations without traffic.
+func TestIdleOrganisationCausesNoPull(t *testing.T) {
+	f := newTrio(t, 3)
+	a := f.shares[0]
+	pulls := func() (n int) {
+		for _, e := range a.Tick(f.now.Add(roundInterval)) {
+			if _, ok := e.(SendPull); ok {
+				n++
+			}
+		}
+		return n
+	}
+	if n := pulls(); n != 0 {
+		t.Fatalf("%d pulls without demand", n)
+	}
+	f.now = f.now.Add(2 * roundInterval)
+	a.Settle(a.account(), Stock{Demand: 50, Elapsed: time.Second}, f.now)
+	if n := pulls(); n == 0 {
+		t.Fatal("no pull with demand beyond the stock")
+	}
+}
