--- a/cmd/internal/node/rates.go
+++ b/cmd/internal/node/rates.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	sent := time.Now()
-	list, err := n.platform.Instances(ctx, 0, 0)
+	list, content, err := n.platform.ReadInstances(ctx, 0, 0, confirmTimeout)
 	if err != nil {
 		n.log.Debug().Err(err).Msg("rates: platform did not confirm the instance list")
 		return
@@ -54,7 +54,7 @@
 	if list == nil {
 		return
 	}
-	if n.loop.Post(control.InstancesRead{List: list}) {
+	if n.loop.Post(control.InstancesRead{List: list, Source: n.source(n.loop.Snapshot().ListHeld, content, sent)}) {
 		n.loop.Post(control.InstancesConfirmed{Revision: list.Revision, Sent: sent})
 	}
 }
--- a/cmd/internal/node/rates_test.go
+++ b/cmd/internal/node/rates_test.go
@@ -60,6 +60,10 @@
 
 func measureRefusals(b *testing.B, static bool) {
 	const rate, seconds = 1000.0, 10
+	policy := "transfer"
+	if static {
+		policy = "static"
+	}
 	zones := []string{"a", "b", "c"}
 	p := standin.NewPlatform()
 	server := &http.Server{Handler: p, ReadHeaderTimeout: time.Second}
@@ -87,7 +91,7 @@
 	list := &platform.InstanceList{Revision: 1}
 	for i := range 8 {
 		s := settings.Default()
-		s.ID, s.Zone, s.Platform, s.StaticRates = fmt.Sprintf("n-%d", i), zones[i%3], "http://"+listener.Addr().String(), static
+		s.ID, s.Zone, s.Platform, s.Policy.Rates = fmt.Sprintf("n-%d", i), zones[i%3], "http://"+listener.Addr().String(), policy
 		s.Listen = settings.Listen{Callers: "127.0.0.1:0", Siblings: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 		s.Drain.Notice = 0
 		n, err := New(s, zerolog.Nop())
--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -20,7 +20,7 @@
 
 const (
 	countInterval = time.Second
-	joinInterval  = 200 * time.Millisecond
+	claimInterval = 200 * time.Millisecond
 	// lapseLimit is how long a lease may have ended before the instance joins again as if it were new. Others
 	// remove it no earlier than shareHold after they heard it, 9.9 s on a fast clock; ShareLease and lapseLimit
 	// are 8.08 s on a slow one.
@@ -356,7 +356,7 @@
 		}
 		set.next = now.Add(countInterval)
 		if set.phase == PhaseJoining {
-			set.next = now.Add(joinInterval)
+			set.next = now.Add(claimInterval)
 		}
 		claim := Claim{Group: set.group, Epoch: set.epoch, Phase: set.phase, Dropped: set.drops()}
 		for _, m := range s.required(set) {
--- a/sibling/siblinggrpc/tokens.go
+++ b/sibling/siblinggrpc/tokens.go
@@ -52,11 +52,12 @@
 
 // Count sends a claim and returns the reply.
 func (c *Client) Count(ctx context.Context, e sibling.SendCount) (sibling.CountReply, error) {
-	conn, err := c.conn(e.To.PeerAddress)
+	conn, err := c.connect(e.To.PeerAddress)
 	if err != nil {
 		return sibling.CountReply{}, err
 	}
 	reply, err := siblingpb.NewTokensClient(conn).Count(ctx, encodeCountRequest(e.Request))
+	conn.Done(err)
 	if err != nil {
 		return sibling.CountReply{}, translate(err)
 	}
@@ -65,11 +66,12 @@
 
 // Pull sends a request for tokens and returns the reply.
 func (c *Client) Pull(ctx context.Context, e sibling.SendPull) (sibling.PullReply, error) {
-	conn, err := c.conn(e.To.PeerAddress)
+	conn, err := c.connect(e.To.PeerAddress)
 	if err != nil {
 		return sibling.PullReply{}, err
 	}
 	reply, err := siblingpb.NewTokensClient(conn).Pull(ctx, &siblingpb.PullRequest{Wants: encodeAmounts(e.Request.Wants)})
+	conn.Done(err)
 	if err != nil {
 		return sibling.PullReply{}, translate(err)
 	}
