--- a/sibling/shares_test.go
+++ b/sibling/shares_test.go
@@ -14,6 +14,7 @@
 	now    time.Time
 	shares []*Shares
 	down   map[string]bool
+	cut    [2]string
 }
 
 func newTrio(t *testing.T, n int) *trio {
@@ -64,7 +65,7 @@
 				switch e := e.(type) {
 				case SendCount:
 					to := f.find(e.To.ID)
-					if !f.down[to.self] {
+					if !f.down[to.self] && f.cut != [2]string{s.self, to.self} && f.cut != [2]string{to.self, s.self} {
 						s.Counted(to.Count(e.Request, f.now), f.now, f.now)
 					}
 				case ConfirmInstances:
@@ -193,12 +194,12 @@
 	f := newTrio(t, 3)
 	a, c := f.shares[0], f.shares[2]
 	f.down["c"] = true
-	f.run(shareHold + 5*time.Second)
+	f.run(15 * time.Second)
 	if n := a.testSet().size(); n != 3 {
 		t.Fatalf("%d members after one fell silent but is listed, want 3", n)
 	}
 	f.list(2)
-	f.run(shareHold - time.Second)
+	f.run(9 * time.Second)
 	if n := a.testSet().size(); n != 3 {
 		t.Fatalf("%d members before the hold time, want 3", n)
 	}
@@ -264,9 +265,21 @@
 	for _, s := range f.shares[1:] {
 		s.Configure(testRates(2, 1), f.now)
 	}
-	f.run(2 * time.Second)
-	if until := a.testSet().leaseUntil; until.After(f.now.Add(2*time.Second)) && a.confirmed.IsZero() {
-		t.Fatalf("lease of an instance with an old document is renewed until %v at %v", until, f.now)
+	until := a.testSet().leaseUntil
+	f.run(1200 * time.Millisecond)
+	if got := a.testSet().leaseUntil; got.After(until) {
+		t.Fatalf("the lease of an instance with an old document was renewed until %v, it ended at %v", got, until)
+	}
+}
+
+// Guards against the removal of a member that others hear: it has a majority and goes on.
+func TestRemovalNeedsAMajority(t *testing.T) {
+	f := newTrio(t, 3)
+	f.cut = [2]string{"a", "c"}
+	f.shares[0].SetMembers(f.shares[0].members[:2], f.now)
+	f.run(20 * time.Second)
+	if n := f.shares[0].testSet().size(); n != 3 {
+		t.Fatalf("%d members after one of three lost sight of another, want 3", n)
 	}
 }
 
@@ -291,3 +304,55 @@
 		t.Fatal("no pull with demand beyond the stock")
 	}
 }
+
+// Guards against a clock that runs 1% fast and accrues 1% too much.
+func TestAccrualAllowsForAFastClock(t *testing.T) {
+	s := newTrio(t, 1).shares[0]
+	a := s.account()
+	now := a.accrued
+	s.Settle(a, Stock{}, now) // all tokens were spent
+	before := a.held()
+	s.Settle(a, Stock{}, now.Add(500*time.Millisecond))
+	if got := a.held() - before; got > 30*nano*100/101 || got < 29*nano {
+		t.Fatalf("%d accrued in half a second of a clock that may be 1%% fast, want %d", got, 30*nano*100/101)
+	}
+}
+
+// Guards against an instance that is cut off from the majority and the platform and goes on.
+func TestLeaseEndsWithoutMajority(t *testing.T) {
+	f := newTrio(t, 3)
+	a := f.shares[0]
+	f.down["b"], f.down["c"] = true, true
+	a.confirmed = time.Time{} // the platform cannot be read
+	until := a.testSet().leaseUntil
+	for end := f.now.Add(6 * time.Second); f.now.Before(end); f.now = f.now.Add(roundInterval) {
+		a.Tick(f.now)
+	}
+	if got := a.testSet().leaseUntil; got.After(until) {
+		t.Fatalf("the lease was renewed until %v without an acknowledgement, it ended at %v", got, until)
+	}
+}
+
+// Guards against an instance that starts on a list that leaves out one whose tokens may still be spent.
+func TestFirstMemberWaits(t *testing.T) {
+	f := &trio{t: t, now: time.Unix(1_000_000, 0), down: map[string]bool{}}
+	f.add()
+	f.list(1)
+	f.run(ShareLease + 2*time.Second)
+	if f.shares[0].testSet().phase == PhaseActive {
+		t.Fatal("active before the tokens of an unknown holder have expired")
+	}
+}
+
+// Guards against a membership that goes on after a sibling dropped it.
+func TestDroppedMembershipEnds(t *testing.T) {
+	f := newTrio(t, 3)
+	c := f.shares[2]
+	epoch := c.testSet().epoch
+	c.Counted(CountReply{From: Member{ID: "a", Zone: "z"}, Order: 1 << 62, Acknowledgements: []Acknowledgement{
+		{Group: GroupOf("o"), Epoch: epoch, Void: true, Phase: PhaseActive},
+	}}, f.now, f.now)
+	if c.testSet().phase != PhaseJoining || c.testSet().epoch == epoch {
+		t.Fatal("the dropped membership goes on")
+	}
+}
