--- a/sibling/shares_test.go
+++ b/sibling/shares_test.go
@@ -15,6 +15,8 @@
 	shares []*Shares
 	down   map[string]bool
 	cut    [2]string
+	// offline says that the platform cannot be read.
+	offline bool
 }
 
 func newTrio(t *testing.T, n int) *trio {
@@ -69,7 +71,9 @@
 						s.Counted(to.Count(e.Request, f.now), f.now, f.now)
 					}
 				case ConfirmInstances:
-					s.InstancesConfirmed(f.now)
+					if !f.offline {
+						s.InstancesConfirmed(f.now)
+					}
 				}
 			}
 			if s.Settle(s.account(), Stock{Own: int64(s.account().deposited / nano)}, f.now) < 0 {
@@ -265,6 +269,7 @@
 	for _, s := range f.shares[1:] {
 		s.Configure(testRates(2, 1), f.now)
 	}
+	f.offline, a.confirmed = true, time.Time{}
 	until := a.testSet().leaseUntil
 	f.run(1200 * time.Millisecond)
 	if got := a.testSet().leaseUntil; got.After(until) {
