--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -53,6 +53,9 @@
 		x.start(func() { n.pull(x.ctx, e) })
 	case control.ConfirmInstances:
 		x.start(func() { n.confirmInstances(x.ctx) })
+	case control.HandOver:
+		n.handOvers.start()
+		x.start(func() { defer n.handOvers.end(); n.handOver(x.ctx, e.HandOver) })
 	case control.ReadPlatform:
 		x.start(func() { n.readPlatform(x.ctx, e) })
 	case control.Refused:
--- a/cmd/internal/node/metrics_test.go
+++ b/cmd/internal/node/metrics_test.go
@@ -40,6 +40,8 @@
 
 func (refusing) Ready() bool { return true }
 
+func (refusing) Leaving() bool { return false }
+
 // Guards against callers that fill the memory with metrics by inventing names of services.
 func TestUnknownServicesShareOneTag(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -63,7 +63,7 @@
 		a.settled = nil
 		var from Members
 		var part Amount
-		if want > 0 && !s.draining {
+		if want > 0 {
 			if from = s.givers(a); len(from) == 0 {
 				a.wide = wideRounds
 			} else {
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -39,7 +39,9 @@
 
 // NewClient returns a client without connections. The options apply to each connection.
 func NewClient(options ...grpc.DialOption) *Client {
-	options = append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, options...)
+	options = append([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithStatsHandler(sendTracker{}), grpc.WithConnectParams(reconnect),
+	}, options...)
 	return &Client{options: options, conns: map[string]*connection{}}
 }
 
