--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -47,6 +47,12 @@
 		x.start(func() { n.announce(x.ctx, e) })
 	case control.Fetch:
 		x.start(func() { n.fetch(x.ctx, e) })
+	case control.SendCount:
+		x.start(func() { n.count(x.ctx, e) })
+	case control.SendPull:
+		x.start(func() { n.pull(x.ctx, e) })
+	case control.ConfirmInstances:
+		x.start(func() { n.confirmInstances(x.ctx) })
 	case control.HandOver:
 		n.handOvers.start()
 		x.start(func() { defer n.handOvers.end(); n.handOver(x.ctx, e.HandOver) })
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -20,6 +20,7 @@
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/operator"
 	"dogwooddrift.org/drift/operator/operatorhttp"
+	"dogwooddrift.org/drift/platform"
 	"dogwooddrift.org/drift/platform/platformhttp"
 	"dogwooddrift.org/drift/sibling/siblinggrpc"
 	"dogwooddrift.org/drift/target/targethttp"
@@ -96,7 +97,7 @@
 	n.targets.ReportTo(n)
 	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings}, rng))
+	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings, StaticRates: s.Policy.Rates == "static"}, rng))
 	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.siblings, n.targets, s.Queue.Limits())
 	for _, l := range []struct {
@@ -129,6 +130,14 @@
 // OperatorsAddress returns the address that operators use.
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
+// Instance returns the entry of the platform's list that describes this node.
+func (n *Node) Instance() platform.Instance {
+	return platform.Instance{
+		ID: n.settings.ID, Kind: platform.KindEntry, Zone: n.settings.Zone, Address: n.CallersAddress(),
+		PeerAddress: n.peers.Addr().String(), State: platform.StateLive,
+	}
+}
+
 // Run serves until ctx ends, then stops gracefully: unready first, then no new work, then running requests
 // finish. abort, when it ends, cuts the stop short.
 func (n *Node) Run(ctx, abort context.Context) error {
@@ -140,6 +149,7 @@
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop, n.receiver)
 	siblinggrpc.RegisterNotices(peers, n.loop)
+	siblinggrpc.RegisterTokens(peers, n.loop)
 	siblinggrpc.RegisterChanges(peers, n.loop, n.tier)
 
 	exec := newExecutor(work, n)
--- a/control/changes.go
+++ b/control/changes.go
@@ -24,6 +24,7 @@
 
 func (e Drain) apply(s *State, _ time.Time) {
 	s.draining, s.changed = true, true
+	s.rates.shares.Drain()
 	e.Reply <- struct{}{}
 }
 
--- a/control/config.go
+++ b/control/config.go
@@ -178,6 +178,6 @@
 		return
 	}
 	s.fleet.Configure(s.document, s.list, now)
-	s.rates.configure(s.document, len(s.members))
+	s.rates.configure(s.document, s.members, now)
 	s.handOver(s.changes.Configure(s.members, s.document.ChangeWindow.Duration(), now))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -58,13 +58,17 @@
 	// moment, since a process that was frozen wakes with an old snapshot. Zero means without limit, which State
 	// never publishes together with a document.
 	KeyedUntil time.Time
-	Draining   bool
+	// Settled says that the instance has joined the accounting of rates, or tried for long enough.
+	Settled  bool
+	Draining bool
 }
 
 // Identity is who this instance is, from its settings.
 type Identity struct {
 	ID   string
 	Zone string
+	// StaticRates replaces rate shares by a static split over the listed instances, for comparison.
+	StaticRates bool
 	// Seeds are addresses of siblings to ask while the platform is down and no list is known.
 	Seeds []string
 }
@@ -80,6 +84,7 @@
 	fleet    *target.Fleet
 	roster   *sibling.Roster
 	rates    *rates
+	settled  bool
 	changes  *sibling.ChangeLog
 	spread   *sibling.Spread
 	draining bool
@@ -112,9 +117,13 @@
 // Step applies one event and whatever is due at now.
 func (s *State) Step(e Event, now time.Time) Ready {
 	s.effects, s.changed, s.now = nil, false, now
+	s.rates.start(s.self, s.rng, now)
 	e.apply(s, now)
 	s.tickTargets(now)
-	s.rates.refill(now)
+	s.rateEffects(s.rates.step(now))
+	if settled := s.rates.shares.Joined(now); settled != s.settled {
+		s.settled, s.changed = settled, true
+	}
 	s.rejoin(now)
 	wake := now.Add(refillInterval)
 	if due := s.spreadStep(sibling.Tick{}, now); due.Before(wake) {
@@ -145,6 +154,7 @@
 		Members:       s.members,
 		Pools:         s.rates.pools(),
 		Configured:    s.configured(),
+		Settled:       s.settled,
 		Draining:      s.draining,
 		Self:          s.self.ID,
 		ChangeMembers: s.changes.Members(),
--- a/control/rates.go
+++ b/control/rates.go
@@ -1,77 +1,304 @@
 package control
 
 import (
-	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/sibling"
 )
 
-// tokenLifetime bounds how long traffic may spend a deposit; a process that slept longer spends nothing.
-const tokenLifetime = 200 * time.Millisecond
+// SendCount asks for a claim of membership to be sent to a sibling.
+type SendCount struct{ sibling.SendCount }
 
-// rates splits every organisation's rate and burst evenly over the listed instances.
+// SendPull asks for a request for tokens to be sent to a sibling.
+type SendPull struct{ sibling.SendPull }
+
+// ConfirmInstances asks for a read of the instance list from the platform itself.
+type ConfirmInstances struct{}
+
+func (SendCount) effect()        {}
+func (SendPull) effect()         {}
+func (ConfirmInstances) effect() {}
+
+// CountHeard is a sibling's claim. Reply must have room for one value.
+type CountHeard struct {
+	Request sibling.CountRequest
+	Reply   chan<- sibling.CountReply
+}
+
+// CountAnswered is the reply to a claim. Sent was read before the claim was sent.
+type CountAnswered struct {
+	Reply sibling.CountReply
+	Sent  time.Time
+}
+
+// PullHeard is a sibling's request for tokens. Reply must have room for one value.
+type PullHeard struct {
+	Request sibling.PullRequest
+	Reply   chan<- sibling.PullReply
+}
+
+// PullAnswered is the reply to a request for tokens. Sent was read before the request was sent.
+type PullAnswered struct {
+	From  string
+	Reply sibling.PullReply
+	Sent  time.Time
+}
+
+// InstancesConfirmed says that the platform itself answered a read of the instance list, which was sent at Sent,
+// with the given revision, and that the list was posted before.
+type InstancesConfirmed struct {
+	Revision platform.Revision
+	Sent     time.Time
+}
+
+func (e CountHeard) apply(s *State, now time.Time) { e.Reply <- s.rates.shares.Count(e.Request, now) }
+
+func (e CountAnswered) apply(s *State, now time.Time) {
+	s.rates.shares.Counted(e.Reply, e.Sent, now)
+}
+
+func (e PullHeard) apply(s *State, now time.Time) { e.Reply <- s.rates.grant(e.Request, now) }
+
+func (e PullAnswered) apply(s *State, now time.Time) { s.rates.pulled(e, now) }
+
+func (e InstancesConfirmed) apply(s *State, _ time.Time) {
+	if s.list == nil || s.list.Revision.Supersedes(e.Revision) {
+		// A stale read confirms nothing.
+		return
+	}
+	s.rates.shares.InstancesConfirmed(e.Sent)
+}
+
+const (
+	// idleSettleInterval is how often an organisation without traffic is settled. Its pool is refilled by then.
+	idleSettleInterval = 250 * time.Millisecond
+	busyTime           = 2 * time.Second
+	// returnPart is the last part of a token's life, in which it goes back to its giver.
+	returnPart = 0.25
+)
+
+// rates joins the rate shares with the token pools that traffic spends from.
 type rates struct {
-	buckets map[string]*bucket
-	last    time.Time
+	shares *sibling.Shares
+	purses map[string]*purse
+	leases [sibling.RateGroups]lease
+	due    time.Time
+}
+
+// lease is the expiry of a group's own tokens. Tokens of different memberships never share one, so that a taker
+// of a token of an earlier membership finds it expired.
+type lease struct {
+	epoch  uint64
+	expiry *caller.Expiry
+}
+
+type purse struct {
+	pool      *caller.TokenPool
+	account   *sibling.Account
+	requests  int64 // spent and refused at the last settlement
+	settled   time.Time
+	busyUntil time.Time
+	lots      []*pulledLot
+}
+
+// pulledLot is a whole grant of a sibling that can be settled before it expires.
+type pulledLot struct {
+	lot      *caller.Lot
+	giver    string
+	loan     uint64
+	returned int64
+	back     time.Time // when unspent tokens go back
+	expires  time.Time
+}
+
+func newRates() *rates {
+	return &rates{purses: map[string]*purse{}}
+}
+
+// start creates the shares at the first step, since the state machine has no clock before.
+func (r *rates) start(self Identity, rng *rand.Rand, now time.Time) {
+	if r.shares == nil {
+		r.shares = sibling.NewShares(self.ID, self.Zone, rng, now)
+		if self.StaticRates {
+			r.shares.Static()
+		}
+	}
 }
 
-type bucket struct {
-	pool  *caller.TokenPool
-	rate  float64 // tokens a second
-	burst float64
-	level float64 // fractional tokens, without those in the pool
+func (r *rates) configure(doc *platform.Document, members sibling.Members, now time.Time) {
+	r.shares.SetMembers(members, now)
+	r.shares.Configure(doc, now)
+	accounts := r.shares.Accounts()
+	for name, a := range accounts {
+		if p := r.purses[name]; p == nil || p.account != a {
+			r.purses[name] = &purse{pool: &caller.TokenPool{}, account: a, settled: now}
+		}
+	}
+	for name, p := range r.purses {
+		if accounts[name] == nil {
+			// A request that loaded an older snapshot must not spend what is left.
+			p.pool.Withdraw()
+			delete(r.purses, name)
+		}
+	}
+	r.due = now
 }
 
-func newRates() *rates { return &rates{buckets: map[string]*bucket{}} }
+// step does what is due and returns messages to send.
+func (r *rates) step(now time.Time) []sibling.ShareEffect {
+	if now.Before(r.due) {
+		return nil
+	}
+	r.due = now.Add(refillInterval)
+	effects := r.shares.Tick(now)
+	r.renew()
+	for _, p := range r.purses {
+		requests := p.pool.Spent() + p.pool.Refused()
+		if requests != p.requests {
+			p.busyUntil = now.Add(busyTime)
+		}
+		if now.Before(p.busyUntil) || now.Sub(p.settled) >= idleSettleInterval {
+			r.settle(p, requests, now)
+		}
+	}
+	return effects
+}
 
-func (r *rates) configure(doc *platform.Document, instances int) {
-	n := float64(max(instances, 1))
-	listed := map[string]bool{}
-	for _, o := range doc.Organisations {
-		listed[o.Name] = true
-		b := r.buckets[o.Name]
-		if b == nil {
-			b = &bucket{pool: &caller.TokenPool{}}
-			r.buckets[o.Name] = b
+// renew moves the expiries of own tokens to the end of the leases.
+func (r *rates) renew() {
+	for g := range r.leases {
+		l := &r.leases[g]
+		epoch, until := r.shares.Lease(g)
+		switch {
+		case l.expiry == nil:
+			*l = lease{epoch: epoch, expiry: caller.NewExpiry(until)}
+		case l.epoch != epoch:
+			l.expiry.Set(time.Time{})
+			*l = lease{epoch: epoch, expiry: caller.NewExpiry(until)}
+		case !l.expiry.At().Equal(until):
+			l.expiry.Set(until)
 		}
-		b.rate, b.burst = o.Rate/n, o.Burst/n
 	}
-	for name := range r.buckets {
-		if !listed[name] {
-			delete(r.buckets, name)
+}
+
+func (r *rates) settle(p *purse, requests int64, now time.Time) {
+	a := p.account
+	r.settleLots(p, now)
+	stock := sibling.Stock{
+		Own: p.pool.Unspent(), Pulled: p.pool.Pulled(now),
+		Demand: float64(requests - p.requests), Elapsed: now.Sub(p.settled),
+	}
+	p.requests, p.settled = requests, now
+	r.deposit(p, r.shares.Settle(a, stock, now), now)
+}
+
+func (r *rates) deposit(p *purse, tokens int64, now time.Time) {
+	switch {
+	case tokens < 0:
+		r.withdraw(p)
+	case tokens > 0:
+		p.pool.Deposit(tokens, r.leases[p.account.Group()].expiry)
+	}
+	r.combine(p, now)
+}
+
+// grant answers a request for tokens. Own tokens leave the pool before any are promised to a sibling.
+func (r *rates) grant(request sibling.PullRequest, now time.Time) sibling.PullReply {
+	r.renew()
+	var reply sibling.PullReply
+	for _, want := range request.Wants {
+		p := r.purses[want.Organisation]
+		if p == nil {
+			continue
+		}
+		r.settle(p, p.pool.Spent()+p.pool.Refused(), now)
+		r.withdraw(p)
+		if amount, loan := r.shares.Grant(want, now); amount > 0 {
+			reply.Grants = append(reply.Grants, sibling.Wanted{
+				Organisation: want.Organisation, Amount: amount, Life: want.Life, Loan: loan,
+			})
 		}
+		r.settle(p, p.requests, now)
 	}
+	return reply
 }
 
-// refill accrues tokens since the last call and deposits the whole ones.
-func (r *rates) refill(now time.Time) {
-	elapsed := now.Sub(r.last).Seconds()
-	if r.last.IsZero() {
-		elapsed = 0
+func (r *rates) pulled(e PullAnswered, now time.Time) {
+	for _, grant := range e.Reply.Grants {
+		p := r.purses[grant.Organisation]
+		if p == nil {
+			continue
+		}
+		if n, expires := r.shares.Pulled(grant, e.Sent, now); n > 0 {
+			lot := p.pool.DepositPulled(n, expires, now)
+			if grant.Loan != 0 {
+				back := expires.Add(-time.Duration(float64(grant.Life) * returnPart))
+				p.lots = append(p.lots, &pulledLot{lot: lot, giver: e.From, loan: grant.Loan, back: back, expires: expires})
+			}
+		}
+		r.combine(p, now)
 	}
-	r.last = now
-	for _, b := range r.buckets {
-		// The pool keeps its tokens meanwhile: taking them back refused requests that came between the two steps.
-		b.level = max(min(b.level+b.rate*elapsed, b.burst-float64(b.pool.Unspent())), 0)
-		whole := math.Floor(b.level)
-		b.level -= whole
-		b.pool.Deposit(int64(whole), now.Add(tokenLifetime))
+}
+
+// combine deposits the whole tokens that pulled fractions add up to.
+func (r *rates) combine(p *purse, now time.Time) {
+	if n, expires := r.shares.Combine(p.account, now); n > 0 {
+		p.pool.DepositPulled(n, expires, now)
 	}
 }
 
+// withdraw takes the own tokens back from traffic.
+func (r *rates) withdraw(p *purse) {
+	n := p.pool.Withdraw()
+	r.shares.Returned(p.account, n, p.pool.Unspent())
+}
+
+// settleLots reports lots that are spent, and takes back and reports those that traffic will hardly spend.
+func (r *rates) settleLots(p *purse, now time.Time) {
+	p.lots = slices.DeleteFunc(p.lots, func(l *pulledLot) bool {
+		if !now.Before(l.expires) {
+			return true
+		}
+		if !now.Before(l.back) {
+			l.returned += l.lot.Withdraw()
+		}
+		if l.lot.Unspent() > 0 {
+			return false
+		}
+		r.shares.Settled(p.account, l.giver, sibling.Settlement{Loan: l.loan, Returned: l.returned})
+		return true
+	})
+}
+
 func (r *rates) pool(organisation string) *caller.TokenPool {
-	if b := r.buckets[organisation]; b != nil {
-		return b.pool
+	if p := r.purses[organisation]; p != nil {
+		return p.pool
 	}
 	return nil
 }
 
 func (r *rates) pools() map[string]*caller.TokenPool {
-	out := make(map[string]*caller.TokenPool, len(r.buckets))
-	for name, b := range r.buckets {
-		out[name] = b.pool
+	out := make(map[string]*caller.TokenPool, len(r.purses))
+	for name, p := range r.purses {
+		out[name] = p.pool
 	}
 	return out
 }
+
+// rateEffects wraps the messages of the shares.
+func (s *State) rateEffects(effects []sibling.ShareEffect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case sibling.SendCount:
+			s.emit(SendCount{e})
+		case sibling.SendPull:
+			s.emit(SendPull{e})
+		case sibling.ConfirmInstances:
+			s.emit(ConfirmInstances{})
+		}
+	}
+}
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -62,7 +62,7 @@
 	if a.service.Sharded != sharded {
 		return admission{}, caller.Refuse(caller.CodeBadRequest, 0, "service %q takes %s", service, takes[a.service.Sharded])
 	}
-	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now()) {
+	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now) {
 		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
 	}
 	ticket := &caller.Ticket{Organisation: a.organisation.Name, Weight: a.organisation.Weight, Until: deadline}
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -84,7 +84,7 @@
 func (f *fleet) add(id string) {
 	state := control.NewState(control.Identity{ID: id, Zone: "z"}, rand.New(rand.NewPCG(1, uint64(id[0]))))
 	n := &testNode{fleet: f, id: id, loop: control.NewLoop(state), dead: make(chan struct{}), pools: map[string]*caller.TokenPool{"o": {}}}
-	n.pools["o"].Deposit(1e6, time.Now().Add(time.Hour))
+	n.pools["o"].Deposit(1e6, caller.NewExpiry(time.Now().Add(time.Hour)))
 	n.tier = New(n, n, f.client, caller.QueueLimits{Running: 16, Waiting: 16, Wait: time.Second})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = sync.OnceFunc(func() { close(n.dead); cancel() })
--- a/traffic/tier.go
+++ b/traffic/tier.go
@@ -63,7 +63,7 @@
 // Ready reports whether the instance takes new work. A target that is listed later does not make it unready.
 func (t *Tier) Ready() bool {
 	s := t.control.Snapshot()
-	if !s.Configured || s.Draining {
+	if !s.Configured || !s.Settled || s.Draining {
 		return false
 	}
 	if s.Polled {
