Keep rate shares until a stopping instance refuses new requests

Cause: the property test of the rate bound hung, because Drain now carries a reply channel and the test sent none. Drain also gave up the shares when the instance turned unready, although it serves on for the notice time.

Change: LeaveChanges, sent when new requests are refused, gives them up; the test sends it with a reply channel, everything else unchanged.

--- a/control/bound_test.go
+++ b/control/bound_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"dogwooddrift.org/drift/sibling"
 )
 
 // transition is how long after a change of the document the larger of the old and the new rate is allowed. The
@@ -111,7 +113,7 @@
 			case 9:
 				in := pick("leaving")
 				if in.running() {
-					in.step(Drain{})
+					in.step(LeaveChanges{Reply: make(chan []sibling.HandOver, 1)})
 				}
 			default:
 				clear(load)
--- a/control/changes.go
+++ b/control/changes.go
@@ -24,16 +24,17 @@
 
 func (e Drain) apply(s *State, _ time.Time) {
 	s.draining, s.changed = true, true
-	s.rates.shares.Drain()
 	e.Reply <- struct{}{}
 }
 
-// LeaveChanges ends the part of this instance as home and witness of changes. The reply holds the messages that
-// tell the siblings, for the caller to send: the stop must not go on before they are sent. Reply must have room
-// for one value.
+// LeaveChanges ends the part of this instance as home and witness of changes and as holder of rate shares, once it
+// refuses new requests: an instance that gave up its shares when it turned unready refused requests inside the rate
+// for the rest of the notice time. The reply holds the messages that tell the siblings, for the caller to send: the
+// stop must not go on before they are sent. Reply must have room for one value.
 type LeaveChanges struct{ Reply chan<- []sibling.HandOver }
 
 func (e LeaveChanges) apply(s *State, now time.Time) {
+	s.rates.shares.Drain()
 	e.Reply <- s.changes.Leave(now)
 	s.changed = true
 }
