Give back what is left of a share at once when it shrinks

Cause: TestRestartsCutOffNoRequest failed with rate_limited refusals for 20 ms at one instance whenever another one left or joined. A trace showed no lapsed lease: the member's share shrank, Settle asked to withdraw all own tokens, and the rest was deposited only at the next refill, 20 ms later.

Change: control settles again right after the withdrawal.

--- a/control/rates.go
+++ b/control/rates.go
@@ -193,15 +193,15 @@
 		Demand: float64(requests - p.requests), Elapsed: now.Sub(p.settled),
 	}
 	p.requests, p.settled = requests, now
-	r.deposit(p, r.shares.Settle(a, stock, now), now)
-}
-
-func (r *rates) deposit(p *purse, tokens int64, now time.Time) {
-	switch {
-	case tokens < 0:
+	tokens := r.shares.Settle(a, stock, now)
+	if tokens < 0 {
+		// What is left after a cut goes back at once: the pool would otherwise be empty until the next refill, and
+		// requests far below the rate would be refused.
 		r.withdraw(p)
-	case tokens > 0:
-		p.pool.Deposit(tokens, r.leases[p.account.Group()].expiry)
+		tokens = r.shares.Settle(a, sibling.Stock{Own: p.pool.Unspent(), Pulled: stock.Pulled}, now)
+	}
+	if tokens > 0 {
+		p.pool.Deposit(tokens, r.leases[a.Group()].expiry)
 	}
 	r.combine(p, now)
 }
