--- /dev/null
+++ b/control/capacity_bench_test.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/target"
+)
+
+const (
+	capacityShards  = 70
+	capacityService = "s"
+)
+
+// capacityFleet returns a document and a list of entry instances and targets, and the status of each target.
+func capacityFleet(entries, targets int) (*platform.Document, *platform.InstanceList, map[string]target.Status) {
+	d := testDocument(1)
+	d.Services = []platform.Service{{Name: capacityService, Slots: 2, Connections: 25}}
+	list := configList(entries)
+	manifest := target.Manifest{Snapshot: 1}
+	for i := range capacityShards {
+		manifest.Shards = append(manifest.Shards, target.Shard(fmt.Sprintf("s%02d", i)))
+	}
+	status := map[string]target.Status{}
+	for i := range targets {
+		id := fmt.Sprintf("target-%04d", i)
+		list.Instances = append(list.Instances, platform.Instance{
+			ID: id, Kind: platform.KindTarget, Service: capacityService, Zone: string(rune('a' + i%7)),
+			Address: fmt.Sprintf("127.0.0.1:%d", 10000+i), State: platform.StateLive,
+		})
+		m := target.Manifest{Snapshot: manifest.Snapshot, Shards: append([]target.Shard(nil), manifest.Shards...)}
+		status[id] = target.Status{
+			Incarnation: id + "/1", State: target.StateWarm, Slots: 2, Connections: 25, Bears: 1,
+			Replicas:  []target.Replica{{Shard: manifest.Shards[i/7%capacityShards], Snapshots: []target.Snapshot{1}}},
+			Manifests: []target.Manifest{m},
+		}
+	}
+	return d, list, status
+}
+
+// BenchmarkCapacity gives the slopes of docs/CAPACITY.md: the longest steps of the control goroutine and its heap,
+// with every target read once. A new list lacks one entry instance, as after a replacement.
+func BenchmarkCapacity(b *testing.B) {
+	for _, size := range []struct{ entries, targets int }{{8, 60}, {64, 400}, {256, 1700}, {1200, 6700}} {
+		name := fmt.Sprintf("entries=%d/targets=%d", size.entries, size.targets)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d, list, status := capacityFleet(size.entries, size.targets)
+		s := NewState(Identity{ID: "entry-0000", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+		now := time.Unix(1000, 0)
+		s.Step(DocumentRead{Document: d}, now)
+		s.Step(InstancesRead{List: list}, now)
+		for id, st := range status {
+			s.Step(TargetStatus{ID: id, Status: st}, now)
+		}
+		// The assignment that the shards ask for is due a second later, and steps of the joining instance end.
+		for range 15 * 50 {
+			now = now.Add(refillInterval)
+			s.Step(Tick{}, now)
+		}
+		snapshot := s.Snapshot()
+		first := fmt.Sprintf("target-%04d", 0)
+		st := status[first]
+		status = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		heap := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+		runtime.KeepAlive(snapshot)
+
+		run := func(what string, f func()) {
+			b.Run(name+"/"+what, func(b *testing.B) {
+				b.ReportAllocs()
+				var longest time.Duration
+				for b.Loop() {
+					start := time.Now()
+					f()
+					longest = max(longest, time.Since(start))
+				}
+				b.ReportMetric(float64(longest.Nanoseconds()), "longest-ns")
+				b.ReportMetric(float64(heap), "live-bytes")
+			})
+		}
+		reads := 0
+		run("tick", func() {
+			now = now.Add(refillInterval)
+			for _, e := range s.Step(Tick{}, now).Effects {
+				if _, ok := e.(ReadTarget); ok {
+					reads++
+				}
+			}
+		})
+		run("status", func() { s.Step(TargetStatus{ID: first, Status: st}, now) })
+		run("snapshot", func() { runtime.KeepAlive(s.Snapshot()) })
+		revision := list.Revision
+		run("list", func() {
+			now = now.Add(time.Second)
+			revision++
+			next := &platform.InstanceList{Revision: revision, Instances: list.Instances}
+			if revision%2 == 0 {
+				next.Instances = append(append([]platform.Instance(nil), list.Instances[:1]...), list.Instances[2:]...)
+			}
+			s.Step(InstancesRead{List: next}, now)
+		})
+		run("document", func() {
+			now = now.Add(time.Second)
+			next := *d
+			d = &next
+			d.Revision++
+			s.Step(DocumentRead{Document: d}, now)
+		})
+	}
+}
