--- a/control/capacity_bench_test.go
+++ b/control/capacity_bench_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -115,3 +116,110 @@
 		})
 	}
 }
+
+// BenchmarkCapacityStart measures the start of an instance: the first list, when no shards are known, and the status
+// of each target with the snapshot that the loop publishes after each change.
+func BenchmarkCapacityStart(b *testing.B) {
+	for _, size := range []struct{ entries, targets int }{{8, 60}, {64, 400}, {256, 1700}, {1200, 6700}} {
+		b.Run(fmt.Sprintf("entries=%d/targets=%d", size.entries, size.targets), func(b *testing.B) {
+			d, list, status := capacityFleet(size.entries, size.targets)
+			text, err := json.Marshal(list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			report, err := json.Marshal(status["target-0000"])
+			if err != nil {
+				b.Fatal(err)
+			}
+			var first, statuses time.Duration
+			reads, snapshots := 0, 0
+			for b.Loop() {
+				s := NewState(Identity{ID: "entry-0000", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
+				now := time.Unix(1000, 0)
+				s.Step(DocumentRead{Document: d}, now)
+				start := time.Now()
+				ready := s.Step(InstancesRead{List: list}, now)
+				first += time.Since(start)
+				for _, e := range ready.Effects {
+					if _, ok := e.(ReadTarget); ok {
+						reads++
+					}
+				}
+				start = time.Now()
+				for id, st := range status {
+					if s.Step(TargetStatus{ID: id, Status: st}, now).Changed {
+						snapshots++
+						runtime.KeepAlive(s.Snapshot())
+					}
+				}
+				statuses += time.Since(start)
+			}
+			n := float64(b.N)
+			b.ReportMetric(float64(first.Milliseconds())/n, "first-list-ms")
+			b.ReportMetric(float64(statuses.Milliseconds())/n, "statuses-ms")
+			b.ReportMetric(float64(reads)/n, "reads-at-once")
+			b.ReportMetric(float64(snapshots)/n, "snapshots")
+			b.ReportMetric(float64(len(text)), "list-bytes")
+			b.ReportMetric(float64(len(report)), "status-bytes")
+		})
+	}
+}
+
+// BenchmarkCapacityPulls counts the pulls of tokens in one zone whose instances all have 150 requests a second, 90% of
+// the rates, spread over the organisations.
+func BenchmarkCapacityPulls(b *testing.B) {
+	const perTick, ticks = 3, 150
+	for _, n := range []int{9, 48, 171} {
+		for _, organisations := range []int{3, 30} {
+			b.Run(fmt.Sprintf("instances=%d/organisations=%d", n, organisations), func(b *testing.B) {
+				for b.Loop() {
+					s := newSim(1)
+					rate := 150 * float64(n) / 0.9 / float64(organisations)
+					d := simDocument(rate, rate, map[string]float64{"a": 1})
+					d.Organisations = d.Organisations[:1]
+					for i := range organisations - 1 {
+						d.Organisations = append(d.Organisations, platform.Organisation{
+							Name: fmt.Sprintf("o-%d", i), Rate: rate, Burst: rate, Weight: 1,
+						})
+					}
+					s.publishDocument(d)
+					for range n {
+						s.add("a")
+					}
+					s.publish()
+					s.advance(12 * time.Second)
+					received := map[string]int{}
+					offer := func() (refused int) {
+						for tick := range ticks {
+							s.advance(refillInterval)
+							for i, in := range s.instances {
+								pools := in.state.rates
+								for k := range perTick {
+									o := d.Organisations[(tick*perTick+k+i)%organisations].Name
+									if !pools.pool(o).Take(in.clock) {
+										refused++
+									}
+								}
+							}
+						}
+						return refused
+					}
+					offer()
+					// Each message asks twice whether the network is cut: when it is sent and when it arrives.
+					s.cut = func(_, to *simInstance) bool { received[to.id]++; return false }
+					pulls, messages := s.pulls, s.messages
+					refused := offer()
+					seconds := (ticks * refillInterval).Seconds()
+					busiest := 0
+					for _, r := range received {
+						busiest = max(busiest, r/2)
+					}
+					b.ReportMetric(float64(s.pulls-pulls)/seconds/float64(n), "pulls/s/instance")
+					b.ReportMetric(2*float64(s.messages-messages)/seconds/float64(n), "messages/s/instance")
+					b.ReportMetric(2*float64(busiest)/seconds, "messages/s-at-busiest")
+					b.ReportMetric(100*float64(refused)/float64(n*ticks*perTick), "%refused")
+				}
+			})
+		}
+	}
+}
