Give an instance out of service no new work

The instance is not ready and closes callers' connections from then on, and refuses new requests with "draining", ran no, after 2 s. Changes that have begun still finish.

Tests: ./traffic and ./cmd/internal/node pass with -race. ./control does not: TestWindowBoundUnderFailures hung until the 10 min timeout in control.Drain.apply, which sends on a nil reply channel (bound_test.go:114, changes.go:28).

--- a/control/config.go
+++ b/control/config.go
@@ -62,6 +62,7 @@
 		return
 	}
 	s.document, s.accounts = e.Document, caller.NewAccounts(e.Document)
+	s.noteOut(now)
 	s.adopt(sibling.Document, e.Document.Revision, e.Source, now)
 	s.configure(now)
 }
@@ -171,6 +172,17 @@
 	}
 }
 
+// noteOut notes whether the document in force has this instance out of service. Further documents that leave it out
+// do not move the time.
+func (s *State) noteOut(now time.Time) {
+	switch out := s.document.ZoneOut(s.self.Zone) || s.document.InstanceOut(s.self.ID); {
+	case !out:
+		s.outSince = time.Time{}
+	case s.outSince.IsZero():
+		s.outSince = now
+	}
+}
+
 // configure applies the document and the list in force to the other parts of the state.
 func (s *State) configure(now time.Time) {
 	s.changed = true
--- a/control/control.go
+++ b/control/control.go
@@ -61,6 +61,8 @@
 	// Settled says that the instance has joined the accounting of rates, or tried for long enough.
 	Settled  bool
 	Draining bool
+	// OutSince is since when operators have had this instance, or its zone, out of service; zero while in service.
+	OutSince time.Time
 }
 
 // Identity is who this instance is, from its settings.
@@ -88,6 +90,7 @@
 	changes  *sibling.ChangeLog
 	spread   *sibling.Spread
 	draining bool
+	outSince time.Time
 
 	published struct {
 		configured bool
@@ -156,6 +159,7 @@
 		Configured:    s.configured(),
 		Settled:       s.settled,
 		Draining:      s.draining,
+		OutSince:      s.outSince,
 		Self:          s.self.ID,
 		ChangeMembers: s.changes.Members(),
 		Polled:        s.fleet.Polled(),
@@ -170,7 +174,7 @@
 func (s *State) dump(now time.Time) operator.Dump {
 	d := operator.Dump{
 		Instance: s.self.ID, Zone: s.self.Zone, Taken: now,
-		Ready:   s.configured() && !s.draining,
+		Ready:   s.configured() && !s.draining && s.outSince.IsZero(),
 		Targets: s.fleet.Dump(),
 	}
 	if s.list != nil {
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -17,12 +17,24 @@
 	ticket       *caller.Ticket
 }
 
+// outGrace is how long an instance that operators took out of service still takes requests, so that the load
+// balancer can notice. Operators are promised that new work ends within 3 s; the rest is for the document to arrive.
+const outGrace = 2 * time.Second
+
 // permitNew decides whether a request that does not run yet may run.
 func (t *Tier) permitNew(service, digest string) (admission, *caller.Refusal) {
 	if t.stopping() {
 		return admission{}, caller.Refuse(caller.CodeDraining, retrySoon, "the instance is stopping")
 	}
-	return t.permit(service, digest)
+	a, refusal := t.permit(service, digest)
+	if refusal != nil {
+		return admission{}, refusal
+	}
+	// A process that was frozen wakes with an old snapshot, so the time is read here.
+	if out := a.snapshot.OutSince; !out.IsZero() && time.Since(out) >= outGrace {
+		return admission{}, caller.Refuse(caller.CodeDraining, retrySoon, "the instance is out of service")
+	}
+	return a, nil
 }
 
 // permit decides whether a request may run, on the newest snapshot. It is asked on arrival, after waiting, and
--- a/traffic/isolation_test.go
+++ b/traffic/isolation_test.go
@@ -86,3 +86,63 @@
 		t.Errorf("new request with a withdrawn key: refusal %v, want unauthenticated", refusal)
 	}
 }
+
+// Guards against new work at an instance that operators took out of service, against an instance that turns callers
+// away before the balancer can notice, and against changes that are cut off midway.
+func TestInstanceOutOfServiceTakesNoNewWork(t *testing.T) {
+	for name, takeOut := range map[string]func(*platform.Document){
+		"zone":     func(d *platform.Document) { d.Zones[0].Out = true },
+		"instance": func(d *platform.Document) { d.InstancesOut = []string{"i"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPublished(time.Now())
+			tier := newTier(p)
+			publish := func(revision platform.Revision, out bool, age time.Duration) {
+				d := isolationDocument(revision, "k1")
+				if out {
+					takeOut(d)
+				}
+				p.state.Step(control.DocumentRead{Document: d}, time.Now().Add(-age))
+			}
+			key := caller.Digest("k1")
+			publish(2, true, outGrace/2)
+			if _, refusal := tier.permitNew("keyed", key); refusal != nil || !tier.Leaving() {
+				t.Errorf("within the grace: refusal %v, leaving %t", refusal, tier.Leaving())
+			}
+			publish(3, false, 0)
+			if s := p.Snapshot(); !s.OutSince.IsZero() || tier.Leaving() {
+				t.Errorf("back in service: out since %v, leaving %t", s.OutSince, tier.Leaving())
+			}
+			publish(4, true, outGrace)
+			publish(5, true, 0) // a further document must not start the grace again
+			_, refusal := tier.permitNew("keyed", key)
+			if refusal == nil || refusal.Code != caller.CodeDraining || refusal.Ran != caller.RanNo {
+				t.Errorf("after the grace: refusal %v, want draining and ran no", refusal)
+			}
+			if _, refusal := tier.permit("keyed", key); refusal != nil {
+				t.Errorf("change that runs already: refusal %v", refusal)
+			}
+		})
+	}
+}
+
+// Guards against a balancer that keeps sending to an instance out of service.
+func TestInstanceOutOfServiceIsNotReady(t *testing.T) {
+	s := &control.Snapshot{Configured: true, Settled: true, Polled: true}
+	tier := newTier(fixed{snapshot: s})
+	if !tier.Ready() {
+		t.Fatal("not ready while in service")
+	}
+	s.OutSince = time.Now()
+	if tier.Ready() {
+		t.Fatal("ready while out of service")
+	}
+}
+
+// fixed is a control that always publishes the same snapshot.
+type fixed struct {
+	Control
+	snapshot *control.Snapshot
+}
+
+func (f fixed) Snapshot() *control.Snapshot { return f.snapshot }
--- a/traffic/tier.go
+++ b/traffic/tier.go
@@ -63,7 +63,7 @@
 // Ready reports whether the instance takes new work. A target that is listed later does not make it unready.
 func (t *Tier) Ready() bool {
 	s := t.control.Snapshot()
-	if !s.Configured || !s.Settled || s.Draining {
+	if !s.Configured || !s.Settled || s.Draining || !s.OutSince.IsZero() {
 		return false
 	}
 	if s.Polled {
@@ -72,8 +72,12 @@
 	return t.wasReady.Load()
 }
 
-// Leaving reports that the instance stops, so callers should open their next connection elsewhere.
-func (t *Tier) Leaving() bool { return t.control.Snapshot().Draining }
+// Leaving reports that the instance stops or is out of service, so callers should open their next connection
+// elsewhere.
+func (t *Tier) Leaving() bool {
+	s := t.control.Snapshot()
+	return s.Draining || !s.OutSince.IsZero()
+}
 
 // begin counts a request as running, unless new requests are refused.
 func (t *Tier) begin() *caller.Refusal {
