Let a change wait for a target with room

Cause: the restart test once saw a change refused with no_target while the only usable targets were passed over for a moment.

Change: sendOnce asks again after 5, 10, 20 ms and so on, for at most 300 ms and within the deadline; a target that shed may be asked again.

Figures: TestChangeWaitsForRoom fails without the change (no_target) and passes with it.

--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -212,3 +212,26 @@
 		}
 	}
 }
+
+// Guards against refusing a change whose targets have room again within moments. The restart test met such a
+// refusal while a target was passed over after a broken connection.
+func TestChangeWaitsForRoom(t *testing.T) {
+	f := newFleet(t, "a")
+	busy := f.targets["s"].Targets[0]
+	for busy.Gauge.TryStart(busy.Limit) {
+	}
+	waiting := make(chan struct{})
+	f.nodes["a"].tier.step = func(step string) {
+		if step == "recorded" {
+			close(waiting)
+		}
+	}
+	go func() {
+		<-waiting
+		time.Sleep(20 * time.Millisecond)
+		busy.Gauge.Finish(0)
+	}()
+	if _, refusal := f.change("a", "key", 5*time.Second); refusal != nil || f.ran("key") != 1 {
+		t.Fatalf("refusal is %v after %d runs, want one run", refusal, f.ran("key"))
+	}
+}
--- a/traffic/home.go
+++ b/traffic/home.go
@@ -16,6 +16,13 @@
 // witnessTimeout bounds the wait for the witness. An entry instance answers within milliseconds.
 const witnessTimeout = 250 * time.Millisecond
 
+const (
+	// roomLimit is how long a change waits for a target with room. Targets are passed over for moments after a
+	// broken connection or while they shed, and a change that needs no more than that is not refused.
+	roomLimit = 300 * time.Millisecond
+	roomFirst = 5 * time.Millisecond
+)
+
 // RunChange runs a change that a sibling forwarded to this instance as its home.
 func (t *Tier) RunChange(ctx context.Context, r sibling.ChangeRequest) sibling.ChangeReply {
 	if refusal := t.begin(); refusal != nil {
@@ -126,8 +133,16 @@
 // sendOnce sends a change to one target after another, until one runs it or may have run it.
 func (t *Tier) sendOnce(ctx context.Context, machine *caller.Change, r sibling.ChangeRequest, deadline time.Time) sibling.ChangeReply {
 	tried := map[string]bool{}
+	limit := time.Now().Add(roomLimit)
+	pause := roomFirst
 	for {
 		chosen := reserve(t.control.Snapshot().Targets[r.Service], tried)
+		if next := time.Now().Add(pause); chosen == nil && next.Before(limit) && next.Before(deadline) && sleep(ctx, pause) {
+			// A target that shed the change may have room by now.
+			clear(tried)
+			pause *= 2
+			continue
+		}
 		if chosen == nil {
 			return refused(machine.Refuse(caller.CodeNoTarget, retrySoon, "no target of service %q has room", r.Service))
 		}
