Give small bursts fewer owners

Change: a set has one owner for each 8 tokens of the zone's burst, the first in rank by rendezvous hashing. The bound holds by the rule that carried equal shares: an accruing member counts every other one. While a document changes the number, the smallest part by any document in use counts. A joining member takes acknowledgements only from members with its own document.

--- a/sibling/roster.go
+++ b/sibling/roster.go
@@ -59,13 +59,8 @@
 		score  uint64
 	}
 	scores := make([]scored, len(m))
-	var d xxhash.Digest
 	for i, x := range m {
-		d.Reset()
-		_, _ = d.WriteString(key)
-		_, _ = d.Write([]byte{0})
-		_, _ = d.WriteString(x.ID)
-		scores[i] = scored{member: x, score: d.Sum64()}
+		scores[i] = scored{member: x, score: rendezvous(key, x.ID)}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
 		if c := cmp.Compare(b.score, a.score); c != 0 {
@@ -80,6 +75,16 @@
 	return out
 }
 
+// rendezvous returns the score of an instance for a key. The highest score ranks first.
+func rendezvous(key, id string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
 // Heartbeat is what an instance tells a sibling about itself.
 type Heartbeat struct {
 	ID               string
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -116,7 +116,8 @@
 		if i > 0 && a.wide == 0 {
 			break
 		}
-		for _, m := range holders {
+		// The next in rank owns the share while the first is away.
+		for _, m := range holders[:min(a.owners.newest()+1, len(holders))] {
 			if m.ID != s.self {
 				out = append(out, m)
 			}
--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -81,6 +81,7 @@
 // peer is what an instance knows of another in one group.
 type peer struct {
 	member  Member
+	score   uint64 // as in Members.Rank
 	counted bool
 	epoch   uint64
 	order   uint64
@@ -96,6 +97,7 @@
 // set is one group's accounting set, as one instance sees it.
 type set struct {
 	group      int
+	score      uint64 // of this instance, as in Members.Rank
 	epoch      uint64
 	phase      Phase
 	since      time.Time // start of the phase
@@ -107,12 +109,28 @@
 	next       time.Time
 }
 
-func newSet(group int, epoch uint64, now time.Time) *set {
-	return &set{group: group, epoch: epoch, since: now, peers: map[string]*peer{}}
+func newSet(group int, self string, epoch uint64, now time.Time) *set {
+	return &set{group: group, score: rendezvous(groupKey(group), self), epoch: epoch, since: now, peers: map[string]*peer{}}
 }
 
 func groupKey(group int) string { return "rates/" + strconv.Itoa(group) }
 
+// rank returns how many counted members rank before this instance, and the number of counted members, this
+// instance included.
+func (s *set) rank(self string) (rank, size int) {
+	size = 1
+	for id, p := range s.peers {
+		if !p.counted {
+			continue
+		}
+		size++
+		if p.score > s.score || p.score == s.score && id < self {
+			rank++
+		}
+	}
+	return rank, size
+}
+
 // size returns the number of counted members, this instance included.
 func (s *set) size() int {
 	n := 1
@@ -127,7 +145,7 @@
 func (s *set) peer(m Member, now time.Time) *peer {
 	p := s.peers[m.ID]
 	if p == nil {
-		p = &peer{member: m, heard: now}
+		p = &peer{member: m, heard: now, score: rendezvous(groupKey(s.group), m.ID)}
 		s.peers[m.ID] = p
 	}
 	return p
@@ -455,7 +473,9 @@
 		p.phase, p.members, p.dropped = ack.Phase, ack.Members, ack.Dropped
 		p.counted = ack.Phase != PhaseOut
 		// A process that paused for long must not go on with the rates of an old document.
-		if ack.Counted && sent.After(p.acked) && !r.Document.Supersedes(s.document) {
+		// A joining one must not share by another document than those who count it.
+		current := r.Document == s.document || set.phase == PhaseActive && s.document.Supersedes(r.Document)
+		if ack.Counted && sent.After(p.acked) && current {
 			p.acked = sent
 		}
 		if set.phase == PhaseJoining && ack.Phase == PhaseActive && r.Fraction < s.fraction.inForce {
--- a/sibling/shares_test.go
+++ b/sibling/shares_test.go
@@ -361,3 +361,37 @@
 		t.Fatal("the dropped membership goes on")
 	}
 }
+
+// Guards against two members that take an organisation's rate as their own: with one owner, of members that count
+// each other only the first in rank has a share, also while the number of owners changes.
+func TestOwnersShareByRank(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, c := range []struct {
+		name   string
+		bursts []float64 // by document
+		size   int
+		want   []float64 // by rank
+	}{
+		{"one owner", []float64{5}, 3, []float64{1, 0, 0}},
+		{"two owners", []float64{16}, 3, []float64{0.5, 0.5, 0}},
+		{"more owners than members", []float64{1000}, 3, []float64{1. / 3, 1. / 3, 1. / 3}},
+		{"change from one to two", []float64{5, 16}, 3, []float64{0.5, 0, 0}},
+		{"change from two to one", []float64{16, 5}, 3, []float64{0.5, 0, 0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := owners{}
+			for _, burst := range c.bursts {
+				o.update(burst, now)
+			}
+			for rank, want := range c.want {
+				if got := o.part(rank, c.size); got != want {
+					t.Errorf("rank %d of %d has %v of the rate, want %v", rank, c.size, got, want)
+				}
+			}
+			o.settle(now.Add(documentHold))
+			if len(o.counts) != 1 {
+				t.Errorf("%d numbers of owners in use after the hold time, want 1", len(o.counts))
+			}
+		})
+	}
+}
