Let a request wait for a token that siblings may have

With 8 instances and a burst of 15 each instance has less than two tokens, pulls run every 100 ms, and every instance stocked two tokens that it did not need.

Change: a request without a token waits for at most 200 ms, 16 requests an organisation, and has control pull from siblings at once; after a round without a token the next one comes after the usual 100 ms. The stock beyond the expected demand is at most 1/32 of the burst.

--- a/caller/pool.go
+++ b/caller/pool.go
@@ -41,12 +41,22 @@
 	pulled  atomic.Pointer[[]*Lot] // replaced, never changed in place
 	spent   atomic.Int64
 	refused atomic.Int64
+	waiting atomic.Int64
 }
 
 // Take spends one token and reports whether there was one. It reads the clock after it has taken the token, so
 // a process that paused in between does not spend an expired one; such a token is lost. The request counts as
 // admitted at the instant of that reading.
 func (p *TokenPool) Take(clock func() time.Time) bool {
+	if p.TakeAgain(clock) {
+		return true
+	}
+	p.refused.Add(1)
+	return false
+}
+
+// TakeAgain is like Take for a request that has called Take before: its demand is counted already.
+func (p *TokenPool) TakeAgain(clock func() time.Time) bool {
 	if lots := p.pulled.Load(); lots != nil {
 		for _, l := range *lots {
 			if l.take(clock) {
@@ -59,10 +69,25 @@
 		p.spent.Add(1)
 		return true
 	}
-	p.refused.Add(1)
 	return false
 }
 
+// maxWaiting bounds the requests of an organisation that wait for a token, so that one far above its rate does not
+// fill the instance with them.
+const maxWaiting = 16
+
+// BeginWait counts a request as waiting for a token, unless too many are. EndWait must follow.
+func (p *TokenPool) BeginWait() bool {
+	if p.waiting.Add(1) > maxWaiting {
+		p.waiting.Add(-1)
+		return false
+	}
+	return true
+}
+
+// EndWait ends the wait of a request.
+func (p *TokenPool) EndWait() { p.waiting.Add(-1) }
+
 func (l *Lot) take(clock func() time.Time) bool {
 	l.pending.Add(1)
 	defer l.pending.Add(-1)
--- a/control/rates.go
+++ b/control/rates.go
@@ -168,6 +168,25 @@
 	return effects
 }
 
+// TokensWanted says that a request waits for a token of the organisation.
+type TokensWanted struct{ Organisation string }
+
+func (e TokensWanted) apply(s *State, now time.Time) { s.rates.want(e.Organisation, now) }
+
+// WantTokens tells control that a request waits for a token of the organisation.
+func (l *Loop) WantTokens(organisation string) { l.Post(TokensWanted{Organisation: organisation}) }
+
+// want has the next step ask siblings for tokens at once.
+func (r *rates) want(organisation string, now time.Time) {
+	p := r.purses[organisation]
+	if p == nil || !r.shares.Want(p.account, now) {
+		return
+	}
+	p.busyUntil = now.Add(busyTime)
+	r.settle(p, p.pool.Spent()+p.pool.Refused(), now)
+	r.due = now
+}
+
 // renew moves the expiries of own tokens to the end of the leases.
 func (r *rates) renew() {
 	for g := range r.leases {
--- a/sibling/shares.go
+++ b/sibling/shares.go
@@ -49,12 +49,14 @@
 	settleTime = 500 * time.Millisecond
 
 	roundInterval = 100 * time.Millisecond
-	demandWindow  = 500 * time.Millisecond
-	lifePerBurst  = 0.8
-	stockPerLife  = 0.6 // part of a token's life for which a puller keeps stock
-	stockPerBurst = 0.4 // part of the fleet's burst that one puller may keep in stock
-	maxPulls      = 16  // siblings asked in one round
-	nano          = 1_000_000_000
+	// urgentInterval is the least time between rounds for a request that waits, while rounds bring tokens.
+	urgentInterval = 10 * time.Millisecond
+	demandWindow   = 500 * time.Millisecond
+	lifePerBurst   = 0.8
+	stockPerLife   = 0.6 // part of a token's life for which a puller keeps stock
+	stockPerBurst  = 0.4 // part of the fleet's burst that one puller may keep in stock
+	maxPulls       = 16  // siblings asked in one round
+	nano           = 1_000_000_000
 )
 
 // Amount is a number of tokens in units of 1e-9 token. Integers keep the accounting exact.
@@ -144,6 +146,8 @@
 	granted      Amount                  // since the last round of pulls
 	asked        Amount                  // in the last round of pulls
 	pulled       Amount                  // whole pulled tokens in the pool
+	urgent       bool                    // a request waits for a token
+	nextUrgent   time.Time               // when it may ask for a round of pulls again
 	wide         int                     // rounds for which other zones are asked too
 	settled      map[string][]Settlement // to report, by giver
 }
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -8,8 +8,11 @@
 const (
 	confirmInterval = time.Second
 	wideRounds      = 30
-	// spareTokens is stock beyond the expected demand, for organisations whose rate is a few requests a second.
+	// spareTokens is the most that an instance stocks beyond the expected demand.
 	spareTokens = 2
+	// sparePerBurst is the part of the burst that an instance may stock beyond the expected demand. With two tokens
+	// at each of 8 instances, a burst of 15 lay unused at instances without requests.
+	sparePerBurst = 1. / 32
 )
 
 // Tick moves the sets on and returns the messages that are due.
@@ -39,6 +42,20 @@
 	return append(out, s.pull()...)
 }
 
+// Want notes that a request waits for a token, and reports whether the next Tick makes a round of pulls for it at
+// once. After a round that brought nothing it does not: the siblings have no token either.
+func (s *Shares) Want(a *Account, now time.Time) bool {
+	if s.static || now.Before(a.nextUrgent) {
+		return false
+	}
+	a.nextUrgent = now.Add(roundInterval)
+	if a.granted > 0 {
+		a.nextUrgent = now.Add(urgentInterval)
+	}
+	a.urgent, s.nextRound = true, now
+	return true
+}
+
 // pull asks other holders for what the expected demand needs beyond the stock: those of this zone first, and
 // those of the other zones too for wideRounds after a round that brought less than half of what was asked for. All
 // organisations share one message to a sibling. An organisation without demand causes none.
@@ -55,10 +72,20 @@
 		} else if a.granted < a.asked/2 {
 			a.wide = wideRounds
 		}
+		urgent := a.urgent
+		if urgent {
+			a.urgent, a.wide = false, max(a.wide, 1)
+		}
 		a.granted, a.asked = 0, 0
 		life := a.tokenLife()
 		stock := min(a.demand*life.Seconds()*stockPerLife, a.burst*stockPerBurst)
-		want := Tokens(stock+spareTokens) - a.deposited - a.pulled - a.level - a.crumbs
+		want := Tokens(stock+min(spareTokens, a.burst*sparePerBurst)) - a.deposited - a.pulled - a.level - a.crumbs
+		switch {
+		case urgent:
+			want = max(want, nano)
+		case want < nano:
+			want = 0 // a request that comes meanwhile asks for its token itself
+		}
 		settled := a.settled
 		a.settled = nil
 		var from Members
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -74,9 +74,12 @@
 	if a.service.Sharded != sharded {
 		return admission{}, caller.Refuse(caller.CodeBadRequest, 0, "service %q takes %s", service, takes[a.service.Sharded])
 	}
-	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !pool.Take(time.Now) {
+	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !t.takeToken(ctx, pool, a.organisation.Name, deadline) {
 		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
 	}
+	if a, refusal = t.recheck(a); refusal != nil {
+		return admission{}, refusal
+	}
 	ticket := &caller.Ticket{Organisation: a.organisation.Name, Weight: a.organisation.Weight, Until: deadline}
 	waited, refusal := t.queue.enter(ctx, ticket)
 	if refusal != nil {
@@ -95,6 +98,37 @@
 	return a, nil
 }
 
+const (
+	// tokenWait is how long a request waits for a token that control pulls from siblings. A pull takes some
+	// milliseconds; an organisation with a low rate has less than one token for each instance.
+	tokenWait  = 200 * time.Millisecond
+	tokenFirst = 3 * time.Millisecond
+)
+
+// takeToken spends a token of an organisation. If there is none here, it has control ask siblings and waits.
+func (t *Tier) takeToken(ctx context.Context, pool *caller.TokenPool, organisation string, deadline time.Time) bool {
+	if pool.Take(time.Now) {
+		return true
+	}
+	if !pool.BeginWait() {
+		return false
+	}
+	defer pool.EndWait()
+	limit := time.Now().Add(tokenWait)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	for pause := tokenFirst; ; pause *= 2 {
+		t.control.WantTokens(organisation)
+		if time.Now().Add(pause).After(limit) || !sleep(ctx, pause) {
+			return false
+		}
+		if pool.TakeAgain(time.Now) {
+			return true
+		}
+	}
+}
+
 // recheck decides again whether an admitted request that waited may run. It spends no token.
 func (t *Tier) recheck(a admission) (admission, *caller.Refusal) {
 	next, refusal := t.permitNew(a.service.Name, a.digest)
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -161,6 +161,8 @@
 	return &s
 }
 
+func (n *testNode) WantTokens(string) {}
+
 func (n *testNode) BeginChange(key sibling.ChangeKey, body sibling.BodyDigest) (sibling.Begun, error) {
 	return n.loop.BeginChange(key, body)
 }
--- a/traffic/tier.go
+++ b/traffic/tier.go
@@ -17,6 +17,7 @@
 // Control is what the tier needs of the control goroutine.
 type Control interface {
 	Snapshot() *control.Snapshot
+	WantTokens(organisation string)
 	BeginChange(key sibling.ChangeKey, body sibling.BodyDigest) (sibling.Begun, error)
 	FinishChange(r sibling.ChangeRecord) ([]sibling.HandOver, error)
 }
