Ask likely owners for whole tokens before asking everybody for fractions

Cause: a request without a token asked every holder for a fraction. Fractions cannot be returned early, so each such round locked up to six tokens of a burst of 15 for up to two seconds.

Change: owners by rank are asked first, for whole tokens; fractions only after a round that brought nothing.

--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -76,6 +76,7 @@
 		if urgent {
 			a.urgent, a.wide = false, max(a.wide, 1)
 		}
+		failed := a.asked > 0 && a.granted == 0
 		a.granted, a.asked = 0, 0
 		life := a.tokenLife()
 		stock := min(a.demand*life.Seconds()*stockPerLife, a.burst*stockPerBurst)
@@ -97,11 +98,11 @@
 				a.asked = want
 				// Fewer siblings are asked for whole tokens rather than all of them for fractions.
 				n := int(want/nano) + 1
-				if fragments := a.deposited+a.pulled+a.level < nano; fragments {
-					// What is left lies in fractions at many holders.
+				if failed && a.deposited+a.pulled+a.level < nano {
+					// What is left lies in fractions at many holders. Fractions cannot be returned early, so they are
+					// asked for only after whole tokens were not to be had.
 					part = nano - 1
 				} else if n < len(from) {
-					s.rng.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
 					from, part = from[:n], nano
 				}
 				part = max(part, want/Amount(len(from))+want/Amount(2*len(from)))
@@ -136,25 +137,27 @@
 	return out
 }
 
-// givers chooses the siblings that one account asks in this round.
+// givers returns the siblings that one account may ask in this round, likely owners first.
 func (s *Shares) givers(a *Account) Members {
-	var out Members
+	var owners, next Members
 	for i, holders := range s.holders[a.set.group] {
 		if i > 0 && a.wide == 0 {
 			break
 		}
-		// The next in rank owns the share while the first is away.
-		for _, m := range holders[:min(a.owners.newest()+1, len(holders))] {
-			if m.ID != s.self {
-				out = append(out, m)
+		for rank, m := range holders {
+			switch {
+			case m.ID == s.self:
+			case rank < a.owners.newest():
+				owners = append(owners, m)
+			case rank == a.owners.newest():
+				// The next in rank owns the share while an owner is away.
+				next = append(next, m)
 			}
 		}
 	}
-	if len(out) > maxPulls {
-		s.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-		out = out[:maxPulls]
-	}
-	return out
+	s.rng.Shuffle(len(owners), func(i, j int) { owners[i], owners[j] = owners[j], owners[i] })
+	out := append(owners, next...)
+	return out[:min(maxPulls, len(out))]
 }
 
 // Pulled takes a grant of a pull that was sent at the given time, and returns whole tokens to deposit and when
