--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -97,7 +97,10 @@
 	n.targets.ReportTo(n)
 	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.loop = control.NewLoop(control.NewState(control.Identity{ID: s.ID, Zone: s.Zone, Seeds: s.Siblings, StaticRates: s.Policy.Rates == "static"}, rng))
+	n.loop = control.NewLoop(control.NewState(control.Identity{
+		ID: s.ID, Zone: s.Zone, Seeds: s.Siblings,
+		StaticRates: s.Policy.Rates == "static", RandomReplica: s.Policy.Replica == "random", NoHedge: s.Policy.Hedge == "off",
+	}, rng))
 	n.receiver = siblinggrpc.NewReceiver(n.loop)
 	n.tier = traffic.New(n.loop, n.siblings, n.targets, s.Queue.Limits())
 	for _, l := range []struct {
--- a/control/control.go
+++ b/control/control.go
@@ -71,6 +71,9 @@
 	Zone string
 	// StaticRates replaces rate shares by a static split over the listed instances, for comparison.
 	StaticRates bool
+	// RandomReplica and NoHedge replace the choice of replicas and hedging by a baseline, for comparison.
+	RandomReplica bool
+	NoHedge       bool
 	// Seeds are addresses of siblings to ask while the platform is down and no list is known.
 	Seeds []string
 }
@@ -109,7 +112,7 @@
 		self:   self,
 		rng:    rng,
 		spread: sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
-		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, target.DefaultPolicy()),
+		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, self.targetPolicy()),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
 		// A process must not take the attempts of an earlier one of the same instance for its own.
@@ -117,6 +120,15 @@
 	}
 }
 
+func (i Identity) targetPolicy() target.Policy {
+	p := target.DefaultPolicy()
+	p.RandomReplica = i.RandomReplica
+	if i.NoHedge {
+		p.HedgeRatio = 0
+	}
+	return p
+}
+
 // Step applies one event and whatever is due at now.
 func (s *State) Step(e Event, now time.Time) Ready {
 	s.effects, s.changed, s.now = nil, false, now
