--- /dev/null
+++ b/target/choose.go
@@ -0,0 +1,77 @@
+package target
+
+import (
+	"time"
+)
+
+// choose reserves a place at the better of two random replicas, or at any other that has room. Replicas that
+// the shard was sent to are passed over, or, with again, only those whose leg is open or that said that the
+// snapshot is gone. busy says that there are replicas to choose from but none has room.
+func (q *Query) choose(p *shardProgress, again bool) (chosen *Target, busy bool) {
+	replicas := p.view.Replicas
+	n := len(replicas)
+	if n == 0 {
+		return nil, false
+	}
+	first := q.Rand.IntN(n)
+	a := q.eligible(p, first, nil, again)
+	if a == nil {
+		return nil, false
+	}
+	if n > 1 && !q.View.Tail.policy.RandomReplica {
+		if b := q.eligible(p, first+1+q.Rand.IntN(n-1), a, again); b != nil {
+			if preferred(b, a) {
+				a, b = b, a
+			}
+			b.Gauge.passOver()
+			if a.Gauge.TryStart(a.Limit) {
+				return a, false
+			}
+			a = b
+		}
+	}
+	if a.Gauge.TryStart(a.Limit) {
+		return a, false
+	}
+	for i := range n {
+		t := replicas[(first+i)%n]
+		if !q.passedOver(p, t, again) && t.Gauge.TryStart(t.Limit) {
+			return t, false
+		}
+	}
+	return nil, true
+}
+
+// eligible returns the first replica from position start on that the shard may be sent to and that is not other.
+func (q *Query) eligible(p *shardProgress, start int, other *Target, again bool) *Target {
+	replicas := p.view.Replicas
+	for i := range replicas {
+		t := replicas[(start+i)%len(replicas)]
+		if t != other && !q.passedOver(p, t, again) {
+			return t
+		}
+	}
+	return nil
+}
+
+func (q *Query) passedOver(p *shardProgress, t *Target, again bool) bool {
+	for _, attempt := range p.attempts[:p.tried] {
+		if l := q.state(int(attempt)); l.target == t && (!again || l.open || l.gone) {
+			return true
+		}
+	}
+	return false
+}
+
+// preferred reports whether a leg is expected to end sooner at a than at b, from what this instance observed.
+func preferred(a, b *Target) bool {
+	x, y := a.Gauge.Latency(), b.Gauge.Latency()
+	if x == 0 || y == 0 {
+		x, y = 1, 1
+	}
+	return expected(a, x) < expected(b, y)
+}
+
+func expected(t *Target, latency time.Duration) float64 {
+	return float64(latency) * float64(1+t.Gauge.Outstanding()) * (1 + loadHint*t.Load)
+}
