Wait for the crashed target itself in TestCrashOnMarkedRequest

While the target is down its port is free, and a server of another test process may get it. Reproduced with 20 processes of this test: one got the reply of another process's target. Ruled out: a target that comes back warm (the wait ends at the first reply of any server).

Change: the wait ends at the first reply that names an incarnation. What the test requires of that reply is unchanged; its message names the status.

--- a/cmd/internal/standin/standin_test.go
+++ b/cmd/internal/standin/standin_test.go
@@ -86,10 +86,11 @@
 	until(t, "target is back", func() bool {
 		var err error
 		resp, _, err = send(c, in.Address, targethttp.ChangePath, "y")
-		return err == nil
+		// While the target is down, a server of another test process may have its port and answer.
+		return err == nil && resp.Header.Get(targethttp.HeaderIncarnation) != ""
 	})
 	if got := resp.Header.Get(targethttp.HeaderIncarnation) + " " + resp.Header.Get(targethttp.HeaderState); got != "svc-0-0/2 cold" {
-		t.Errorf("after the crash the target is %q, want %q", got, "svc-0-0/2 cold")
+		t.Errorf("after the crash the target is %q, want %q; status %d", got, "svc-0-0/2 cold", resp.StatusCode)
 	}
 	if got := tg.Counters(); got.Crashes != 1 || got.Changes["o/k"] != 1 {
 		t.Errorf("crashes %d, runs of the marked change %d, want 1 and 1", got.Crashes, got.Changes["o/k"])
