Test that a request waits for its token

Cause: the wait for tokens had no test of its own. Change: one that deposits a token after the first miss, and one request that finds none.

--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -235,3 +235,24 @@
 		t.Fatalf("refusal is %v after %d runs, want one run", refusal, f.ran("key"))
 	}
 }
+
+// Guards against refusing a request inside its rate because the token lies at a sibling: with a low rate and many
+// instances a fifth of the requests were refused.
+func TestRequestWaitsForToken(t *testing.T) {
+	f := newFleet(t, "a")
+	n := f.nodes["a"]
+	pool := &caller.TokenPool{}
+	n.pools["o"] = pool
+	go func() {
+		for pool.Refused() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		pool.Deposit(1, caller.NewExpiry(time.Now().Add(time.Hour)))
+	}()
+	if _, refusal := f.change("a", "first", 5*time.Second); refusal != nil {
+		t.Fatalf("refusal is %v, want the change to wait for its token", refusal)
+	}
+	if _, refusal := f.change("a", "second", 5*time.Second); refusal == nil || refusal.Code != caller.CodeRateLimited {
+		t.Fatalf("refusal is %v without a second token, want %s", refusal, caller.CodeRateLimited)
+	}
+}
