--- a/cmd/internal/deploy/network.go
+++ b/cmd/internal/deploy/network.go
@@ -56,13 +56,6 @@
 	}
 }
 
-// SetDelay changes the one-way delay.
-func (l *Link) SetDelay(d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.delay = d
-}
-
 func (l *Link) look() (LinkState, time.Duration, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/cmd/internal/standin/target.go
+++ b/cmd/internal/standin/target.go
@@ -168,13 +168,6 @@
 // ServeHTTP serves the target's protocol.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
 
-// SetStatus replaces what the target reports and serves. A target that is set cold stays cold.
-func (t *Target) SetStatus(s target.Status) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.setStatus(s, time.Now())
-}
-
 // setStatus needs t.mu.
 func (t *Target) setStatus(s target.Status, now time.Time) {
 	t.status, t.cold, t.draining = s, nil, time.Time{}
--- a/control/rates.go
+++ b/control/rates.go
@@ -115,6 +115,9 @@
 	expires  time.Time
 }
 
+// requested returns how many requests asked for a token since the start.
+func (p *purse) requested() int64 { return p.pool.Spent() + p.pool.Refused() }
+
 func newRates() *rates {
 	return &rates{purses: map[string]*purse{}}
 }
@@ -157,7 +160,7 @@
 	effects := r.shares.Tick(now)
 	r.renew()
 	for _, p := range r.purses {
-		requests := p.pool.Spent() + p.pool.Refused()
+		requests := p.requested()
 		if requests != p.requests {
 			p.busyUntil = now.Add(busyTime)
 		}
@@ -183,7 +186,7 @@
 		return
 	}
 	p.busyUntil = now.Add(busyTime)
-	r.settle(p, p.pool.Spent()+p.pool.Refused(), now)
+	r.settle(p, p.requested(), now)
 	r.due = now
 }
 
@@ -234,7 +237,7 @@
 		if p == nil {
 			continue
 		}
-		r.settle(p, p.pool.Spent()+p.pool.Refused(), now)
+		r.settle(p, p.requested(), now)
 		r.withdraw(p)
 		if amount, loan := r.shares.Grant(want, now); amount > 0 {
 			reply.Grants = append(reply.Grants, sibling.Wanted{
--- a/sibling/shares_part.go
+++ b/sibling/shares_part.go
@@ -83,7 +83,7 @@
 	if s.static {
 		return value / float64(max(len(s.members), 1))
 	}
-	rank, size := a.set.rank(s.self)
+	rank, size := a.set.rank()
 	return value * s.fraction.inForce * a.owners.part(rank, size)
 }
 
--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -97,6 +97,7 @@
 // set is one group's accounting set, as one instance sees it.
 type set struct {
 	group      int
+	self       string // ID of this instance
 	score      uint64 // of this instance, as in Members.Rank
 	epoch      uint64
 	phase      Phase
@@ -110,21 +111,21 @@
 }
 
 func newSet(group int, self string, epoch uint64, now time.Time) *set {
-	return &set{group: group, score: rendezvous(groupKey(group), self), epoch: epoch, since: now, peers: map[string]*peer{}}
+	return &set{group: group, self: self, score: rendezvous(groupKey(group), self), epoch: epoch, since: now, peers: map[string]*peer{}}
 }
 
 func groupKey(group int) string { return "rates/" + strconv.Itoa(group) }
 
 // rank returns how many counted members rank before this instance, and the number of counted members, this
 // instance included.
-func (s *set) rank(self string) (rank, size int) {
+func (s *set) rank() (rank, size int) {
 	size = 1
 	for id, p := range s.peers {
 		if !p.counted {
 			continue
 		}
 		size++
-		if p.score > s.score || p.score == s.score && id < self {
+		if p.score > s.score || p.score == s.score && id < s.self {
 			rank++
 		}
 	}
@@ -133,12 +134,7 @@
 
 // size returns the number of counted members, this instance included.
 func (s *set) size() int {
-	n := 1
-	for _, p := range s.peers {
-		if p.counted {
-			n++
-		}
-	}
+	_, n := s.rank()
 	return n
 }
 
--- a/sibling/siblinggrpc/changes.go
+++ b/sibling/siblinggrpc/changes.go
@@ -51,19 +51,19 @@
 
 func (sendTracker) HandleConn(context.Context, stats.ConnStats) {}
 
-// call makes a call to a sibling. Its error wraps sibling.ErrNotSent only if the sibling surely did not get the
+// callChanges makes a call to a sibling. Its error wraps sibling.ErrNotSent only if the sibling surely did not get the
 // message.
-func call[Q, R any](ctx context.Context, c *Client, to sibling.Member, request Q,
+func callChanges[Q, R any](ctx context.Context, c *Client, to sibling.Member, request Q,
 	method func(siblingpb.ChangesClient, context.Context, Q, ...grpc.CallOption) (R, error),
 ) (R, error) {
 	var zero R
-	conn, err := c.connect(to.PeerAddress)
+	conn, err := c.acquire(to.PeerAddress)
 	if err != nil {
 		return zero, err
 	}
 	var sent atomic.Bool
 	reply, err := method(siblingpb.NewChangesClient(conn), context.WithValue(ctx, sentKey{}, &sent), request)
-	conn.Done(err)
+	c.release(to.PeerAddress, conn, err)
 	switch {
 	case err == nil:
 		return reply, nil
@@ -76,7 +76,7 @@
 
 // RunChange forwards a change to its home instance.
 func (c *Client) RunChange(ctx context.Context, to sibling.Member, r sibling.ChangeRequest) (sibling.ChangeReply, error) {
-	reply, err := call(ctx, c, to, &siblingpb.RunChangeRequest{
+	reply, err := callChanges(ctx, c, to, &siblingpb.RunChangeRequest{
 		RequestId: r.RequestID, Organisation: r.Organisation, Service: r.Service, IdempotencyKey: r.IdempotencyKey,
 		KeyDigest: r.KeyDigest, Body: r.Body, TimeoutNs: int64(r.Timeout),
 	}, siblingpb.ChangesClient.RunChange)
@@ -94,7 +94,7 @@
 
 // RecordChange asks a witness to note a change.
 func (c *Client) RecordChange(ctx context.Context, to sibling.Member, home string, r sibling.ChangeRecord) (sibling.Witnessed, error) {
-	reply, err := call(ctx, c, to, &siblingpb.RecordChangeRequest{Home: home, Record: encodeRecord(r)}, siblingpb.ChangesClient.RecordChange)
+	reply, err := callChanges(ctx, c, to, &siblingpb.RecordChangeRequest{Home: home, Record: encodeRecord(r)}, siblingpb.ChangesClient.RecordChange)
 	if err != nil {
 		return sibling.Witnessed{}, err
 	}
@@ -116,7 +116,7 @@
 	handOver := func(client siblingpb.ChangesClient, ctx context.Context, r *siblingpb.HandOverRequest, _ ...grpc.CallOption) (*siblingpb.HandOverReply, error) {
 		return client.HandOver(ctx, r, grpc.MaxCallRecvMsgSize(maxHandOverReplyBytes))
 	}
-	reply, err := call(ctx, c, h.To, request, handOver)
+	reply, err := callChanges(ctx, c, h.To, request, handOver)
 	if err != nil {
 		return nil, err
 	}
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -110,41 +110,29 @@
 	}
 }
 
-// Connection is a call's use of the connection to a sibling. Done must be called once with the call's error.
-type Connection struct {
-	grpc.ClientConnInterface
-	Done func(error)
-}
-
-// connect returns the connection to a sibling for one call.
-func (c *Client) connect(address string) (Connection, error) {
+// call makes one call to the sibling at the address and translates its error.
+func call[R any](c *Client, address string, method func(grpc.ClientConnInterface) (R, error)) (R, error) {
+	var zero R
 	conn, err := c.acquire(address)
 	if err != nil {
-		return Connection{}, err
+		return zero, err
 	}
-	return Connection{ClientConnInterface: conn, Done: func(err error) { c.release(address, conn, err) }}, nil
-}
-
-// sibling returns a stub of the sibling service for one call.
-func (c *Client) sibling(address string) (siblingpb.SiblingClient, func(error), error) {
-	conn, err := c.connect(address)
+	reply, err := method(conn)
+	c.release(address, conn, err)
 	if err != nil {
-		return nil, nil, err
+		return zero, translate(err)
 	}
-	return siblingpb.NewSiblingClient(conn), conn.Done, nil
+	return reply, nil
 }
 
 // Exchange sends a heartbeat and returns the sibling's.
 func (c *Client) Exchange(ctx context.Context, to sibling.Member, h sibling.Heartbeat) (sibling.Heartbeat, error) {
-	s, done, err := c.sibling(to.PeerAddress)
+	reply, err := call(c, to.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.ExchangeReply, error) {
+		return siblingpb.NewSiblingClient(conn).Exchange(ctx, &siblingpb.ExchangeRequest{Heartbeat: encodeHeartbeat(h)})
+	})
 	if err != nil {
 		return sibling.Heartbeat{}, err
 	}
-	reply, err := s.Exchange(ctx, &siblingpb.ExchangeRequest{Heartbeat: encodeHeartbeat(h)})
-	done(err)
-	if err != nil {
-		return sibling.Heartbeat{}, translate(err)
-	}
 	return decodeHeartbeat(reply.GetHeartbeat()), nil
 }
 
--- a/sibling/siblinggrpc/config.go
+++ b/sibling/siblinggrpc/config.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/samber/oops"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -19,34 +20,25 @@
 
 // Announce tells a sibling which revision of a value is in force here.
 func (c *Client) Announce(ctx context.Context, self string, a sibling.Announce) error {
-	conn, err := c.connect(a.To.PeerAddress)
-	if err != nil {
-		return err
-	}
 	request := &siblingpb.AnnounceRequest{Id: self, Value: encodeValue(a.Value), Revision: uint64(a.Revision)}
 	if a.Difference != nil {
 		request.Difference = encodeDifference(*a.Difference)
 	}
-	_, err = siblingpb.NewConfigurationClient(conn).Announce(ctx, request)
-	conn.Done(err)
-	if err != nil {
-		return translate(err)
-	}
-	return nil
+	_, err := call(c, a.To.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.AnnounceReply, error) {
+		return siblingpb.NewConfigurationClient(conn).Announce(ctx, request)
+	})
+	return err
 }
 
 // Fetch returns the differences that lead from a revision to the one in force at the sibling.
 func (c *Client) Fetch(ctx context.Context, f sibling.Fetch) ([]platform.Difference, error) {
-	conn, err := c.connect(f.From.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := siblingpb.NewConfigurationClient(conn).Fetch(ctx, &siblingpb.FetchRequest{
-		Value: encodeValue(f.Value), After: uint64(f.After),
+	reply, err := call(c, f.From.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.FetchReply, error) {
+		return siblingpb.NewConfigurationClient(conn).Fetch(ctx, &siblingpb.FetchRequest{
+			Value: encodeValue(f.Value), After: uint64(f.After),
+		})
 	})
-	conn.Done(err)
 	if err != nil {
-		return nil, translate(err)
+		return nil, err
 	}
 	out := make([]platform.Difference, 0, len(reply.GetDifferences()))
 	for _, d := range reply.GetDifferences() {
--- a/sibling/siblinggrpc/notices.go
+++ b/sibling/siblinggrpc/notices.go
@@ -47,29 +47,20 @@
 
 // Tell sends notices to a sibling.
 func (c *Client) Tell(ctx context.Context, to sibling.Member, n target.Notices) error {
-	conn, err := c.connect(to.PeerAddress)
-	if err != nil {
-		return err
-	}
-	_, err = siblingpb.NewNoticeBoardClient(conn).Tell(ctx, encodeNotices(n))
-	conn.Done(err)
-	if err != nil {
-		return translate(err)
-	}
-	return nil
+	_, err := call(c, to.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.TellReply, error) {
+		return siblingpb.NewNoticeBoardClient(conn).Tell(ctx, encodeNotices(n))
+	})
+	return err
 }
 
 // Ask returns what a sibling knows about the targets.
 func (c *Client) Ask(ctx context.Context, to sibling.Member, targets []string) (target.Notices, error) {
-	conn, err := c.connect(to.PeerAddress)
+	reply, err := call(c, to.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.Notices, error) {
+		return siblingpb.NewNoticeBoardClient(conn).Ask(ctx, &siblingpb.AskRequest{Targets: targets})
+	})
 	if err != nil {
 		return target.Notices{}, err
 	}
-	reply, err := siblingpb.NewNoticeBoardClient(conn).Ask(ctx, &siblingpb.AskRequest{Targets: targets})
-	conn.Done(err)
-	if err != nil {
-		return target.Notices{}, translate(err)
-	}
 	return decodeNotices(reply), nil
 }
 
--- a/sibling/siblinggrpc/tokens.go
+++ b/sibling/siblinggrpc/tokens.go
@@ -52,29 +52,23 @@
 
 // Count sends a claim and returns the reply.
 func (c *Client) Count(ctx context.Context, e sibling.SendCount) (sibling.CountReply, error) {
-	conn, err := c.connect(e.To.PeerAddress)
+	reply, err := call(c, e.To.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.CountReply, error) {
+		return siblingpb.NewTokensClient(conn).Count(ctx, encodeCountRequest(e.Request))
+	})
 	if err != nil {
 		return sibling.CountReply{}, err
 	}
-	reply, err := siblingpb.NewTokensClient(conn).Count(ctx, encodeCountRequest(e.Request))
-	conn.Done(err)
-	if err != nil {
-		return sibling.CountReply{}, translate(err)
-	}
 	return decodeCountReply(reply), nil
 }
 
 // Pull sends a request for tokens and returns the reply.
 func (c *Client) Pull(ctx context.Context, e sibling.SendPull) (sibling.PullReply, error) {
-	conn, err := c.connect(e.To.PeerAddress)
+	reply, err := call(c, e.To.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.PullReply, error) {
+		return siblingpb.NewTokensClient(conn).Pull(ctx, &siblingpb.PullRequest{Wants: encodeAmounts(e.Request.Wants)})
+	})
 	if err != nil {
 		return sibling.PullReply{}, err
 	}
-	reply, err := siblingpb.NewTokensClient(conn).Pull(ctx, &siblingpb.PullRequest{Wants: encodeAmounts(e.Request.Wants)})
-	conn.Done(err)
-	if err != nil {
-		return sibling.PullReply{}, translate(err)
-	}
 	return sibling.PullReply{Grants: decodeAmounts(reply.GetGrants())}, nil
 }
 
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -74,14 +74,17 @@
 	if a.service.Sharded != sharded {
 		return admission{}, caller.Refuse(caller.CodeBadRequest, 0, "service %q takes %s", service, takes[a.service.Sharded])
 	}
-	if pool := a.snapshot.Pools[a.organisation.Name]; pool == nil || !t.takeToken(ctx, pool, a.organisation.Name, deadline) {
+	taken, waited := t.takeToken(ctx, a.snapshot.Pools[a.organisation.Name], a.organisation.Name, deadline)
+	if !taken {
 		return admission{}, caller.Refuse(caller.CodeRateLimited, retrySoon, "organisation %q is over its rate", a.organisation.Name)
 	}
-	if a, refusal = t.recheck(a); refusal != nil {
-		return admission{}, refusal
+	if waited {
+		if a, refusal = t.recheck(a); refusal != nil {
+			return admission{}, refusal
+		}
 	}
 	ticket := &caller.Ticket{Organisation: a.organisation.Name, Weight: a.organisation.Weight, Until: deadline}
-	waited, refusal := t.queue.enter(ctx, ticket)
+	waited, refusal = t.queue.enter(ctx, ticket)
 	if refusal != nil {
 		return admission{}, refusal
 	}
@@ -106,12 +109,15 @@
 )
 
 // takeToken spends a token of an organisation. If there is none here, it has control ask siblings and waits.
-func (t *Tier) takeToken(ctx context.Context, pool *caller.TokenPool, organisation string, deadline time.Time) bool {
+func (t *Tier) takeToken(ctx context.Context, pool *caller.TokenPool, organisation string, deadline time.Time) (taken, waited bool) {
+	if pool == nil {
+		return false, false
+	}
 	if pool.Take(time.Now) {
-		return true
+		return true, false
 	}
 	if !pool.BeginWait() {
-		return false
+		return false, false
 	}
 	defer pool.EndWait()
 	limit := time.Now().Add(tokenWait)
@@ -121,10 +127,10 @@
 	for pause := tokenFirst; ; pause *= 2 {
 		t.control.WantTokens(organisation)
 		if time.Now().Add(pause).After(limit) || !sleep(ctx, pause) {
-			return false
+			return false, true
 		}
 		if pool.TakeAgain(time.Now) {
-			return true
+			return true, true
 		}
 	}
 }
