--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Code names the reason of a refusal. Codes are stable.
@@ -81,13 +81,13 @@
 
 // Accounts is the index of a document's organisations and keys. It is immutable.
 type Accounts struct {
-	byDigest map[string]*platform.Organisation
-	host     *platform.Organisation
+	byDigest map[string]*document.Organisation
+	host     *document.Organisation
 }
 
 // NewAccounts indexes a valid document.
-func NewAccounts(doc *platform.Document) *Accounts {
-	a := &Accounts{byDigest: map[string]*platform.Organisation{}}
+func NewAccounts(doc *document.Document) *Accounts {
+	a := &Accounts{byDigest: map[string]*document.Organisation{}}
 	for i := range doc.Organisations {
 		o := &doc.Organisations[i]
 		if o.Host {
@@ -102,7 +102,7 @@
 
 // Identify returns the organisation that a request runs for, or a refusal. Requests without a key run only on
 // open services and count against the host.
-func (a *Accounts) Identify(service platform.Service, key string) (*platform.Organisation, *Refusal) {
+func (a *Accounts) Identify(service document.Service, key string) (*document.Organisation, *Refusal) {
 	if key == "" {
 		return a.IdentifyDigest(service, "")
 	}
@@ -110,7 +110,7 @@
 }
 
 // IdentifyDigest is Identify for the digest of a key, empty if there is no key.
-func (a *Accounts) IdentifyDigest(service platform.Service, digest string) (*platform.Organisation, *Refusal) {
+func (a *Accounts) IdentifyDigest(service document.Service, digest string) (*document.Organisation, *Refusal) {
 	if digest == "" {
 		if !service.Open {
 			return nil, Refuse(CodeUnauthenticated, 0, "service %q needs a key", service.Name)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Guards against a page for callers that misses a refusal code.
@@ -27,14 +27,14 @@
 
 // Guards against a request that runs for another organisation than that of its key.
 func TestIdentify(t *testing.T) {
-	a := NewAccounts(&platform.Document{Organisations: []platform.Organisation{
+	a := NewAccounts(&document.Document{Organisations: []document.Organisation{
 		{Name: "host", Host: true},
-		{Name: "bakers", Keys: []platform.Key{{ID: "k", SHA256: Digest("secret")}}},
+		{Name: "bakers", Keys: []document.Key{{ID: "k", SHA256: Digest("secret")}}},
 	}})
-	open, closed := platform.Service{Name: "o", Open: true}, platform.Service{Name: "c"}
+	open, closed := document.Service{Name: "o", Open: true}, document.Service{Name: "c"}
 	for _, c := range []struct {
 		name    string
-		service platform.Service
+		service document.Service
 		key     string
 		want    string
 		code    Code
--- a/cmd/dogwooddrift/restart_test.go
+++ b/cmd/dogwooddrift/restart_test.go
@@ -19,7 +19,7 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // mainVariable makes the test binary run as the command.
@@ -112,18 +112,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
-	doc := &platform.Document{
+	doc := &document.Document{
 		Revision: 1,
-		Organisations: []platform.Organisation{{
-			Name: "o", Host: true, Rate: 1e6, Burst: 1e6, Weight: 1, Keys: []platform.Key{{ID: "k", SHA256: caller.Digest(restartKey)}},
+		Organisations: []document.Organisation{{
+			Name: "o", Host: true, Rate: 1e6, Burst: 1e6, Weight: 1, Keys: []document.Key{{ID: "k", SHA256: caller.Digest(restartKey)}},
 		}},
-		Services: []platform.Service{
+		Services: []document.Service{
 			{Name: "search", Sharded: true, Slots: 64, Connections: 100}, {Name: "orders", Slots: 64, Connections: 100},
 		},
-		Zones:     []platform.Zone{{Name: "z", RateFraction: 1}},
-		Isolation: platform.Isolation{KeyedLimit: 60}, ChangeWindow: 600,
+		Zones:     []document.Zone{{Name: "z", RateFraction: 1}},
+		Isolation: document.Isolation{KeyedLimit: 60}, ChangeWindow: 600,
 	}
-	list := &platform.InstanceList{Revision: 1, Instances: fleet.Instances}
+	list := &document.InstanceList{Revision: 1, Instances: fleet.Instances}
 	ports := freePorts(t, 3*instanceCount)
 	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", ports[n]) }
 	platformServer := standin.NewPlatform()
@@ -139,8 +139,8 @@
 			t.Fatal(err)
 		}
 		out = append(out, &instance{index: i, settings: path, callers: address(3 * i)})
-		list.Instances = append(list.Instances, platform.Instance{
-			ID: id, Kind: platform.KindEntry, Zone: "z", State: platform.StateLive, Address: address(3 * i), PeerAddress: address(3*i + 1),
+		list.Instances = append(list.Instances, document.Instance{
+			ID: id, Kind: document.KindEntry, Zone: "z", State: document.StateLive, Address: address(3 * i), PeerAddress: address(3*i + 1),
 		})
 	}
 	if err := platformServer.PublishDocument(doc); err != nil {
--- a/cmd/driftctl/check.go
+++ b/cmd/driftctl/check.go
@@ -13,9 +13,9 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwooddrift.org/drift/cmd/internal/settings"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documenthttp"
 	"dogwooddrift.org/drift/operator"
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformhttp"
 )
 
 // platformTimeout bounds one read of the platform.
@@ -72,7 +72,7 @@
 }
 
 // checkDocument prints the verdict on a document and, with a document in force, what the new one changes.
-func checkDocument(out io.Writer, path string, inForce *platform.Document) error {
+func checkDocument(out io.Writer, path string, inForce *document.Document) error {
 	doc, err := loadDocument(path)
 	if err != nil {
 		return err
@@ -100,12 +100,12 @@
 }
 
 // loadDocument reads a document in JSON or YAML and validates it.
-func loadDocument(path string) (*platform.Document, error) {
+func loadDocument(path string) (*document.Document, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	doc := &platform.Document{}
+	doc := &document.Document{}
 	// JSON is a subset of YAML, so one decoder reads both and names line and column of a mistake.
 	if err := yaml.UnmarshalWithOptions(text, doc, yaml.Strict()); err != nil {
 		return nil, fmt.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
@@ -116,10 +116,10 @@
 	return doc, nil
 }
 
-func readPlatform(ctx context.Context, url string) (*platform.Document, error) {
+func readPlatform(ctx context.Context, url string) (*document.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	doc, err := platformhttp.New(url, http.DefaultClient).Document(ctx, 0, 0)
+	doc, err := documenthttp.New(url, http.DefaultClient).Document(ctx, 0, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/driftctl/console.go
+++ b/cmd/driftctl/console.go
@@ -10,7 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwooddrift.org/drift/cmd/internal/console"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 func consoleCommand() *cli.Command {
@@ -48,7 +48,7 @@
 }
 
 // loadInForce returns the document in force from a file or the platform, or nil when neither is named.
-func loadInForce(ctx context.Context, path, platformURL string) (*platform.Document, error) {
+func loadInForce(ctx context.Context, path, platformURL string) (*document.Document, error) {
 	switch {
 	case path != "" && platformURL != "":
 		return nil, fmt.Errorf("name either a file or the platform as the source of the document in force, not both")
--- a/cmd/driftctl/standin.go
+++ b/cmd/driftctl/standin.go
@@ -12,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 func standinCommand() *cli.Command {
@@ -89,11 +89,11 @@
 
 func servePlatform(ctx context.Context, c *cli.Command) error {
 	p := standin.NewPlatform()
-	var doc platform.Document
+	var doc document.Document
 	if err := readJSON(c.String("document"), &doc); err != nil {
 		return err
 	}
-	var list platform.InstanceList
+	var list document.InstanceList
 	if err := readJSON(c.String("instances"), &list); err != nil {
 		return err
 	}
--- a/cmd/internal/console/console.go
+++ b/cmd/internal/console/console.go
@@ -13,8 +13,8 @@
 	"sync"
 
 	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/operator"
-	"dogwooddrift.org/drift/platform"
 )
 
 const (
@@ -39,7 +39,7 @@
 }
 
 // New returns a console whose draft starts from the document in force, or from an empty one when that is nil.
-func New(inForce *platform.Document) *Console {
+func New(inForce *document.Document) *Console {
 	c := &Console{draft: operator.NewDraft(inForce)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) { c.show(w, http.StatusOK, page{}) })
@@ -107,7 +107,7 @@
 }
 
 func (c *Console) putOrganisation(f form, _ *page) error {
-	o := platform.Organisation{
+	o := document.Organisation{
 		Name: f.text("name"), Host: f.checked("host"),
 		Rate: f.number("rate"), Burst: f.number("burst"), Weight: f.number("weight"),
 	}
@@ -123,7 +123,7 @@
 	_, _ = rand.Read(raw) // never fails, see crypto/rand
 	key := base64.RawURLEncoding.EncodeToString(raw)
 	organisation, id := f.text("organisation"), f.text("id")
-	if err := c.draft.GrantKey(organisation, platform.Key{ID: id, SHA256: caller.Digest(key)}); err != nil {
+	if err := c.draft.GrantKey(organisation, document.Key{ID: id, SHA256: caller.Digest(key)}); err != nil {
 		return err
 	}
 	p.NewKey = &newKey{Organisation: organisation, ID: id, Key: key}
@@ -131,7 +131,7 @@
 }
 
 func (c *Console) putService(f form, _ *page) error {
-	s := platform.Service{
+	s := document.Service{
 		Name: f.text("name"), Sharded: f.checked("sharded"), Open: f.checked("open"),
 		Slots: f.integer("slots"), Connections: f.integer("connections"),
 	}
@@ -142,7 +142,7 @@
 }
 
 func (c *Console) putZone(f form, _ *page) error {
-	z := platform.Zone{Name: f.text("name"), Out: f.checked("out"), RateFraction: f.number("rate_fraction")}
+	z := document.Zone{Name: f.text("name"), Out: f.checked("out"), RateFraction: f.number("rate_fraction")}
 	if f.err == nil {
 		c.draft.PutZone(z)
 	}
@@ -150,8 +150,8 @@
 }
 
 func (c *Console) setLimits(f form, _ *page) error {
-	isolation := platform.Isolation{KeyedLimit: platform.Seconds(f.number("keyed_limit_s"))}
-	window := platform.Seconds(f.number("change_window_s"))
+	isolation := document.Isolation{KeyedLimit: document.Seconds(f.number("keyed_limit_s"))}
+	window := document.Seconds(f.number("change_window_s"))
 	if f.err == nil {
 		c.draft.SetLimits(isolation, window)
 	}
--- a/cmd/internal/console/console_test.go
+++ b/cmd/internal/console/console_test.go
@@ -12,7 +12,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"dogwooddrift.org/drift/caller"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // post sends a form as a browser on the console's own page does.
@@ -67,7 +67,7 @@
 	}
 	key := fill(t, c)
 	w := get(c, "/document.json")
-	var doc platform.Document
+	var doc document.Document
 	if err := json.Unmarshal(w.Body.Bytes(), &doc); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/internal/console/page.go
+++ b/cmd/internal/console/page.go
@@ -7,8 +7,8 @@
 	"net/http"
 
 	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/operator"
-	"dogwooddrift.org/drift/platform"
 )
 
 //go:embed page.html
@@ -27,8 +27,8 @@
 // page is what the template shows.
 type page struct {
 	Version  int
-	Document platform.Document
-	Faults   []platform.Fault
+	Document document.Document
+	Faults   []document.Fault
 	Effects  []operator.Effect
 	Problem  string
 	// NewKey is set on the one page that shows a key just made.
@@ -40,7 +40,7 @@
 	c.mu.Lock()
 	p.Version, p.Document, p.Effects = c.version, c.draft.Current(), c.draft.Effects()
 	c.mu.Unlock()
-	var invalid *platform.InvalidError
+	var invalid *document.InvalidError
 	if errors.As(p.Document.Validate(), &invalid) {
 		p.Faults = invalid.Faults
 	}
--- a/cmd/internal/deploy/deploy.go
+++ b/cmd/internal/deploy/deploy.go
@@ -18,7 +18,7 @@
 	"dogwooddrift.org/drift/cmd/internal/node"
 	"dogwooddrift.org/drift/cmd/internal/settings"
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // ErrNotReady means that an entry instance did not become ready in time.
@@ -75,8 +75,8 @@
 
 	mu       sync.Mutex
 	running  map[string]*instance
-	document *platform.Document
-	list     *platform.InstanceList
+	document *document.Document
+	list     *document.InstanceList
 	leaving  map[string]bool // entry instances and targets
 	started  int
 	errs     []error
@@ -110,7 +110,7 @@
 	}
 	d := &Deployment{
 		Fleet: fleet, Platform: standin.NewPlatform(), options: o, running: map[string]*instance{}, leaving: map[string]bool{},
-		list: &platform.InstanceList{}, document: documentOf(o),
+		list: &document.InstanceList{}, document: documentOf(o),
 	}
 	d.Network = NewNetwork(func(a, b string) time.Duration {
 		switch {
@@ -153,25 +153,25 @@
 	return d.publishList()
 }
 
-func documentOf(o Options) *platform.Document {
-	d := &platform.Document{
+func documentOf(o Options) *document.Document {
+	d := &document.Document{
 		Revision:     1,
-		Isolation:    platform.Isolation{KeyedLimit: platform.Seconds(orDefault(o.KeyedLimit, defaultKeyedLimit).Seconds())},
-		ChangeWindow: platform.Seconds(orDefault(o.ChangeWindow, defaultChangeWindow).Seconds()),
+		Isolation:    document.Isolation{KeyedLimit: document.Seconds(orDefault(o.KeyedLimit, defaultKeyedLimit).Seconds())},
+		ChangeWindow: document.Seconds(orDefault(o.ChangeWindow, defaultChangeWindow).Seconds()),
 	}
 	for _, org := range o.Organisations {
-		d.Organisations = append(d.Organisations, platform.Organisation{
+		d.Organisations = append(d.Organisations, document.Organisation{
 			Name: org.Name, Host: org.Host, Rate: org.Rate, Burst: org.Burst, Weight: org.Weight,
-			Keys: []platform.Key{{ID: "main", SHA256: caller.Digest(org.Key)}},
+			Keys: []document.Key{{ID: "main", SHA256: caller.Digest(org.Key)}},
 		})
 	}
 	for _, s := range o.Services {
-		d.Services = append(d.Services, platform.Service{
+		d.Services = append(d.Services, document.Service{
 			Name: s.Name, Sharded: s.Shards > 0, Open: s.Open, Slots: s.Slots, Connections: s.Connections,
 		})
 	}
 	for _, z := range o.Zones {
-		d.Zones = append(d.Zones, platform.Zone{Name: z, RateFraction: 1 / float64(len(o.Zones))})
+		d.Zones = append(d.Zones, document.Zone{Name: z, RateFraction: 1 / float64(len(o.Zones))})
 	}
 	return d
 }
@@ -221,25 +221,25 @@
 
 // publishList publishes the running entry instances and the targets. It needs d.mu.
 func (d *Deployment) publishList() error {
-	list := &platform.InstanceList{Revision: d.list.Revision + 1}
+	list := &document.InstanceList{Revision: d.list.Revision + 1}
 	for _, in := range d.Fleet.Instances {
 		in.State = d.stateOf(in.ID)
 		list.Instances = append(list.Instances, in)
 	}
 	for _, e := range d.entries() {
-		list.Instances = append(list.Instances, platform.Instance{
-			ID: e.ID, Kind: platform.KindEntry, Zone: e.Zone, Address: e.Address, PeerAddress: e.Peer, State: d.stateOf(e.ID),
+		list.Instances = append(list.Instances, document.Instance{
+			ID: e.ID, Kind: document.KindEntry, Zone: e.Zone, Address: e.Address, PeerAddress: e.Peer, State: d.stateOf(e.ID),
 		})
 	}
 	d.list = list
 	return d.Platform.PublishInstances(list)
 }
 
-func (d *Deployment) stateOf(id string) platform.State {
+func (d *Deployment) stateOf(id string) document.State {
 	if d.leaving[id] {
-		return platform.StateLeaving
+		return document.StateLeaving
 	}
-	return platform.StateLive
+	return document.StateLive
 }
 
 // entries needs d.mu.
@@ -352,7 +352,7 @@
 }
 
 // Publish publishes a changed copy of the document with the next revision.
-func (d *Deployment) Publish(change func(*platform.Document)) error {
+func (d *Deployment) Publish(change func(*document.Document)) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.document
@@ -368,7 +368,7 @@
 
 // SetZoneOut takes a zone out of service or back, and lets its targets count what arrives meanwhile.
 func (d *Deployment) SetZoneOut(zone string, out bool) error {
-	err := d.Publish(func(doc *platform.Document) {
+	err := d.Publish(func(doc *document.Document) {
 		for i := range doc.Zones {
 			if doc.Zones[i].Name == zone {
 				doc.Zones[i].Out = out
@@ -383,7 +383,7 @@
 
 // WithdrawKeys takes all keys of an organisation out of the document.
 func (d *Deployment) WithdrawKeys(organisation string) error {
-	return d.Publish(func(doc *platform.Document) {
+	return d.Publish(func(doc *document.Document) {
 		for i := range doc.Organisations {
 			if doc.Organisations[i].Name == organisation {
 				doc.Organisations[i].Keys = nil
--- a/cmd/internal/deploy/deploy_test.go
+++ b/cmd/internal/deploy/deploy_test.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // echo answers each line with itself.
@@ -139,7 +139,7 @@
 	d.mu.Lock()
 	listed := d.list.Entries()
 	d.mu.Unlock()
-	if len(listed) != 1 || listed[0].ID != d.Entries()[0].ID || listed[0].State != platform.StateLive {
+	if len(listed) != 1 || listed[0].ID != d.Entries()[0].ID || listed[0].State != document.StateLive {
 		t.Errorf("listed are %+v, want the replacement only", listed)
 	}
 	if err := d.SetZoneOut("b", true); err != nil {
--- a/cmd/internal/load/load_test.go
+++ b/cmd/internal/load/load_test.go
@@ -14,7 +14,7 @@
 	"dogwooddrift.org/drift/cmd/internal/deploy"
 	"dogwooddrift.org/drift/cmd/internal/settings"
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 func testExperiment() Experiment {
@@ -142,17 +142,17 @@
 
 // Guards against each kind of untruthful answer that the tool must find.
 func TestUntruthfulAnswer(t *testing.T) {
-	manifest := []target.Shard{"s0", "s1"}
+	manifest := []targets.Shard{"s0", "s1"}
 	answer := func(change func(r *response)) []string {
 		r := &response{Snapshot: 4}
 		r.Coverage.Answered, r.Coverage.Total = 1, 2
 		r.Results = append(r.Results, struct {
-			Shard  target.Shard `json:"shard"`
-			Result string       `json:"result"`
+			Shard  targets.Shard `json:"shard"`
+			Result string        `json:"result"`
 		}{"s0", standin.Result("s0", 4, "q")})
 		r.Coverage.Missing = append(r.Coverage.Missing, struct {
-			Shard  target.Shard `json:"shard"`
-			Reason string       `json:"reason"`
+			Shard  targets.Shard `json:"shard"`
+			Reason string        `json:"reason"`
 		}{"s1", "deadline"})
 		change(r)
 		return untruthfulAnswer("q", r, manifest)
--- a/cmd/internal/load/truth.go
+++ b/cmd/internal/load/truth.go
@@ -5,33 +5,33 @@
 	"slices"
 
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // response is the body of an answer or a refusal.
 type response struct {
-	Code      string          `json:"code"`
-	Ran       string          `json:"ran"`
-	RequestID string          `json:"request_id"`
-	Snapshot  target.Snapshot `json:"snapshot"`
+	Code      string           `json:"code"`
+	Ran       string           `json:"ran"`
+	RequestID string           `json:"request_id"`
+	Snapshot  targets.Snapshot `json:"snapshot"`
 	Coverage  struct {
 		Answered int `json:"answered"`
 		Total    int `json:"total"`
 		Missing  []struct {
-			Shard  target.Shard `json:"shard"`
-			Reason string       `json:"reason"`
+			Shard  targets.Shard `json:"shard"`
+			Reason string        `json:"reason"`
 		} `json:"missing"`
 	} `json:"coverage"`
 	Results []struct {
-		Shard  target.Shard `json:"shard"`
-		Result string       `json:"result"`
+		Shard  targets.Shard `json:"shard"`
+		Result string        `json:"result"`
 	} `json:"results"`
 	Outcome string `json:"outcome"`
 }
 
 // untruthfulAnswer compares an answer to a query with the manifest of its snapshot, and each result with what a
 // target replies to this query. It returns what is wrong.
-func untruthfulAnswer(text string, r *response, manifest []target.Shard) []string {
+func untruthfulAnswer(text string, r *response, manifest []targets.Shard) []string {
 	var wrong []string
 	if manifest == nil {
 		return []string{fmt.Sprintf("snapshot %d does not exist", r.Snapshot)}
@@ -40,7 +40,7 @@
 		wrong = append(wrong, fmt.Sprintf("coverage %d of %d, but %d results of %d shards",
 			r.Coverage.Answered, r.Coverage.Total, len(r.Results), len(manifest)))
 	}
-	var named []target.Shard
+	var named []targets.Shard
 	for _, result := range r.Results {
 		named = append(named, result.Shard)
 		if want := standin.Result(result.Shard, r.Snapshot, text); result.Result != want {
--- a/cmd/internal/node/config_test.go
+++ b/cmd/internal/node/config_test.go
@@ -17,7 +17,7 @@
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/cmd/internal/settings"
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // fleet is a set of real entry instances in this process, each with its own way to the platform.
@@ -25,7 +25,7 @@
 	t        *testing.T
 	platform *standin.Platform
 	nodes    map[string]*member
-	listed   platform.Revision
+	listed   document.Revision
 }
 
 type member struct {
@@ -34,7 +34,7 @@
 	// down makes this instance's way to the platform fail; stale makes it serve another platform.
 	down   atomic.Bool
 	stale  atomic.Pointer[standin.Platform]
-	newest platform.Revision
+	newest document.Revision
 	seeds  []string
 	stop   context.CancelFunc
 	done   chan struct{}
@@ -84,11 +84,11 @@
 
 func (f *fleet) publishList() {
 	f.listed++
-	list := &platform.InstanceList{Revision: f.listed}
+	list := &document.InstanceList{Revision: f.listed}
 	for id, m := range f.nodes {
-		list.Instances = append(list.Instances, platform.Instance{
-			ID: id, Kind: platform.KindEntry, Zone: m.zone, Address: m.node.CallersAddress(),
-			PeerAddress: m.node.peers.Addr().String(), State: platform.StateLive,
+		list.Instances = append(list.Instances, document.Instance{
+			ID: id, Kind: document.KindEntry, Zone: m.zone, Address: m.node.CallersAddress(),
+			PeerAddress: m.node.peers.Addr().String(), State: document.StateLive,
 		})
 	}
 	if err := f.platform.PublishInstances(list); err != nil {
@@ -96,27 +96,27 @@
 	}
 }
 
-func fleetDocument(revision platform.Revision, limit platform.Seconds, keys ...string) *platform.Document {
-	d := &platform.Document{
+func fleetDocument(revision document.Revision, limit document.Seconds, keys ...string) *document.Document {
+	d := &document.Document{
 		Revision:      revision,
-		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: 1e5, Burst: 1e5, Weight: 1}},
-		Services: []platform.Service{
+		Organisations: []document.Organisation{{Name: "host", Host: true, Rate: 1e5, Burst: 1e5, Weight: 1}},
+		Services: []document.Service{
 			{Name: "keyed", Sharded: true, Slots: 1, Connections: 1},
 			{Name: "open", Sharded: true, Open: true, Slots: 1, Connections: 1},
 		},
-		Isolation:    platform.Isolation{KeyedLimit: limit},
+		Isolation:    document.Isolation{KeyedLimit: limit},
 		ChangeWindow: 60,
 	}
 	for _, k := range keys {
-		d.Organisations[0].Keys = append(d.Organisations[0].Keys, platform.Key{ID: k, SHA256: caller.Digest(k)})
+		d.Organisations[0].Keys = append(d.Organisations[0].Keys, document.Key{ID: k, SHA256: caller.Digest(k)})
 	}
 	for _, z := range []string{"a", "b", "c"} {
-		d.Zones = append(d.Zones, platform.Zone{Name: z, RateFraction: 0.33})
+		d.Zones = append(d.Zones, document.Zone{Name: z, RateFraction: 0.33})
 	}
 	return d
 }
 
-func (f *fleet) publish(d *platform.Document) {
+func (f *fleet) publish(d *document.Document) {
 	if err := f.platform.PublishDocument(d); err != nil {
 		f.t.Fatal(err)
 	}
@@ -147,7 +147,7 @@
 	}
 }
 
-func (f *fleet) everywhere(revision platform.Revision) func() bool {
+func (f *fleet) everywhere(revision document.Revision) func() bool {
 	return func() bool {
 		for _, m := range f.nodes {
 			if m.node.loop.Snapshot().DocumentHeld.Revision != revision {
@@ -220,7 +220,7 @@
 		t.Fatal(err)
 	}
 	entries := f.nodes["b-0"].node.loop.Snapshot().List.Instances
-	if err := stale.PublishInstances(&platform.InstanceList{Revision: 1, Instances: entries}); err != nil {
+	if err := stale.PublishInstances(&document.InstanceList{Revision: 1, Instances: entries}); err != nil {
 		t.Fatal(err)
 	}
 	late := f.add("a-9", "a", func(m *member) { m.stale.Store(stale) })
--- a/cmd/internal/node/effects.go
+++ b/cmd/internal/node/effects.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 const (
@@ -83,7 +83,7 @@
 }
 
 // ReportLeg hands traffic's report of a leg to control. A report that finds the queue full is dropped.
-func (n *Node) ReportLeg(r target.LegReport) { n.loop.Post(control.LegReported{Report: r}) }
+func (n *Node) ReportLeg(r targets.LegReport) { n.loop.Post(control.LegReported{Report: r}) }
 
 func (n *Node) readStatus(ctx context.Context, e control.ReadTarget) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -18,12 +18,12 @@
 	"dogwooddrift.org/drift/caller/callerhttp"
 	"dogwooddrift.org/drift/cmd/internal/settings"
 	"dogwooddrift.org/drift/control"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documenthttp"
 	"dogwooddrift.org/drift/operator"
 	"dogwooddrift.org/drift/operator/operatorhttp"
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformhttp"
 	"dogwooddrift.org/drift/sibling/siblinggrpc"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets/targetshttp"
 	"dogwooddrift.org/drift/traffic"
 )
 
@@ -36,11 +36,11 @@
 	log       zerolog.Logger
 	loop      *control.Loop
 	tier      *traffic.Tier
-	targets   *targethttp.Client
-	transport *targethttp.Transport
+	targets   *targetshttp.Client
+	transport *targetshttp.Transport
 	siblings  *siblinggrpc.Client
 	receiver  *siblinggrpc.Receiver
-	platform  *platformhttp.Client
+	platform  *documenthttp.Client
 	metrics   *metrics
 	// handOvers counts the messages with records of changes that are under way.
 	handOvers pending
@@ -83,7 +83,7 @@
 		})),
 		metrics: newMetrics(),
 	}
-	n.transport = &targethttp.Transport{New: func() *http.Transport {
+	n.transport = &targetshttp.Transport{New: func() *http.Transport {
 		return &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -93,9 +93,9 @@
 			IdleConnTimeout: idleConnectionTimeout,
 		}
 	}}
-	n.targets = targethttp.New(&http.Client{Transport: n.transport})
+	n.targets = targetshttp.New(&http.Client{Transport: n.transport})
 	n.targets.ReportTo(n)
-	n.platform = platformhttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
+	n.platform = documenthttp.New(s.Platform, &http.Client{Transport: &http.Transport{DialContext: dial}})
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.loop = control.NewLoop(control.NewState(control.Identity{
 		ID: s.ID, Zone: s.Zone, Seeds: s.Siblings,
@@ -134,10 +134,10 @@
 func (n *Node) OperatorsAddress() string { return n.operators.Addr().String() }
 
 // Instance returns the entry of the platform's list that describes this node.
-func (n *Node) Instance() platform.Instance {
-	return platform.Instance{
-		ID: n.settings.ID, Kind: platform.KindEntry, Zone: n.settings.Zone, Address: n.CallersAddress(),
-		PeerAddress: n.peers.Addr().String(), State: platform.StateLive,
+func (n *Node) Instance() document.Instance {
+	return document.Instance{
+		ID: n.settings.ID, Kind: document.KindEntry, Zone: n.settings.Zone, Address: n.CallersAddress(),
+		PeerAddress: n.peers.Addr().String(), State: document.StateLive,
 	}
 }
 
--- a/cmd/internal/node/rates_test.go
+++ b/cmd/internal/node/rates_test.go
@@ -15,7 +15,7 @@
 
 	"dogwooddrift.org/drift/cmd/internal/settings"
 	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // countedListener counts the bytes of the connections that it accepts, without those of TCP and IP.
@@ -73,13 +73,13 @@
 	}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
-	doc := &platform.Document{
+	doc := &document.Document{
 		Revision:      1,
-		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: rate, Burst: rate, Weight: 1}},
-		Isolation:     platform.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
+		Organisations: []document.Organisation{{Name: "host", Host: true, Rate: rate, Burst: rate, Weight: 1}},
+		Isolation:     document.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
 	}
 	for _, z := range zones {
-		doc.Zones = append(doc.Zones, platform.Zone{Name: z, RateFraction: 1.0 / 3})
+		doc.Zones = append(doc.Zones, document.Zone{Name: z, RateFraction: 1.0 / 3})
 	}
 	if err := p.PublishDocument(doc); err != nil {
 		b.Fatal(err)
@@ -88,7 +88,7 @@
 	var group errgroup.Group
 	var nodes []*Node
 	var bytes atomic.Int64
-	list := &platform.InstanceList{Revision: 1}
+	list := &document.InstanceList{Revision: 1}
 	for i := range 8 {
 		s := settings.Default()
 		s.ID, s.Zone, s.Platform, s.Policy.Rates = fmt.Sprintf("n-%d", i), zones[i%3], "http://"+listener.Addr().String(), policy
--- a/cmd/internal/node/watch.go
+++ b/cmd/internal/node/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 )
 
@@ -47,17 +47,17 @@
 }
 
 // source makes the difference that siblings get, on the goroutine of the read: it takes some milliseconds.
-func (n *Node) source(held platform.Held, content platform.Content, sent time.Time) control.Source {
+func (n *Node) source(held document.Held, content document.Content, sent time.Time) control.Source {
 	source := control.Source{Content: content, Sent: sent}
 	if held.Revision == 0 || !content.Revision.Supersedes(held.Revision) {
 		return source
 	}
-	d, err := platform.Diff(held.Content, content)
+	d, err := document.Diff(held.Content, content)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("platform: no difference made, siblings get the whole value")
 		return source
 	}
-	source.Differences = []platform.Difference{d}
+	source.Differences = []document.Difference{d}
 	return source
 }
 
--- a/cmd/internal/settings/settings_test.go
+++ b/cmd/internal/settings/settings_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 const docs = "../../../docs/"
@@ -64,7 +64,7 @@
 // Guards against operators' pages that miss a field or describe one that is gone.
 func TestPagesMatchTypes(t *testing.T) {
 	assertSame(t, "settings.md", documented(t, "settings.md"), fields(reflect.TypeFor[Settings](), "yaml", ""))
-	assertSame(t, "document.md", documented(t, "document.md"), fields(reflect.TypeFor[platform.Document](), "json", ""))
+	assertSame(t, "document.md", documented(t, "document.md"), fields(reflect.TypeFor[document.Document](), "json", ""))
 }
 
 // Guards against an example that does not start.
--- a/cmd/internal/standin/fleet.go
+++ b/cmd/internal/standin/fleet.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/targets"
 )
 
 // ServiceOptions describes the targets of one emulated service.
@@ -47,7 +47,7 @@
 // Fleet is a set of emulated targets, each on a listener of its own.
 type Fleet struct {
 	// Instances and Targets do not change after NewFleet.
-	Instances []platform.Instance
+	Instances []document.Instance
 	Targets   map[string]*Target
 
 	seed    uint64
@@ -63,8 +63,8 @@
 
 	targets   []*Target // in shard order, replicas of a shard next to each other
 	replicas  int
-	manifests map[target.Snapshot]target.Manifest
-	newest    target.Snapshot
+	manifests map[targets.Snapshot]targets.Manifest
+	newest    targets.Snapshot
 }
 
 // Option changes how NewFleet builds targets.
@@ -83,7 +83,7 @@
 		o(f)
 	}
 	for _, s := range services {
-		x := &index{replicas: s.Replicas, manifests: map[target.Snapshot]target.Manifest{}, newest: 1}
+		x := &index{replicas: s.Replicas, manifests: map[targets.Snapshot]targets.Manifest{}, newest: 1}
 		x.manifests[1] = manifest(1, s.Shards)
 		for i := range max(s.Shards, 1) {
 			for r := range s.Replicas {
@@ -107,8 +107,8 @@
 
 func (f *Fleet) add(id, zone string, s ServiceOptions) (*Target, error) {
 	sharded := s.Shards > 0
-	status := target.Status{
-		Incarnation: id + "/1", State: target.StateWarm, Slots: s.Slots, Connections: s.Connections, Bears: s.Bears,
+	status := targets.Status{
+		Incarnation: id + "/1", State: targets.StateWarm, Slots: s.Slots, Connections: s.Connections, Bears: s.Bears,
 	}
 	o := TargetOptions{
 		ID: id, ServiceTime: s.ServiceTime, Queue: s.Queue, ConnectionCost: s.ConnectionCost, ColdTime: s.ColdTime,
@@ -136,14 +136,14 @@
 		return nil, err
 	}
 	f.Targets[id] = t
-	f.Instances = append(f.Instances, platform.Instance{
-		ID: id, Kind: platform.KindTarget, Service: s.Name, Zone: zone, Address: address, State: platform.StateLive,
+	f.Instances = append(f.Instances, document.Instance{
+		ID: id, Kind: document.KindTarget, Service: s.Name, Zone: zone, Address: address, State: document.StateLive,
 	})
 	return t, nil
 }
 
-func manifest(snapshot target.Snapshot, shards int) target.Manifest {
-	m := target.Manifest{Snapshot: snapshot}
+func manifest(snapshot targets.Snapshot, shards int) targets.Manifest {
+	m := targets.Manifest{Snapshot: snapshot}
 	for i := range shards {
 		m.Shards = append(m.Shards, shardName(snapshot, i, shards))
 	}
@@ -152,18 +152,18 @@
 
 // shardName names a shard. Shards of later snapshots carry the number of shards, so that a repartitioned index
 // shares no name with the one before.
-func shardName(snapshot target.Snapshot, i, shards int) target.Shard {
+func shardName(snapshot targets.Snapshot, i, shards int) targets.Shard {
 	if snapshot == 1 {
-		return target.Shard(fmt.Sprintf("s%02d", i))
+		return targets.Shard(fmt.Sprintf("s%02d", i))
 	}
-	return target.Shard(fmt.Sprintf("s%02d.%d", i, shards))
+	return targets.Shard(fmt.Sprintf("s%02d.%d", i, shards))
 }
 
 // place sets what the i-th target serves of the given snapshots. Shards go round the groups of replicas.
-func (x *index) place(i int, t *Target, snapshots ...target.Snapshot) {
+func (x *index) place(i int, t *Target, snapshots ...targets.Snapshot) {
 	group, groups := i/x.replicas, len(x.targets)/x.replicas
-	byShard := map[target.Shard][]target.Snapshot{}
-	var manifests []target.Manifest
+	byShard := map[targets.Shard][]targets.Snapshot{}
+	var manifests []targets.Manifest
 	for _, s := range snapshots {
 		m := x.manifests[s]
 		manifests = append(manifests, m)
@@ -173,9 +173,9 @@
 			}
 		}
 	}
-	var replicas []target.Replica
+	var replicas []targets.Replica
 	for _, shard := range slices.Sorted(maps.Keys(byShard)) {
-		replicas = append(replicas, target.Replica{Shard: shard, Snapshots: byShard[shard]})
+		replicas = append(replicas, targets.Replica{Shard: shard, Snapshots: byShard[shard]})
 	}
 	t.serve(replicas, manifests)
 }
@@ -195,7 +195,7 @@
 	snapshot := x.newest
 	x.manifests[snapshot] = manifest(snapshot, shards)
 	f.mu.Unlock()
-	for _, snapshots := range [][]target.Snapshot{{old, snapshot}, {snapshot}} {
+	for _, snapshots := range [][]targets.Snapshot{{old, snapshot}, {snapshot}} {
 		for i, t := range x.targets {
 			f.mu.Lock()
 			x.place(i, t, snapshots...)
@@ -207,7 +207,7 @@
 }
 
 // Shards returns the shards of a snapshot as it was published, nil if there is no such snapshot.
-func (f *Fleet) Shards(service string, snapshot target.Snapshot) []target.Shard {
+func (f *Fleet) Shards(service string, snapshot targets.Snapshot) []targets.Shard {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if x := f.indexes[service]; x != nil {
--- a/cmd/internal/standin/platform.go
+++ b/cmd/internal/standin/platform.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformhttp"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documenthttp"
 )
 
 // Outage is how the platform fails.
@@ -66,7 +66,7 @@
 }
 
 type versioned struct {
-	revision platform.Revision
+	revision document.Revision
 	body     []byte
 	visible  time.Time
 }
@@ -77,7 +77,7 @@
 // NewPlatform returns a platform without values.
 func NewPlatform() *Platform {
 	p := &Platform{mux: http.NewServeMux(), changed: make(chan struct{})}
-	for path, h := range map[string]*history{platformhttp.DocumentPath: &p.document, platformhttp.InstancesPath: &p.instances} {
+	for path, h := range map[string]*history{documenthttp.DocumentPath: &p.document, documenthttp.InstancesPath: &p.instances} {
 		p.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) { p.serve(w, r, h) })
 		p.mux.HandleFunc("PUT "+path, func(w http.ResponseWriter, r *http.Request) { p.put(w, r, h) })
 	}
@@ -119,26 +119,26 @@
 }
 
 // PublishDocument serves the document from now on. It refuses a revision that is not above the newest.
-func (p *Platform) PublishDocument(d *platform.Document) error {
+func (p *Platform) PublishDocument(d *document.Document) error {
 	return p.publish(&p.document, d.Revision, d, false)
 }
 
 // PublishInstances serves the list from now on. It refuses a revision that is not above the newest.
-func (p *Platform) PublishInstances(l *platform.InstanceList) error {
+func (p *Platform) PublishInstances(l *document.InstanceList) error {
 	return p.publish(&p.instances, l.Revision, l, false)
 }
 
 // ServeStaleDocument serves the document whatever its revision is, as a platform with stale reads does.
-func (p *Platform) ServeStaleDocument(d *platform.Document) error {
+func (p *Platform) ServeStaleDocument(d *document.Document) error {
 	return p.publish(&p.document, d.Revision, d, true)
 }
 
 // ServeStaleInstances is like ServeStaleDocument for the instance list.
-func (p *Platform) ServeStaleInstances(l *platform.InstanceList) error {
+func (p *Platform) ServeStaleInstances(l *document.InstanceList) error {
 	return p.publish(&p.instances, l.Revision, l, true)
 }
 
-func (p *Platform) publish(h *history, revision platform.Revision, value any, stale bool) error {
+func (p *Platform) publish(h *history, revision document.Revision, value any, stale bool) error {
 	body, err := json.Marshal(value)
 	if err != nil {
 		return err
@@ -146,7 +146,7 @@
 	return p.set(h, revision, body, stale)
 }
 
-func (p *Platform) set(h *history, revision platform.Revision, body []byte, stale bool) error {
+func (p *Platform) set(h *history, revision document.Revision, body []byte, stale bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !stale && !revision.Supersedes(h.newest.revision) {
@@ -174,7 +174,7 @@
 		return
 	}
 	var head struct {
-		Revision platform.Revision `json:"revision"`
+		Revision document.Revision `json:"revision"`
 	}
 	if err := json.Unmarshal(body, &head); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -223,7 +223,7 @@
 		case faults.Outage == OutageHang:
 			// A hanging call outlives its own waiting time.
 			expired = nil
-		case value.body != nil && value.revision.Supersedes(platform.Revision(after)):
+		case value.body != nil && value.revision.Supersedes(document.Revision(after)):
 			_, _ = w.Write(value.body)
 			return
 		case waitMS == 0:
--- a/cmd/internal/standin/standin_test.go
+++ b/cmd/internal/standin/standin_test.go
@@ -17,10 +17,10 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformhttp"
-	"dogwooddrift.org/drift/target"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documenthttp"
+	"dogwooddrift.org/drift/targets"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 const testSecret = "secret-of-a-caller"
@@ -61,8 +61,8 @@
 }
 
 func search(c *http.Client, address, body string, snapshot int, shard string, headers ...string) (*http.Response, string, error) {
-	return send(c, address, targethttp.SearchPath, body,
-		append([]string{targethttp.HeaderSnapshot, strconv.Itoa(snapshot), targethttp.HeaderShard, shard}, headers...)...)
+	return send(c, address, targetshttp.SearchPath, body,
+		append([]string{targetshttp.HeaderSnapshot, strconv.Itoa(snapshot), targetshttp.HeaderShard, shard}, headers...)...)
 }
 
 func until(t *testing.T, what string, condition func() bool) {
@@ -79,17 +79,17 @@
 	f := testFleet(t, ServiceOptions{Replicas: 1, Slots: 2, Connections: 5})
 	in, tg, c := f.Instances[0], f.Targets["svc-0-0"], client(t)
 	tg.SetFaults(Faults{CrashMark: "!boom", DownMS: 50})
-	if _, _, err := send(c, in.Address, targethttp.ChangePath, "x!boom", targethttp.HeaderOrganisation, "o", targethttp.HeaderIdempotencyKey, "k"); err == nil {
+	if _, _, err := send(c, in.Address, targetshttp.ChangePath, "x!boom", targetshttp.HeaderOrganisation, "o", targetshttp.HeaderIdempotencyKey, "k"); err == nil {
 		t.Fatal("the marked request was answered, want a broken connection")
 	}
 	var resp *http.Response
 	until(t, "target is back", func() bool {
 		var err error
-		resp, _, err = send(c, in.Address, targethttp.ChangePath, "y")
+		resp, _, err = send(c, in.Address, targetshttp.ChangePath, "y")
 		// While the target is down, a server of another test process may have its port and answer.
-		return err == nil && resp.Header.Get(targethttp.HeaderIncarnation) != ""
+		return err == nil && resp.Header.Get(targetshttp.HeaderIncarnation) != ""
 	})
-	if got := resp.Header.Get(targethttp.HeaderIncarnation) + " " + resp.Header.Get(targethttp.HeaderState); got != "svc-0-0/2 cold" {
+	if got := resp.Header.Get(targetshttp.HeaderIncarnation) + " " + resp.Header.Get(targetshttp.HeaderState); got != "svc-0-0/2 cold" {
 		t.Errorf("after the crash the target is %q, want %q; status %d", got, "svc-0-0/2 cold", resp.StatusCode)
 	}
 	if got := tg.Counters(); got.Crashes != 1 || got.Changes["o/k"] != 1 {
@@ -101,15 +101,15 @@
 func TestSilentConnections(t *testing.T) {
 	f := testFleet(t, ServiceOptions{Replicas: 1, Slots: 2, Connections: 5})
 	in, tg, old, fresh := f.Instances[0], f.Targets["svc-0-0"], client(t), client(t)
-	if _, _, err := send(old, in.Address, targethttp.ChangePath, "a"); err != nil {
+	if _, _, err := send(old, in.Address, targetshttp.ChangePath, "a"); err != nil {
 		t.Fatal(err)
 	}
 	tg.SilenceConnections()
 	old.Timeout = 50 * time.Millisecond
-	if _, _, err := send(old, in.Address, targethttp.ChangePath, "b"); err == nil {
+	if _, _, err := send(old, in.Address, targetshttp.ChangePath, "b"); err == nil {
 		t.Error("a silent connection answered")
 	}
-	if _, _, err := send(fresh, in.Address, targethttp.ChangePath, "c"); err != nil {
+	if _, _, err := send(fresh, in.Address, targetshttp.ChangePath, "c"); err != nil {
 		t.Errorf("a new connection failed: %v", err)
 	}
 	if got := tg.Counters().Runs; got != 2 {
@@ -122,7 +122,7 @@
 	f := testFleet(t, ServiceOptions{Replicas: 1, Slots: 2, Connections: 2})
 	in := f.Instances[0]
 	for i := range 3 {
-		_, _, err := send(client(t), in.Address, targethttp.ChangePath, "a")
+		_, _, err := send(client(t), in.Address, targetshttp.ChangePath, "a")
 		if refused := err != nil; refused != (i == 2) {
 			t.Errorf("connection %d: error %v", i, err)
 		}
@@ -140,7 +140,7 @@
 	var group sync.WaitGroup
 	for range 4 {
 		c := client(t)
-		group.Go(func() { _, _, _ = send(c, f.Instances[0].Address, targethttp.ChangePath, "a") })
+		group.Go(func() { _, _, _ = send(c, f.Instances[0].Address, targetshttp.ChangePath, "a") })
 	}
 	group.Wait()
 	if took := time.Since(start); took < 4*cost {
@@ -156,7 +156,7 @@
 		t.Fatal(err)
 	}
 	c := client(t)
-	served := map[target.Shard]int{}
+	served := map[targets.Shard]int{}
 	for _, in := range f.Instances {
 		resp, _, err := search(c, in.Address, "q", 1, "s00")
 		if err != nil || resp.StatusCode != http.StatusConflict {
@@ -190,7 +190,7 @@
 		var group sync.WaitGroup
 		for range n {
 			c := client(t)
-			group.Go(func() { _, _, _ = send(c, in.Address, targethttp.ChangePath, "a") })
+			group.Go(func() { _, _, _ = send(c, in.Address, targetshttp.ChangePath, "a") })
 		}
 		group.Wait()
 		if got := tg.Counters().ColdOverloads; got != want {
@@ -203,12 +203,12 @@
 func TestCrossedAndRepeatedReplies(t *testing.T) {
 	f := testFleet(t, ServiceOptions{Shards: 1, Replicas: 1, Slots: 2, Connections: 5})
 	tg, in, c := f.Targets["svc-0-0"], f.Instances[0], client(t)
-	if _, _, err := search(c, in.Address, "first", 1, "s00", targethttp.HeaderRequestID, "r1"); err != nil {
+	if _, _, err := search(c, in.Address, "first", 1, "s00", targetshttp.HeaderRequestID, "r1"); err != nil {
 		t.Fatal(err)
 	}
 	tg.SetFaults(Faults{Cross: 1})
-	resp, body, err := search(c, in.Address, "second", 1, "s00", targethttp.HeaderRequestID, "r2")
-	if err != nil || body != Result("s00", 1, "first") || resp.Header.Get(targethttp.HeaderRequestID) != "r1" {
+	resp, body, err := search(c, in.Address, "second", 1, "s00", targetshttp.HeaderRequestID, "r2")
+	if err != nil || body != Result("s00", 1, "first") || resp.Header.Get(targetshttp.HeaderRequestID) != "r1" {
 		t.Errorf("crossed reply is %q, %v, want the first one", body, err)
 	}
 	tg.SetFaults(Faults{Duplicate: 1})
@@ -236,10 +236,10 @@
 func TestKeysAreSeen(t *testing.T) {
 	f := testFleet(t, ServiceOptions{Replicas: 1, Slots: 2, Connections: 5})
 	in, c := f.Instances[0], client(t)
-	_, _, _ = send(c, in.Address, targethttp.ChangePath, "a")
-	_, _, _ = send(c, in.Address, targethttp.ChangePath, "a", "Authorization", "Bearer other")
-	_, _, _ = send(c, in.Address, targethttp.ChangePath, "a", "X-Any", "v "+testSecret)
-	_, _, _ = send(c, in.Address, targethttp.ChangePath, "a "+testSecret)
+	_, _, _ = send(c, in.Address, targetshttp.ChangePath, "a")
+	_, _, _ = send(c, in.Address, targetshttp.ChangePath, "a", "Authorization", "Bearer other")
+	_, _, _ = send(c, in.Address, targetshttp.ChangePath, "a", "X-Any", "v "+testSecret)
+	_, _, _ = send(c, in.Address, targetshttp.ChangePath, "a "+testSecret)
 	if got := f.Targets["svc-0-0"].Counters().KeysSeen; got != 3 {
 		t.Errorf("%d requests with a key were counted, want 3", got)
 	}
@@ -252,45 +252,45 @@
 	load := 0.9
 	tg.SetFaults(Faults{ReportLagMS: 60000, ReportLoad: &load})
 	tg.TurnCold()
-	status, err := targethttp.New(client(t)).Status(context.Background(), in.Address)
-	if err != nil || status.Incarnation != "svc-0-0/1" || status.State != target.StateWarm || status.Load != load {
+	status, err := targetshttp.New(client(t)).Status(context.Background(), in.Address)
+	if err != nil || status.Incarnation != "svc-0-0/1" || status.State != targets.StateWarm || status.Load != load {
 		t.Errorf("report is %+v, %v, want the old incarnation with the false load", status, err)
 	}
-	resp, _, err := send(client(t), in.Address, targethttp.ChangePath, "a")
-	if err != nil || resp.Header.Get(targethttp.HeaderIncarnation) != "svc-0-0/2" {
+	resp, _, err := send(client(t), in.Address, targetshttp.ChangePath, "a")
+	if err != nil || resp.Header.Get(targetshttp.HeaderIncarnation) != "svc-0-0/2" {
 		t.Errorf("reply is %v, %v, want the new incarnation", resp, err)
 	}
 }
 
-func testPlatform(t *testing.T) (*Platform, *platformhttp.Client, string) {
+func testPlatform(t *testing.T) (*Platform, *documenthttp.Client, string) {
 	t.Helper()
 	p := NewPlatform()
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	return p, platformhttp.New(server.URL, server.Client()), server.URL
+	return p, documenthttp.New(server.URL, server.Client()), server.URL
 }
 
 // Guards against a platform that takes back a revision without being told to be stale.
 func TestPlatformRevisions(t *testing.T) {
 	p, c, _ := testPlatform(t)
 	ctx := context.Background()
-	if err := p.PublishDocument(&platform.Document{Revision: 5}); err != nil {
+	if err := p.PublishDocument(&document.Document{Revision: 5}); err != nil {
 		t.Fatal(err)
 	}
-	if err := p.PublishDocument(&platform.Document{Revision: 4}); !errors.Is(err, ErrLowerRevision) {
+	if err := p.PublishDocument(&document.Document{Revision: 4}); !errors.Is(err, ErrLowerRevision) {
 		t.Errorf("publishing 4 after 5: %v, want ErrLowerRevision", err)
 	}
-	if err := p.PublishDocument(&platform.Document{Revision: 6}); err != nil {
+	if err := p.PublishDocument(&document.Document{Revision: 6}); err != nil {
 		t.Fatal(err)
 	}
-	for stale, want := range map[bool]platform.Revision{true: 5, false: 6} {
+	for stale, want := range map[bool]document.Revision{true: 5, false: 6} {
 		p.SetFaults(PlatformFaults{Stale: stale})
 		if d, err := c.Document(ctx, 0, 0); err != nil || d.Revision != want {
 			t.Errorf("stale %v: read %+v, %v, want revision %d", stale, d, err, want)
 		}
 	}
 	p.SetFaults(PlatformFaults{Outage: OutageRefuse})
-	if _, err := c.Document(ctx, 0, 0); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.Document(ctx, 0, 0); !errors.Is(err, document.ErrUnavailable) {
 		t.Errorf("read in an outage: %v, want ErrUnavailable", err)
 	}
 	if got := p.Calls(); got != 3 {
@@ -312,11 +312,11 @@
 		return resp.StatusCode
 	}
 	got := fmt.Sprint(
-		put(platformhttp.DocumentPath, platform.Document{Revision: 3}),
-		put(platformhttp.DocumentPath, platform.Document{Revision: 2}),
-		put(platformhttp.DocumentPath+"?stale=true", platform.Document{Revision: 2}),
+		put(documenthttp.DocumentPath, document.Document{Revision: 3}),
+		put(documenthttp.DocumentPath, document.Document{Revision: 2}),
+		put(documenthttp.DocumentPath+"?stale=true", document.Document{Revision: 2}),
 		put("/fault", PlatformFaults{LagMS: 60000}),
-		put(platformhttp.DocumentPath, platform.Document{Revision: 9}),
+		put(documenthttp.DocumentPath, document.Document{Revision: 9}),
 		put("/fault", map[string]int{"no_such_fault": 1}),
 	)
 	if want := "200 409 200 200 200 400"; got != want {
@@ -350,10 +350,10 @@
 		}
 	}
 	for i, want := range []string{"svc-0-0/1", "svc-0-1/2"} {
-		resp, _, err := send(client(t), f.Instances[i].Address, targethttp.ChangePath, "a")
-		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(targethttp.HeaderRan) != targethttp.RanNo {
+		resp, _, err := send(client(t), f.Instances[i].Address, targetshttp.ChangePath, "a")
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(targetshttp.HeaderRan) != targetshttp.RanNo {
 			t.Errorf("%s: %v, %v, want shed and not run", f.Instances[i].ID, resp, err)
-		} else if got := resp.Header.Get(targethttp.HeaderIncarnation); got != want {
+		} else if got := resp.Header.Get(targetshttp.HeaderIncarnation); got != want {
 			t.Errorf("%s has incarnation %s, want %s", f.Instances[i].ID, got, want)
 		}
 	}
--- a/cmd/internal/standin/target.go
+++ b/cmd/internal/standin/target.go
@@ -17,14 +17,14 @@
 	"sync"
 	"time"
 
-	"dogwooddrift.org/drift/target"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 // TargetOptions describes an emulated target. The zero value of each field but Status is usable.
 type TargetOptions struct {
 	ID     string
-	Status target.Status
+	Status targets.Status
 	// ServiceTime is the mean time of one request. Requests take from half to one and a half of it.
 	ServiceTime time.Duration
 	// Queue is how many requests wait for a slot before further ones are shed.
@@ -97,7 +97,7 @@
 
 type report struct {
 	at     time.Time
-	status target.Status
+	status targets.Status
 }
 
 // reply is what a target sends, kept for crossed replies.
@@ -114,7 +114,7 @@
 
 	mu         sync.Mutex
 	rng        *rand.Rand
-	status     target.Status
+	status     targets.Status
 	faults     Faults
 	generation int
 	cold       *coldStart
@@ -151,9 +151,9 @@
 		server:   server{limit: options.Status.Connections, cost: options.ConnectionCost, conns: map[*conn]struct{}{}},
 	}
 	t.setStatus(options.Status, time.Now())
-	t.mux.HandleFunc("POST "+targethttp.SearchPath, t.search)
-	t.mux.HandleFunc("POST "+targethttp.ChangePath, t.change)
-	t.mux.HandleFunc("GET "+targethttp.StatusPath, t.report)
+	t.mux.HandleFunc("POST "+targetshttp.SearchPath, t.search)
+	t.mux.HandleFunc("POST "+targetshttp.ChangePath, t.change)
+	t.mux.HandleFunc("GET "+targetshttp.StatusPath, t.report)
 	return t
 }
 
@@ -169,20 +169,20 @@
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.mux.ServeHTTP(w, r) }
 
 // setStatus needs t.mu.
-func (t *Target) setStatus(s target.Status, now time.Time) {
+func (t *Target) setStatus(s targets.Status, now time.Time) {
 	t.status, t.cold, t.draining = s, nil, time.Time{}
 	switch s.State {
-	case target.StateCold:
+	case targets.StateCold:
 		t.cold = &coldStart{until: now.Add(unlimitedColdTime), requests: math.MaxInt}
-	case target.StateDraining:
+	case targets.StateDraining:
 		t.draining = now
-	case target.StateWarm:
+	case targets.StateWarm:
 	}
 	t.reported(now)
 }
 
 // Serve changes the shards that the target serves.
-func (t *Target) serve(replicas []target.Replica, manifests []target.Manifest) {
+func (t *Target) serve(replicas []targets.Replica, manifests []targets.Manifest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.status.Replicas, t.status.Manifests = replicas, manifests
@@ -203,7 +203,7 @@
 }
 
 // current returns the true status. It needs t.mu.
-func (t *Target) current(now time.Time) target.Status {
+func (t *Target) current(now time.Time) targets.Status {
 	s := t.status
 	if t.cold != nil && (!now.Before(t.cold.until) || t.cold.requests <= 0) {
 		t.cold = nil
@@ -214,14 +214,14 @@
 	return s
 }
 
-func (t *Target) described() target.Status {
+func (t *Target) described() targets.Status {
 	s := t.status
-	s.State = target.StateWarm
+	s.State = targets.StateWarm
 	if t.cold != nil {
-		s.State = target.StateCold
+		s.State = targets.StateCold
 	}
 	if !t.draining.IsZero() {
-		s.State = target.StateDraining
+		s.State = targets.StateDraining
 	}
 	return s
 }
@@ -250,7 +250,7 @@
 		status.Load = *t.faults.ReportLoad
 	}
 	if t.faults.ReportWarm {
-		status.State = target.StateWarm
+		status.State = targets.StateWarm
 	}
 	t.show(status.Incarnation, now)
 	t.mu.Unlock()
@@ -310,13 +310,13 @@
 // admitted is one request that the target accepted.
 type admitted struct {
 	body   string
-	status target.Status
+	status targets.Status
 	faults Faults
 	work   time.Duration
 }
 
 // admit reads the request and waits for a slot. It reports false when the request is over.
-func (t *Target) admit(w http.ResponseWriter, r *http.Request, check func(target.Status) bool) (admitted, bool) {
+func (t *Target) admit(w http.ResponseWriter, r *http.Request, check func(targets.Status) bool) (admitted, bool) {
 	text, err := io.ReadAll(r.Body)
 	if err != nil {
 		return admitted{}, false
@@ -342,7 +342,7 @@
 		t.show(a.status.Incarnation, now)
 		t.mu.Unlock()
 		t.identify(w.Header(), a.status)
-		w.Header().Set(targethttp.HeaderRan, targethttp.RanNo)
+		w.Header().Set(targetshttp.HeaderRan, targetshttp.RanNo)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return admitted{}, false
 	}
@@ -372,8 +372,8 @@
 // run counts a request that starts to run. It needs t.mu.
 func (t *Target) run(r *http.Request) {
 	t.counters.Runs++
-	if r.URL.Path == targethttp.ChangePath {
-		t.counters.Changes[ChangeKey(r.Header.Get(targethttp.HeaderOrganisation), r.Header.Get(targethttp.HeaderIdempotencyKey))]++
+	if r.URL.Path == targetshttp.ChangePath {
+		t.counters.Changes[ChangeKey(r.Header.Get(targetshttp.HeaderOrganisation), r.Header.Get(targetshttp.HeaderIdempotencyKey))]++
 	}
 }
 
@@ -408,50 +408,50 @@
 }
 
 func (t *Target) search(w http.ResponseWriter, r *http.Request) {
-	snapshot, err := strconv.ParseUint(r.Header.Get(targethttp.HeaderSnapshot), 10, 64)
+	snapshot, err := strconv.ParseUint(r.Header.Get(targetshttp.HeaderSnapshot), 10, 64)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	shard := target.Shard(r.Header.Get(targethttp.HeaderShard))
+	shard := targets.Shard(r.Header.Get(targetshttp.HeaderShard))
 	t.mu.Lock()
 	t.counters.Searches++
 	t.mu.Unlock()
-	a, ok := t.admit(w, r, func(s target.Status) bool { return serves(s, shard, target.Snapshot(snapshot)) })
+	a, ok := t.admit(w, r, func(s targets.Status) bool { return serves(s, shard, targets.Snapshot(snapshot)) })
 	if !ok {
 		return
 	}
 	done := wait(r, a.work)
 	t.finish(!done)
-	out := &reply{header: map[string]string{}, body: Result(shard, target.Snapshot(snapshot), a.body)}
-	for _, h := range []string{targethttp.HeaderRequestID, targethttp.HeaderAttempt, targethttp.HeaderSnapshot, targethttp.HeaderShard} {
+	out := &reply{header: map[string]string{}, body: Result(shard, targets.Snapshot(snapshot), a.body)}
+	for _, h := range []string{targetshttp.HeaderRequestID, targetshttp.HeaderAttempt, targetshttp.HeaderSnapshot, targetshttp.HeaderShard} {
 		out.header[h] = r.Header.Get(h)
 	}
 	t.send(w, r, a, out, done)
 }
 
 // Result is the reply of a target to a search, which names all that it depends on.
-func Result(shard target.Shard, snapshot target.Snapshot, query string) string {
+func Result(shard targets.Shard, snapshot targets.Snapshot, query string) string {
 	return fmt.Sprintf("%s@%d:%s", shard, snapshot, query)
 }
 
 // Outcome is the reply of a target to a change.
 func Outcome(change string) string { return "done:" + change }
 
-func serves(status target.Status, shard target.Shard, snapshot target.Snapshot) bool {
-	return slices.ContainsFunc(status.Replicas, func(r target.Replica) bool {
+func serves(status targets.Status, shard targets.Shard, snapshot targets.Snapshot) bool {
+	return slices.ContainsFunc(status.Replicas, func(r targets.Replica) bool {
 		return r.Shard == shard && slices.Contains(r.Snapshots, snapshot)
 	})
 }
 
 func (t *Target) change(w http.ResponseWriter, r *http.Request) {
-	a, ok := t.admit(w, r, func(target.Status) bool { return true })
+	a, ok := t.admit(w, r, func(targets.Status) bool { return true })
 	if !ok {
 		return
 	}
 	done := wait(r, a.work)
 	t.finish(!done)
-	out := &reply{header: map[string]string{targethttp.HeaderRequestID: r.Header.Get(targethttp.HeaderRequestID)}, body: Outcome(a.body)}
+	out := &reply{header: map[string]string{targetshttp.HeaderRequestID: r.Header.Get(targetshttp.HeaderRequestID)}, body: Outcome(a.body)}
 	t.send(w, r, a, out, done)
 }
 
@@ -487,10 +487,10 @@
 	_, _ = io.WriteString(w, sent.body)
 }
 
-func (t *Target) identify(h http.Header, status target.Status) {
-	h.Set(targethttp.HeaderIncarnation, status.Incarnation)
-	h.Set(targethttp.HeaderState, string(status.State))
-	h.Set(targethttp.HeaderLoad, strconv.FormatFloat(status.Load, 'f', 2, 64))
+func (t *Target) identify(h http.Header, status targets.Status) {
+	h.Set(targetshttp.HeaderIncarnation, status.Incarnation)
+	h.Set(targetshttp.HeaderState, string(status.State))
+	h.Set(targetshttp.HeaderLoad, strconv.FormatFloat(status.Load, 'f', 2, 64))
 }
 
 // wait takes the time, unless the request is cancelled, and reports whether it took all of it.
--- a/control/capacity_bench_test.go
+++ b/control/capacity_bench_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/targets"
 )
 
 const (
@@ -18,26 +18,26 @@
 )
 
 // capacityFleet returns a document and a list of entry instances and targets, and the status of each target.
-func capacityFleet(entries, targets int) (*platform.Document, *platform.InstanceList, map[string]target.Status) {
+func capacityFleet(entries, targetCount int) (*document.Document, *document.InstanceList, map[string]targets.Status) {
 	d := testDocument(1)
-	d.Services = []platform.Service{{Name: capacityService, Slots: 2, Connections: 25}}
+	d.Services = []document.Service{{Name: capacityService, Slots: 2, Connections: 25}}
 	list := configList(entries)
-	manifest := target.Manifest{Snapshot: 1}
+	manifest := targets.Manifest{Snapshot: 1}
 	for i := range capacityShards {
-		manifest.Shards = append(manifest.Shards, target.Shard(fmt.Sprintf("s%02d", i)))
+		manifest.Shards = append(manifest.Shards, targets.Shard(fmt.Sprintf("s%02d", i)))
 	}
-	status := map[string]target.Status{}
-	for i := range targets {
+	status := map[string]targets.Status{}
+	for i := range targetCount {
 		id := fmt.Sprintf("target-%04d", i)
-		list.Instances = append(list.Instances, platform.Instance{
-			ID: id, Kind: platform.KindTarget, Service: capacityService, Zone: string(rune('a' + i%7)),
-			Address: fmt.Sprintf("127.0.0.1:%d", 10000+i), State: platform.StateLive,
+		list.Instances = append(list.Instances, document.Instance{
+			ID: id, Kind: document.KindTarget, Service: capacityService, Zone: string(rune('a' + i%7)),
+			Address: fmt.Sprintf("127.0.0.1:%d", 10000+i), State: document.StateLive,
 		})
-		m := target.Manifest{Snapshot: manifest.Snapshot, Shards: append([]target.Shard(nil), manifest.Shards...)}
-		status[id] = target.Status{
-			Incarnation: id + "/1", State: target.StateWarm, Slots: 2, Connections: 25, Bears: 1,
-			Replicas:  []target.Replica{{Shard: manifest.Shards[i/7%capacityShards], Snapshots: []target.Snapshot{1}}},
-			Manifests: []target.Manifest{m},
+		m := targets.Manifest{Snapshot: manifest.Snapshot, Shards: append([]targets.Shard(nil), manifest.Shards...)}
+		status[id] = targets.Status{
+			Incarnation: id + "/1", State: targets.StateWarm, Slots: 2, Connections: 25, Bears: 1,
+			Replicas:  []targets.Replica{{Shard: manifest.Shards[i/7%capacityShards], Snapshots: []targets.Snapshot{1}}},
+			Manifests: []targets.Manifest{m},
 		}
 	}
 	return d, list, status
@@ -101,9 +101,9 @@
 		run("list", func() {
 			now = now.Add(time.Second)
 			revision++
-			next := &platform.InstanceList{Revision: revision, Instances: list.Instances}
+			next := &document.InstanceList{Revision: revision, Instances: list.Instances}
 			if revision%2 == 0 {
-				next.Instances = append(append([]platform.Instance(nil), list.Instances[:1]...), list.Instances[2:]...)
+				next.Instances = append(append([]document.Instance(nil), list.Instances[:1]...), list.Instances[2:]...)
 			}
 			s.Step(InstancesRead{List: next}, now)
 		})
@@ -178,7 +178,7 @@
 					d := simDocument(rate, rate, map[string]float64{"a": 1})
 					d.Organisations = d.Organisations[:1]
 					for i := range organisations - 1 {
-						d.Organisations = append(d.Organisations, platform.Organisation{
+						d.Organisations = append(d.Organisations, document.Organisation{
 							Name: fmt.Sprintf("o-%d", i), Rate: rate, Burst: rate, Weight: 1,
 						})
 					}
--- a/control/config.go
+++ b/control/config.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"dogwooddrift.org/drift/caller"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 )
 
 // Source says how a value was read. The zero value stands for a read of the platform at the time of the event.
 type Source struct {
 	// Content is the published text of the value; siblings get the value only if it is set.
-	Content platform.Content
+	Content document.Content
 	// Differences, if any, led to the value from the one in force.
-	Differences []platform.Difference
+	Differences []document.Difference
 	// Sibling is the ID of the sibling that the value came from; empty for the platform.
 	Sibling string
 	// Sent is when the read of the platform was sent.
@@ -22,13 +22,13 @@
 
 // DocumentRead is a document that was read from the platform or a sibling.
 type DocumentRead struct {
-	Document *platform.Document
+	Document *document.Document
 	Source   Source
 }
 
 // InstancesRead is a list that was read from the platform or a sibling.
 type InstancesRead struct {
-	List   *platform.InstanceList
+	List   *document.InstanceList
 	Source Source
 }
 
@@ -106,12 +106,12 @@
 	s.spread.Note(sibling.PlatformAnswered{Value: v, Sent: sent}, now)
 }
 
-func (s *State) refuse(v sibling.Value, revision platform.Revision, err error, now time.Time) {
+func (s *State) refuse(v sibling.Value, revision document.Revision, err error, now time.Time) {
 	s.emit(Refused{Err: err})
 	s.spreadStep(sibling.Refused{Value: v, Revision: revision}, now)
 }
 
-func (s *State) adopt(v sibling.Value, revision platform.Revision, source Source, now time.Time) {
+func (s *State) adopt(v sibling.Value, revision document.Revision, source Source, now time.Time) {
 	content := source.Content
 	content.Revision = revision
 	s.spreadStep(sibling.Adopted{Value: v, Content: content, Differences: source.Differences}, now)
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -7,17 +7,17 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
-func configList(entries int) *platform.InstanceList {
-	l := &platform.InstanceList{Revision: 1}
+func configList(entries int) *document.InstanceList {
+	l := &document.InstanceList{Revision: 1}
 	for i := range entries {
-		l.Instances = append(l.Instances, platform.Instance{
-			ID: fmt.Sprintf("entry-%04d", i), Kind: platform.KindEntry, Zone: string(rune('a' + i%7)),
-			Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: platform.StateLive,
+		l.Instances = append(l.Instances, document.Instance{
+			ID: fmt.Sprintf("entry-%04d", i), Kind: document.KindEntry, Zone: string(rune('a' + i%7)),
+			Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: document.StateLive,
 		})
 	}
 	return l
@@ -38,27 +38,27 @@
 
 // Guards against targets, zones and instances that operators took out and that stay in the next snapshot.
 func TestTakenOutWithTheNextSnapshot(t *testing.T) {
-	for name, take := range map[string]func(*platform.Document){
-		"target": func(d *platform.Document) { d.InstancesOut = []string{"t"} },
-		"zone":   func(d *platform.Document) { d.Zones[0].Out = true },
+	for name, take := range map[string]func(*document.Document){
+		"target": func(d *document.Document) { d.InstancesOut = []string{"t"} },
+		"zone":   func(d *document.Document) { d.Zones[0].Out = true },
 	} {
 		s := NewState(Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
 		now := time.Unix(1000, 0)
-		document := func(r platform.Revision) *platform.Document {
+		newDocument := func(r document.Revision) *document.Document {
 			d := testDocument(r)
-			d.Services = []platform.Service{{Name: "s", Slots: 1, Connections: 1}}
+			d.Services = []document.Service{{Name: "s", Slots: 1, Connections: 1}}
 			return d
 		}
-		list := &platform.InstanceList{Revision: 1, Instances: []platform.Instance{{
-			ID: "t", Kind: platform.KindTarget, Service: "s", Zone: "a", Address: "127.0.0.1:1", State: platform.StateLive,
+		list := &document.InstanceList{Revision: 1, Instances: []document.Instance{{
+			ID: "t", Kind: document.KindTarget, Service: "s", Zone: "a", Address: "127.0.0.1:1", State: document.StateLive,
 		}}}
-		s.Step(DocumentRead{Document: document(1)}, now)
+		s.Step(DocumentRead{Document: newDocument(1)}, now)
 		s.Step(InstancesRead{List: list}, now)
-		s.Step(TargetStatus{ID: "t", Status: target.Status{Incarnation: "t/1", State: target.StateWarm, Slots: 1}}, now)
+		s.Step(TargetStatus{ID: "t", Status: targets.Status{Incarnation: "t/1", State: targets.StateWarm, Slots: 1}}, now)
 		if v := s.Snapshot().Targets["s"]; v == nil || len(v.Targets) != 1 {
 			t.Fatalf("%s: the target is not usable before it is taken out", name)
 		}
-		next := document(2)
+		next := newDocument(2)
 		take(next)
 		if ready := s.Step(DocumentRead{Document: next}, now); !ready.Changed {
 			t.Errorf("%s: no snapshot is due", name)
@@ -108,13 +108,13 @@
 				s := NewState(Identity{ID: "entry-0000", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))
 				d := testDocument(1)
 				for i := range size.keys {
-					d.Organisations[0].Keys = append(d.Organisations[0].Keys, platform.Key{ID: fmt.Sprint(i), SHA256: fmt.Sprintf("%064x", i)})
+					d.Organisations[0].Keys = append(d.Organisations[0].Keys, document.Key{ID: fmt.Sprint(i), SHA256: fmt.Sprintf("%064x", i)})
 				}
 				text := make([]byte, 94*size.keys)
 				now := time.Unix(1000, 0)
 				list := configList(size.entries)
-				s.Step(InstancesRead{List: list, Source: Source{Content: platform.Content{Bytes: make([]byte, 160*size.entries)}}}, now)
-				s.Step(DocumentRead{Document: d, Source: Source{Content: platform.Content{Bytes: text}}}, now)
+				s.Step(InstancesRead{List: list, Source: Source{Content: document.Content{Bytes: make([]byte, 160*size.entries)}}}, now)
+				s.Step(DocumentRead{Document: d, Source: Source{Content: document.Content{Bytes: text}}}, now)
 				for _, m := range s.members {
 					s.Step(HeartbeatHeard{Heartbeat: sibling.Heartbeat{ID: m.ID, Zone: m.Zone, DocumentRevision: 1, ListRevision: 1}}, now)
 				}
--- a/control/control.go
+++ b/control/control.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/operator"
-	"dogwooddrift.org/drift/platform"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Event is an input of State.Step.
@@ -36,14 +36,14 @@
 // Snapshot is what traffic may read of the control state. It is immutable, but for the gauges and token pools
 // that it points to.
 type Snapshot struct {
-	Document *platform.Document
-	List     *platform.InstanceList
+	Document *document.Document
+	List     *document.InstanceList
 	Accounts *caller.Accounts
-	Targets  target.View
+	Targets  targets.View
 	Members  sibling.Members
 	Pools    map[string]*caller.TokenPool
 	// Quarantined holds the requests that are refused since they crash targets, and until when.
-	Quarantined map[target.Fingerprint]time.Time
+	Quarantined map[targets.Fingerprint]time.Time
 	// Self is the ID of this instance.
 	Self string
 	// ChangeMembers lists the instances that take part in remembering changes.
@@ -51,7 +51,7 @@
 	// Polled says that every listed target was asked for its status. Before, requests would find no target.
 	Polled bool
 	// DocumentHeld and ListHeld are the published texts of the values in force, for siblings that are behind.
-	DocumentHeld, ListHeld platform.Held
+	DocumentHeld, ListHeld document.Held
 	// Configured says that a document and a list are in force and that siblings were asked for newer ones.
 	Configured bool
 	// KeyedUntil is until when requests with a key may be served; they are checked against the clock at that
@@ -82,11 +82,11 @@
 type State struct {
 	self     Identity
 	rng      *rand.Rand
-	document *platform.Document
-	list     *platform.InstanceList
+	document *document.Document
+	list     *document.InstanceList
 	accounts *caller.Accounts
 	members  sibling.Members
-	fleet    *target.Fleet
+	fleet    *targets.Fleet
 	roster   *sibling.Roster
 	rates    *rates
 	settled  bool
@@ -112,7 +112,7 @@
 		self:   self,
 		rng:    rng,
 		spread: sibling.NewSpread(self.ID, self.Zone, self.Seeds, rng),
-		fleet:  target.NewFleet(target.Entrant{ID: self.ID, Zone: self.Zone}, self.targetPolicy()),
+		fleet:  targets.NewFleet(targets.Entrant{ID: self.ID, Zone: self.Zone}, self.targetPolicy()),
 		roster: sibling.NewRoster(),
 		rates:  newRates(),
 		// A process must not take the attempts of an earlier one of the same instance for its own.
@@ -120,8 +120,8 @@
 	}
 }
 
-func (i Identity) targetPolicy() target.Policy {
-	p := target.DefaultPolicy()
+func (i Identity) targetPolicy() targets.Policy {
+	p := targets.DefaultPolicy()
 	p.RandomReplica = i.RandomReplica
 	if i.NoHedge {
 		p.HedgeRatio = 0
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,15 +5,15 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
-func testDocument(revision platform.Revision) *platform.Document {
-	return &platform.Document{
+func testDocument(revision document.Revision) *document.Document {
+	return &document.Document{
 		Revision:      revision,
-		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: 10, Burst: 10, Weight: 1}},
-		Zones:         []platform.Zone{{Name: "a", RateFraction: 1}},
-		Isolation:     platform.Isolation{KeyedLimit: 60},
+		Organisations: []document.Organisation{{Name: "host", Host: true, Rate: 10, Burst: 10, Weight: 1}},
+		Zones:         []document.Zone{{Name: "a", RateFraction: 1}},
+		Isolation:     document.Isolation{KeyedLimit: 60},
 		ChangeWindow:  60,
 	}
 }
--- a/control/notices.go
+++ b/control/notices.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Notify sends notices to a sibling. A lost message needs no repeat: whoever lacks a notice asks for it.
 type Notify struct {
 	To      sibling.Member
-	Notices target.Notices
+	Notices targets.Notices
 }
 
 // AskNotices asks a sibling which of the targets are warm.
@@ -25,12 +25,12 @@
 func (AskNotices) effect() {}
 
 // NoticesHeard is what a sibling said, unasked or in reply.
-type NoticesHeard struct{ Notices target.Notices }
+type NoticesHeard struct{ Notices targets.Notices }
 
 // NoticesAsked asks for what this instance knows about the targets. Reply must have room for one value.
 type NoticesAsked struct {
 	Targets []string
-	Reply   chan<- target.Notices
+	Reply   chan<- targets.Notices
 }
 
 // member returns the listed sibling of that ID.
--- a/control/rates.go
+++ b/control/rates.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/caller"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 )
 
@@ -51,7 +51,7 @@
 // InstancesConfirmed says that the platform itself answered a read of the instance list, which was sent at Sent,
 // with the given revision, and that the list was posted before.
 type InstancesConfirmed struct {
-	Revision platform.Revision
+	Revision document.Revision
 	Sent     time.Time
 }
 
@@ -132,7 +132,7 @@
 	}
 }
 
-func (r *rates) configure(doc *platform.Document, members sibling.Members, now time.Time) {
+func (r *rates) configure(doc *document.Document, members sibling.Members, now time.Time) {
 	r.shares.SetMembers(members, now)
 	r.shares.Configure(doc, now)
 	accounts := r.shares.Accounts()
--- a/control/rates_bench_test.go
+++ b/control/rates_bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // BenchmarkRefusalsDuringFailure offers 90% of the rate to one of 8 instances for 10 s, while another instance is
@@ -65,7 +65,7 @@
 			s := newSim(1)
 			d := simDocument(1000, 1000, equalFractions())
 			for i := range n {
-				d.Organisations = append(d.Organisations, platform.Organisation{Name: fmt.Sprintf("o-%d", i), Rate: 100, Burst: 100, Weight: 1})
+				d.Organisations = append(d.Organisations, document.Organisation{Name: fmt.Sprintf("o-%d", i), Rate: 100, Burst: 100, Weight: 1})
 			}
 			var before, after runtime.MemStats
 			runtime.GC()
--- a/control/siblings.go
+++ b/control/siblings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 )
 
@@ -36,7 +36,7 @@
 type RevisionAnnounced struct {
 	From     string
 	Value    sibling.Value
-	Revision platform.Revision
+	Revision document.Revision
 }
 
 // FetchEnded says that a fetch is over. What it brought was posted before.
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 )
 
@@ -20,8 +20,8 @@
 	queue     simQueue
 	seq       int
 	instances []*simInstance
-	lists     []published[*platform.InstanceList]
-	documents []published[*platform.Document]
+	lists     []published[*document.InstanceList]
+	documents []published[*document.Document]
 	cut       func(a, b *simInstance) bool // the network between two instances is cut
 	lossy     float64                      // part of the messages that are lost, and part that are late
 	listLag   time.Duration
@@ -112,24 +112,24 @@
 
 // publish serves a list of the instances that are not delisted.
 func (s *sim) publish() {
-	list := &platform.InstanceList{Revision: platform.Revision(len(s.lists) + 1)}
+	list := &document.InstanceList{Revision: document.Revision(len(s.lists) + 1)}
 	for _, in := range s.instances {
 		if !in.delisted {
-			list.Instances = append(list.Instances, platform.Instance{
-				ID: in.id, Kind: platform.KindEntry, Zone: in.zone, Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
-				State: platform.StateLive,
+			list.Instances = append(list.Instances, document.Instance{
+				ID: in.id, Kind: document.KindEntry, Zone: in.zone, Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
+				State: document.StateLive,
 			})
 		}
 	}
-	s.lists = append(s.lists, published[*platform.InstanceList]{s.now, list})
+	s.lists = append(s.lists, published[*document.InstanceList]{s.now, list})
 }
 
-func (s *sim) publishDocument(d *platform.Document) {
-	d.Revision = platform.Revision(len(s.documents) + 1)
+func (s *sim) publishDocument(d *document.Document) {
+	d.Revision = document.Revision(len(s.documents) + 1)
 	if err := d.Validate(); err != nil {
 		panic(err)
 	}
-	s.documents = append(s.documents, published[*platform.Document]{s.now, d})
+	s.documents = append(s.documents, published[*document.Document]{s.now, d})
 }
 
 func visible[T any](values []published[T], until time.Duration) (out T) {
@@ -281,16 +281,16 @@
 	return worst
 }
 
-func simDocument(rate, burst float64, fractions map[string]float64) *platform.Document {
-	d := &platform.Document{
-		Organisations: []platform.Organisation{
+func simDocument(rate, burst float64, fractions map[string]float64) *document.Document {
+	d := &document.Document{
+		Organisations: []document.Organisation{
 			{Name: "host", Host: true, Rate: rate, Burst: burst, Weight: 1},
 			{Name: "guest", Rate: rate / 3, Burst: burst / 2, Weight: 1},
 		},
-		Isolation: platform.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
+		Isolation: document.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
 	}
 	for _, z := range simZones {
-		d.Zones = append(d.Zones, platform.Zone{Name: z, RateFraction: fractions[z]})
+		d.Zones = append(d.Zones, document.Zone{Name: z, RateFraction: fractions[z]})
 	}
 	return d
 }
--- a/control/targets.go
+++ b/control/targets.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // ReadTarget asks for one read of a target's status.
@@ -24,14 +24,14 @@
 // TargetStatus is a target's own report.
 type TargetStatus struct {
 	ID     string
-	Status target.Status
+	Status targets.Status
 }
 
 // TargetLost is a failed read of a target's status.
 type TargetLost struct{ ID string }
 
 // LegReported is traffic's report of one leg.
-type LegReported struct{ Report target.LegReport }
+type LegReported struct{ Report targets.LegReport }
 
 func (e TargetStatus) apply(s *State, now time.Time) { s.fleet.Observe(e.ID, e.Status, now) }
 
@@ -49,17 +49,17 @@
 	s.changed = s.changed || changed
 	for _, e := range effects {
 		switch e := e.(type) {
-		case target.ReadStatus:
+		case targets.ReadStatus:
 			s.emit(ReadTarget(e))
-		case target.Connect:
+		case targets.Connect:
 			s.emit(ConnectTarget(e))
-		case target.Tell:
+		case targets.Tell:
 			for _, id := range e.To {
 				if m, ok := s.member(id); ok {
 					s.emit(Notify{To: m, Notices: e.Notices})
 				}
 			}
-		case target.AskWarm:
+		case targets.AskWarm:
 			if m, ok := s.member(e.To); ok {
 				s.emit(AskNotices{To: m, Targets: e.Targets})
 			}
--- a/platform/platform.go
+++ b/document/document.go
@@ -1,8 +1,8 @@
-// Package platform holds the decisions about the platform: the document that operators publish, the list of
+// Package document holds the decisions about the platform: the document that operators publish, the list of
 // instances, the checks both must pass, and the rule by which a newer revision replaces an older one.
 //
-// The platform can only be read. The package does no I/O; platformhttp reads and watches.
-package platform
+// The platform can only be read. The package does no I/O; documenthttp reads and watches.
+package document
 
 import "time"
 
--- a/platform/platformhttp/client.go
+++ b/document/documenthttp/client.go
@@ -1,5 +1,5 @@
-// Package platformhttp reads and watches the platform over HTTP and decodes what it publishes.
-package platformhttp
+// Package documenthttp reads and watches the platform over HTTP and decodes what it publishes.
+package documenthttp
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 
 	"github.com/samber/oops"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformjson"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documentjson"
 )
 
 // The paths that the platform serves.
@@ -35,49 +35,49 @@
 
 // Document returns the document that the platform serves. With after > 0 the call waits for a revision above it,
 // for at most wait, and returns nil without an error if none came.
-func (c *Client) Document(ctx context.Context, after platform.Revision, wait time.Duration) (*platform.Document, error) {
+func (c *Client) Document(ctx context.Context, after document.Revision, wait time.Duration) (*document.Document, error) {
 	d, _, err := c.ReadDocument(ctx, after, wait, wait+answerMargin)
 	return d, err
 }
 
 // ReadDocument is like Document and returns the text too. The answer must begin within limit, so that a platform
 // that cannot be reached is noticed soon, and end within bodyLimit more.
-func (c *Client) ReadDocument(ctx context.Context, after platform.Revision, wait, limit time.Duration) (*platform.Document, platform.Content, error) {
+func (c *Client) ReadDocument(ctx context.Context, after document.Revision, wait, limit time.Duration) (*document.Document, document.Content, error) {
 	text, err := c.get(ctx, DocumentPath, after, wait, limit)
 	if err != nil || text == nil {
-		return nil, platform.Content{}, err
+		return nil, document.Content{}, err
 	}
-	document, err := platformjson.Document(text)
+	doc, err := documentjson.Document(text)
 	if err != nil {
-		return nil, platform.Content{}, oops.In("platform").With("path", DocumentPath).Wrap(err)
+		return nil, document.Content{}, oops.In("platform").With("path", DocumentPath).Wrap(err)
 	}
-	return document, platform.Content{Revision: document.Revision, Bytes: text}, nil
+	return doc, document.Content{Revision: doc.Revision, Bytes: text}, nil
 }
 
 // ReadInstances is like ReadDocument for the instance list.
-func (c *Client) ReadInstances(ctx context.Context, after platform.Revision, wait, limit time.Duration) (*platform.InstanceList, platform.Content, error) {
+func (c *Client) ReadInstances(ctx context.Context, after document.Revision, wait, limit time.Duration) (*document.InstanceList, document.Content, error) {
 	text, err := c.get(ctx, InstancesPath, after, wait, limit)
 	if err != nil || text == nil {
-		return nil, platform.Content{}, err
+		return nil, document.Content{}, err
 	}
-	list, err := platformjson.InstanceList(text)
+	list, err := documentjson.InstanceList(text)
 	if err != nil {
-		return nil, platform.Content{}, oops.In("platform").With("path", InstancesPath).Wrap(err)
+		return nil, document.Content{}, oops.In("platform").With("path", InstancesPath).Wrap(err)
 	}
-	return list, platform.Content{Revision: list.Revision, Bytes: text}, nil
+	return list, document.Content{Revision: list.Revision, Bytes: text}, nil
 }
 
 // bodyLimit is how long the body of an answer may take: a megabyte at 2 Mbit/s.
 const bodyLimit = 4 * time.Second
 
-func (c *Client) get(ctx context.Context, path string, after platform.Revision, wait, limit time.Duration) ([]byte, error) {
+func (c *Client) get(ctx context.Context, path string, after document.Revision, wait, limit time.Duration) ([]byte, error) {
 	query := url.Values{}
 	if after > 0 {
 		query.Set("after", strconv.FormatUint(uint64(after), 10))
 		query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	}
 	fail := func(format string, args ...any) error {
-		return oops.In("platform").With("path", path).Wrapf(platform.ErrUnavailable, format, args...)
+		return oops.In("platform").With("path", path).Wrapf(document.ErrUnavailable, format, args...)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit+bodyLimit)
 	defer cancel()
@@ -102,7 +102,7 @@
 	default:
 		return nil, fail("read %s: status %d", path, resp.StatusCode)
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, platform.MaxContentBytes))
+	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, document.MaxContentBytes))
 	if err != nil {
 		return nil, fail("read %s: %v", path, err)
 	}
--- a/platform/errors.go
+++ b/document/errors.go
@@ -1,8 +1,8 @@
-package platform
+package document
 
 import "errors"
 
-// The errors of this layer. platformhttp turns those of the transport into them.
+// The errors of this layer. documenthttp turns those of the transport into them.
 var (
 	// ErrUnavailable means that the platform did not answer.
 	ErrUnavailable = errors.New("platform unavailable")
--- a/platform/list.go
+++ b/document/list.go
@@ -1,4 +1,4 @@
-package platform
+package document
 
 // Kind tells entry instances from target instances.
 type Kind string
--- a/platform/validate.go
+++ b/document/validate.go
@@ -1,4 +1,4 @@
-package platform
+package document
 
 import (
 	"encoding/hex"
--- a/operator/draft.go
+++ b/operator/draft.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // ErrUnknown means that an edit names something that the draft does not contain.
@@ -17,12 +17,12 @@
 // Draft is a document that an operator edits. Each edit changes the draft only if it can be applied; whether
 // the result is valid is decided by Document.
 type Draft struct {
-	base platform.Document
-	doc  platform.Document
+	base document.Document
+	doc  document.Document
 }
 
 // NewDraft starts from the document in force, or from an empty one when that is nil.
-func NewDraft(inForce *platform.Document) *Draft {
+func NewDraft(inForce *document.Document) *Draft {
 	d := &Draft{}
 	if inForce != nil {
 		d.base, d.doc = copyDocument(*inForce), copyDocument(*inForce)
@@ -30,7 +30,7 @@
 	return d
 }
 
-func copyDocument(d platform.Document) platform.Document {
+func copyDocument(d document.Document) document.Document {
 	d.Organisations = slices.Clone(d.Organisations)
 	for i := range d.Organisations {
 		d.Organisations[i].Keys = slices.Clone(d.Organisations[i].Keys)
@@ -43,14 +43,14 @@
 
 // Current returns a copy of the draft as it stands, valid or not, with the revision that it would be
 // published under.
-func (d *Draft) Current() platform.Document {
+func (d *Draft) Current() document.Document {
 	out := copyDocument(d.doc)
 	out.Revision = d.base.Revision + 1
 	return out
 }
 
-// Document returns the document to publish, or an *platform.InvalidError.
-func (d *Draft) Document() (*platform.Document, error) {
+// Document returns the document to publish, or an *document.InvalidError.
+func (d *Draft) Document() (*document.Document, error) {
 	out := d.Current()
 	if err := out.Validate(); err != nil {
 		return nil, err
@@ -65,7 +65,7 @@
 }
 
 // PutOrganisation adds an organisation, or replaces all of an existing one but its keys.
-func (d *Draft) PutOrganisation(o platform.Organisation) {
+func (d *Draft) PutOrganisation(o document.Organisation) {
 	if existing := d.organisation(o.Name); existing != nil {
 		o.Keys = existing.Keys
 		*existing = o
@@ -77,16 +77,16 @@
 
 // RemoveOrganisation removes an organisation with its keys.
 func (d *Draft) RemoveOrganisation(name string) error {
-	return remove(&d.doc.Organisations, "organisation", name, func(o platform.Organisation) string { return o.Name })
+	return remove(&d.doc.Organisations, "organisation", name, func(o document.Organisation) string { return o.Name })
 }
 
 // GrantKey adds a key to an organisation.
-func (d *Draft) GrantKey(organisation string, key platform.Key) error {
+func (d *Draft) GrantKey(organisation string, key document.Key) error {
 	o := d.organisation(organisation)
 	if o == nil {
 		return fmt.Errorf("organisation %q: %w", organisation, ErrUnknown)
 	}
-	if slices.ContainsFunc(o.Keys, func(k platform.Key) bool { return k.ID == key.ID }) {
+	if slices.ContainsFunc(o.Keys, func(k document.Key) bool { return k.ID == key.ID }) {
 		return fmt.Errorf("key %q of organisation %q: %w", key.ID, organisation, ErrExists)
 	}
 	o.Keys = append(o.Keys, key)
@@ -99,27 +99,27 @@
 	if o == nil {
 		return fmt.Errorf("organisation %q: %w", organisation, ErrUnknown)
 	}
-	return remove(&o.Keys, "key", id, func(k platform.Key) string { return k.ID })
+	return remove(&o.Keys, "key", id, func(k document.Key) string { return k.ID })
 }
 
 // PutService adds or replaces a service.
-func (d *Draft) PutService(s platform.Service) {
-	put(&d.doc.Services, s, func(s platform.Service) string { return s.Name })
+func (d *Draft) PutService(s document.Service) {
+	put(&d.doc.Services, s, func(s document.Service) string { return s.Name })
 }
 
 // RemoveService removes a service.
 func (d *Draft) RemoveService(name string) error {
-	return remove(&d.doc.Services, "service", name, func(s platform.Service) string { return s.Name })
+	return remove(&d.doc.Services, "service", name, func(s document.Service) string { return s.Name })
 }
 
 // PutZone adds or replaces an availability zone.
-func (d *Draft) PutZone(z platform.Zone) {
-	put(&d.doc.Zones, z, func(z platform.Zone) string { return z.Name })
+func (d *Draft) PutZone(z document.Zone) {
+	put(&d.doc.Zones, z, func(z document.Zone) string { return z.Name })
 }
 
 // RemoveZone removes an availability zone.
 func (d *Draft) RemoveZone(name string) error {
-	return remove(&d.doc.Zones, "zone", name, func(z platform.Zone) string { return z.Name })
+	return remove(&d.doc.Zones, "zone", name, func(z document.Zone) string { return z.Name })
 }
 
 // TakeInstanceOut marks an instance or target as out of service.
@@ -135,11 +135,11 @@
 }
 
 // SetLimits sets the times that hold for the whole deployment.
-func (d *Draft) SetLimits(isolation platform.Isolation, changeWindow platform.Seconds) {
+func (d *Draft) SetLimits(isolation document.Isolation, changeWindow document.Seconds) {
 	d.doc.Isolation, d.doc.ChangeWindow = isolation, changeWindow
 }
 
-func (d *Draft) organisation(name string) *platform.Organisation {
+func (d *Draft) organisation(name string) *document.Organisation {
 	for i := range d.doc.Organisations {
 		if d.doc.Organisations[i].Name == name {
 			return &d.doc.Organisations[i]
--- a/operator/effects.go
+++ b/operator/effects.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"slices"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Severity ranks an effect by what it takes away.
@@ -48,7 +48,7 @@
 
 // Effects lists what the next document does compared with the one in force, in the order of the document's
 // sections. Both documents must be valid.
-func Effects(inForce, next *platform.Document) []Effect {
+func Effects(inForce, next *document.Document) []Effect {
 	var l effects
 	l.revision(inForce, next)
 	l.organisations(inForce, next)
@@ -60,7 +60,7 @@
 	return l
 }
 
-func (l *effects) revision(inForce, next *platform.Document) {
+func (l *effects) revision(inForce, next *document.Document) {
 	switch {
 	case !next.Revision.Supersedes(inForce.Revision):
 		l.add(SeverityStops, "revision", "%d is not above %d, which is in force: every instance will ignore this document",
@@ -71,7 +71,7 @@
 	}
 }
 
-func (l *effects) organisations(inForce, next *platform.Document) {
+func (l *effects) organisations(inForce, next *document.Document) {
 	for _, was := range inForce.Organisations {
 		at := "organisations." + was.Name
 		is, ok := next.Organisation(was.Name)
@@ -94,20 +94,20 @@
 	}
 }
 
-func (l *effects) keys(at string, was, is []platform.Key) {
+func (l *effects) keys(at string, was, is []document.Key) {
 	for _, k := range was {
-		if !slices.ContainsFunc(is, func(o platform.Key) bool { return o.SHA256 == k.SHA256 }) {
+		if !slices.ContainsFunc(is, func(o document.Key) bool { return o.SHA256 == k.SHA256 }) {
 			l.add(SeverityStops, at+".keys."+k.ID, "is withdrawn, requests with it are refused within seconds")
 		}
 	}
 	for _, k := range is {
-		if !slices.ContainsFunc(was, func(o platform.Key) bool { return o.SHA256 == k.SHA256 }) {
+		if !slices.ContainsFunc(was, func(o document.Key) bool { return o.SHA256 == k.SHA256 }) {
 			l.add(SeverityAdds, at+".keys."+k.ID, "is granted")
 		}
 	}
 }
 
-func (l *effects) services(inForce, next *platform.Document) {
+func (l *effects) services(inForce, next *document.Document) {
 	for _, was := range inForce.Services {
 		at := "services." + was.Name
 		is, ok := next.Service(was.Name)
@@ -134,11 +134,11 @@
 	}
 }
 
-func (l *effects) zones(inForce, next *platform.Document) {
-	byName := func(zones []platform.Zone, name string) (platform.Zone, bool) {
-		i := slices.IndexFunc(zones, func(z platform.Zone) bool { return z.Name == name })
+func (l *effects) zones(inForce, next *document.Document) {
+	byName := func(zones []document.Zone, name string) (document.Zone, bool) {
+		i := slices.IndexFunc(zones, func(z document.Zone) bool { return z.Name == name })
 		if i < 0 {
-			return platform.Zone{}, false
+			return document.Zone{}, false
 		}
 		return zones[i], true
 	}
@@ -163,7 +163,7 @@
 	}
 }
 
-func (l *effects) instances(inForce, next *platform.Document) {
+func (l *effects) instances(inForce, next *document.Document) {
 	for _, id := range next.InstancesOut {
 		if !inForce.InstanceOut(id) {
 			l.add(SeverityStops, "instances_out."+id, "is taken out of service, it gets no new work after a few seconds")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,22 +6,22 @@
 import (
 	"time"
 
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Dump is the control state of one process at one moment. Keys appear only as short hashes.
 type Dump struct {
-	Instance         string              `json:"instance"`
-	Zone             string              `json:"zone"`
-	Taken            time.Time           `json:"taken"`
-	Ready            bool                `json:"ready"`
-	DocumentRevision platform.Revision   `json:"document_revision"`
-	ListRevision     platform.Revision   `json:"list_revision"`
-	Organisations    []OrganisationDump  `json:"organisations"`
-	Targets          []target.TargetDump `json:"targets"`
-	Siblings         []SiblingDump       `json:"siblings"`
-	EventsDropped    int64               `json:"events_dropped"`
+	Instance         string               `json:"instance"`
+	Zone             string               `json:"zone"`
+	Taken            time.Time            `json:"taken"`
+	Ready            bool                 `json:"ready"`
+	DocumentRevision document.Revision    `json:"document_revision"`
+	ListRevision     document.Revision    `json:"list_revision"`
+	Organisations    []OrganisationDump   `json:"organisations"`
+	Targets          []targets.TargetDump `json:"targets"`
+	Siblings         []SiblingDump        `json:"siblings"`
+	EventsDropped    int64                `json:"events_dropped"`
 }
 
 // OrganisationDump is the state of one organisation at this instance.
@@ -38,7 +38,7 @@
 type SiblingDump struct {
 	ID               string            `json:"id"`
 	Zone             string            `json:"zone"`
-	DocumentRevision platform.Revision `json:"document_revision"`
-	ListRevision     platform.Revision `json:"list_revision"`
+	DocumentRevision document.Revision `json:"document_revision"`
+	ListRevision     document.Revision `json:"list_revision"`
 	Heard            time.Time         `json:"heard"`
 }
--- a/sibling/pump_test.go
+++ b/sibling/pump_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // The pump carries messages between Spread machines on a virtual clock. Latencies follow docs/design.md 1.5, the
-// sizes what siblinggrpc and platformhttp put on the wire.
+// sizes what siblinggrpc and documenthttp put on the wire.
 const (
 	zoneLatency     = 500 * time.Microsecond
 	crossLatency    = 2 * time.Millisecond
@@ -61,9 +61,9 @@
 	rng   *rand.Rand
 	nodes map[string]*pumped
 	order []*pumped
-	lists map[platform.Revision]Members
+	lists map[document.Revision]Members
 	// served is what the platform serves; waiters are the reads that wait.
-	served  [valueCount]platform.Revision
+	served  [valueCount]document.Revision
 	waiters map[int]*waiter
 	down    bool
 	calls   int
@@ -84,12 +84,12 @@
 	frozen  bool
 	cut     bool // from the platform
 	old     bool // its platform serves stale values
-	stale   [valueCount]platform.Revision
+	stale   [valueCount]document.Revision
 	pending []func()
 	tick    time.Time
 	read    time.Time // when it last sent a read to the platform
 	joined  time.Time
-	joinRev platform.Revision
+	joinRev document.Revision
 	talked  map[*pumped]time.Time
 	bytes   int
 	sent    int
@@ -98,7 +98,7 @@
 func newPump(t testing.TB, zones, perZone int, seed uint64) *pump {
 	p := &pump{
 		t: t, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*pumped{},
-		lists: map[platform.Revision]Members{}, waiters: map[int]*waiter{},
+		lists: map[document.Revision]Members{}, waiters: map[int]*waiter{},
 	}
 	for z := range zones {
 		for i := range perZone {
@@ -130,11 +130,11 @@
 	p.publish(InstanceList)
 }
 
-func listOf(members Members) *platform.InstanceList {
-	l := &platform.InstanceList{}
+func listOf(members Members) *document.InstanceList {
+	l := &document.InstanceList{}
 	for _, m := range members {
-		l.Instances = append(l.Instances, platform.Instance{
-			ID: m.ID, Kind: platform.KindEntry, Zone: m.Zone, PeerAddress: m.PeerAddress, State: platform.StateLive,
+		l.Instances = append(l.Instances, document.Instance{
+			ID: m.ID, Kind: document.KindEntry, Zone: m.Zone, PeerAddress: m.PeerAddress, State: document.StateLive,
 		})
 	}
 	return l
@@ -151,7 +151,7 @@
 	}
 }
 
-func (p *pump) serves(n *pumped, v Value) platform.Revision {
+func (p *pump) serves(n *pumped, v Value) document.Revision {
 	if n.old {
 		return n.stale[v]
 	}
@@ -271,7 +271,7 @@
 	p.send(n, to, announceBytes, func() {
 		if a.Difference != nil && a.Difference.From == to.spread.Revision(a.Value) {
 			p.after(applyTime, func() {
-				to.on(func() { p.adopt(to, a.Value, a.Revision, []platform.Difference{*a.Difference}) })
+				to.on(func() { p.adopt(to, a.Value, a.Revision, []document.Difference{*a.Difference}) })
 			})
 			return
 		}
@@ -291,7 +291,7 @@
 	p.after(fetchTimeout, func() { n.on(finish) })
 	p.send(n, from, exchangeBytes, func() {
 		held := from.spread.Held(f.Value)
-		var chain []platform.Difference
+		var chain []document.Difference
 		bytes := wholeBytes
 		for i, d := range held.History {
 			if d.From == f.After && f.After != 0 {
@@ -344,9 +344,9 @@
 	n, v, revision := w.node, w.read.Value, p.serves(w.node, w.read.Value)
 	p.after(platformLatency+applyTime, func() {
 		n.on(func() {
-			var chain []platform.Difference
+			var chain []document.Difference
 			if from := n.spread.Revision(v); from != 0 {
-				chain = []platform.Difference{{From: from, To: revision}}
+				chain = []document.Difference{{From: from, To: revision}}
 			}
 			n.spread.Note(PlatformAnswered{Value: v, Sent: w.sent}, p.now)
 			p.adopt(n, v, revision, chain)
@@ -356,14 +356,14 @@
 }
 
 // adopt does what control does with a value.
-func (p *pump) adopt(n *pumped, v Value, revision platform.Revision, chain []platform.Difference) {
+func (p *pump) adopt(n *pumped, v Value, revision document.Revision, chain []document.Difference) {
 	if !revision.Supersedes(n.spread.Revision(v)) {
 		return
 	}
 	if v == InstanceList {
 		p.step(n, Listed{Members: p.lists[revision]})
 	}
-	p.step(n, Adopted{Value: v, Content: platform.Content{Revision: revision}, Differences: chain})
+	p.step(n, Adopted{Value: v, Content: document.Content{Revision: revision}, Differences: chain})
 }
 
 // everywhere reports whether the newest document is in force at all live nodes that pass the filter.
--- a/sibling/readers.go
+++ b/sibling/readers.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 const (
@@ -209,7 +209,7 @@
 // PlatformStale says that the platform served a value that is not newer than the one in force.
 type PlatformStale struct {
 	Value    Value
-	Revision platform.Revision
+	Revision document.Revision
 	Sent     time.Time
 }
 
--- a/sibling/roster.go
+++ b/sibling/roster.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Member is an entry instance as this instance knows it.
@@ -22,10 +22,10 @@
 type Members []Member
 
 // MembersOf returns the entry instances of a list.
-func MembersOf(list *platform.InstanceList) Members {
+func MembersOf(list *document.InstanceList) Members {
 	var out Members
 	for _, in := range list.Entries() {
-		out = append(out, Member{ID: in.ID, Zone: in.Zone, PeerAddress: in.PeerAddress, Leaving: in.State == platform.StateLeaving})
+		out = append(out, Member{ID: in.ID, Zone: in.Zone, PeerAddress: in.PeerAddress, Leaving: in.State == document.StateLeaving})
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
@@ -89,8 +89,8 @@
 type Heartbeat struct {
 	ID               string
 	Zone             string
-	DocumentRevision platform.Revision
-	ListRevision     platform.Revision
+	DocumentRevision document.Revision
+	ListRevision     document.Revision
 	// DirectAge is how long ago the sender itself reached the platform, ZoneAge how long ago some instance of its
 	// zone did, as far as it knows, and OutsideAge how long ago its zone reached the platform or another zone.
 	// NoContact means never.
--- a/sibling/shares.go
+++ b/sibling/shares.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 const (
@@ -168,7 +168,7 @@
 	members   Members
 	me        Member
 	listed    bool
-	document  platform.Revision
+	document  document.Revision
 	accounts  map[string]*Account
 	removed   map[string]time.Time // when a removed organisation may accrue again
 	fraction  fraction
@@ -210,7 +210,7 @@
 }
 
 // Configure applies a document.
-func (s *Shares) Configure(doc *platform.Document, now time.Time) {
+func (s *Shares) Configure(doc *document.Document, now time.Time) {
 	value := 0.0
 	for _, z := range doc.Zones {
 		if z.Name == s.zone {
--- a/sibling/shares_bench_test.go
+++ b/sibling/shares_bench_test.go
@@ -6,16 +6,16 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // newBenchShares returns an instance that is alone in its zone, among others in a second zone.
 func newBenchShares(organisations, instances int) (*Shares, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	s := NewShares("a-0", "a", rand.New(rand.NewPCG(1, 1)), now)
-	doc := &platform.Document{Revision: 1, Zones: []platform.Zone{{Name: "a", RateFraction: 0.5}, {Name: "b", RateFraction: 0.5}}}
+	doc := &document.Document{Revision: 1, Zones: []document.Zone{{Name: "a", RateFraction: 0.5}, {Name: "b", RateFraction: 0.5}}}
 	for i := range organisations {
-		doc.Organisations = append(doc.Organisations, platform.Organisation{Name: fmt.Sprintf("organisation-%d", i), Rate: 100, Burst: 100})
+		doc.Organisations = append(doc.Organisations, document.Organisation{Name: fmt.Sprintf("organisation-%d", i), Rate: 100, Burst: 100})
 	}
 	members := Members{{ID: "a-0", Zone: "a"}}
 	for i := range instances - 1 {
--- a/sibling/shares_set.go
+++ b/sibling/shares_set.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Phase is the part that an instance takes in an accounting set.
@@ -74,7 +74,7 @@
 	// Fraction is the part of the rates that the replier's zone has in force.
 	Fraction float64
 	// Document is the revision that the replier has in force.
-	Document         platform.Revision
+	Document         document.Revision
 	Acknowledgements []Acknowledgement
 }
 
--- a/sibling/shares_test.go
+++ b/sibling/shares_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // trio is three instances of one zone that exchange claims without delay.
@@ -49,11 +49,11 @@
 	}
 }
 
-func testRates(revision platform.Revision, fraction float64) *platform.Document {
-	return &platform.Document{
+func testRates(revision document.Revision, fraction float64) *document.Document {
+	return &document.Document{
 		Revision:      revision,
-		Organisations: []platform.Organisation{{Name: "o", Rate: 60, Burst: 60}},
-		Zones:         []platform.Zone{{Name: "z", RateFraction: fraction}},
+		Organisations: []document.Organisation{{Name: "o", Rate: 60, Burst: 60}},
+		Zones:         []document.Zone{{Name: "z", RateFraction: fraction}},
 	}
 }
 
--- a/sibling/siblinggrpc/config.go
+++ b/sibling/siblinggrpc/config.go
@@ -12,8 +12,8 @@
 	"google.golang.org/grpc/status"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformjson"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documentjson"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
@@ -31,7 +31,7 @@
 }
 
 // Fetch returns the differences that lead from a revision to the one in force at the sibling.
-func (c *Client) Fetch(ctx context.Context, f sibling.Fetch) ([]platform.Difference, error) {
+func (c *Client) Fetch(ctx context.Context, f sibling.Fetch) ([]document.Difference, error) {
 	reply, err := call(c, f.From.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.FetchReply, error) {
 		return siblingpb.NewConfigurationClient(conn).Fetch(ctx, &siblingpb.FetchRequest{
 			Value: encodeValue(f.Value), After: uint64(f.After),
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make([]platform.Difference, 0, len(reply.GetDifferences()))
+	out := make([]document.Difference, 0, len(reply.GetDifferences()))
 	for _, d := range reply.GetDifferences() {
 		out = append(out, decodeDifference(d))
 	}
@@ -53,17 +53,17 @@
 	loop *control.Loop
 
 	mu     sync.Mutex
-	posted map[sibling.Value]platform.Revision
+	posted map[sibling.Value]document.Revision
 }
 
 // NewReceiver returns a receiver that posts to loop.
 func NewReceiver(loop *control.Loop) *Receiver {
-	return &Receiver{loop: loop, posted: map[sibling.Value]platform.Revision{}}
+	return &Receiver{loop: loop, posted: map[sibling.Value]document.Revision{}}
 }
 
-// Receive applies differences to the value in force and posts the result. The error is platform.ErrMismatch if
+// Receive applies differences to the value in force and posts the result. The error is document.ErrMismatch if
 // they do not lead on from that value.
-func (r *Receiver) Receive(from string, value sibling.Value, differences []platform.Difference) error {
+func (r *Receiver) Receive(from string, value sibling.Value, differences []document.Difference) error {
 	if len(differences) == 0 {
 		return nil
 	}
@@ -93,7 +93,7 @@
 // fetch of the whole value.
 func (r *Receiver) Fetch(ctx context.Context, c *Client, f sibling.Fetch) error {
 	err := r.fetchOnce(ctx, c, f)
-	if errors.Is(err, platform.ErrMismatch) && f.After != 0 {
+	if errors.Is(err, document.ErrMismatch) && f.After != 0 {
 		f.After = 0
 		err = r.fetchOnce(ctx, c, f)
 	}
@@ -108,30 +108,30 @@
 	return r.Receive(f.From.ID, f.Value, differences)
 }
 
-func held(s *control.Snapshot, value sibling.Value) platform.Held {
+func held(s *control.Snapshot, value sibling.Value) document.Held {
 	if value == sibling.Document {
 		return s.DocumentHeld
 	}
 	return s.ListHeld
 }
 
-func decodeEvent(value sibling.Value, content platform.Content, source control.Source) (control.Event, error) {
+func decodeEvent(value sibling.Value, content document.Content, source control.Source) (control.Event, error) {
 	if value == sibling.Document {
-		document, err := platformjson.Document(content.Bytes)
+		doc, err := documentjson.Document(content.Bytes)
 		if err != nil {
 			return nil, err
 		}
-		if document.Revision != content.Revision {
-			return nil, fmt.Errorf("%w: revision %d in the text of %d", platform.ErrMismatch, document.Revision, content.Revision)
+		if doc.Revision != content.Revision {
+			return nil, fmt.Errorf("%w: revision %d in the text of %d", document.ErrMismatch, doc.Revision, content.Revision)
 		}
-		return control.DocumentRead{Document: document, Source: source}, nil
+		return control.DocumentRead{Document: doc, Source: source}, nil
 	}
-	list, err := platformjson.InstanceList(content.Bytes)
+	list, err := documentjson.InstanceList(content.Bytes)
 	if err != nil {
 		return nil, err
 	}
 	if list.Revision != content.Revision {
-		return nil, fmt.Errorf("%w: revision %d in the text of %d", platform.ErrMismatch, list.Revision, content.Revision)
+		return nil, fmt.Errorf("%w: revision %d in the text of %d", document.ErrMismatch, list.Revision, content.Revision)
 	}
 	return control.InstancesRead{List: list, Source: source}, nil
 }
@@ -150,9 +150,9 @@
 	}
 	if d := r.GetDifference(); d != nil {
 		// A difference that does not apply leaves this instance behind, and control then fetches.
-		_ = s.receiver.Receive(r.GetId(), value, []platform.Difference{decodeDifference(d)})
+		_ = s.receiver.Receive(r.GetId(), value, []document.Difference{decodeDifference(d)})
 	}
-	s.loop.Post(control.RevisionAnnounced{From: r.GetId(), Value: value, Revision: platform.Revision(r.GetRevision())})
+	s.loop.Post(control.RevisionAnnounced{From: r.GetId(), Value: value, Revision: document.Revision(r.GetRevision())})
 	return &siblingpb.AnnounceReply{}, nil
 }
 
@@ -162,7 +162,7 @@
 	if !ok {
 		return nil, status.Error(codes.InvalidArgument, "unknown value")
 	}
-	differences, err := held(s.loop.Snapshot(), value).Since(platform.Revision(r.GetAfter()))
+	differences, err := held(s.loop.Snapshot(), value).Since(document.Revision(r.GetAfter()))
 	if err != nil {
 		return nil, status.Error(codes.Internal, oops.In("sibling").Wrap(err).Error())
 	}
@@ -191,12 +191,12 @@
 	}
 }
 
-func encodeDifference(d platform.Difference) *siblingpb.Difference {
+func encodeDifference(d document.Difference) *siblingpb.Difference {
 	return &siblingpb.Difference{From: uint64(d.From), To: uint64(d.To), Sum: d.Sum, Patch: d.Patch}
 }
 
-func decodeDifference(d *siblingpb.Difference) platform.Difference {
-	return platform.Difference{
-		From: platform.Revision(d.GetFrom()), To: platform.Revision(d.GetTo()), Sum: d.GetSum(), Patch: d.GetPatch(),
+func decodeDifference(d *siblingpb.Difference) document.Difference {
+	return document.Difference{
+		From: document.Revision(d.GetFrom()), To: document.Revision(d.GetTo()), Sum: d.GetSum(), Patch: d.GetPatch(),
 	}
 }
--- a/sibling/siblinggrpc/config_test.go
+++ b/sibling/siblinggrpc/config_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
-	"dogwooddrift.org/drift/platform/platformjson"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/document/documentjson"
 	"dogwooddrift.org/drift/sibling"
 )
 
@@ -65,35 +65,35 @@
 	return p
 }
 
-func bigDocument(t testing.TB, revision platform.Revision, keys int) (*platform.Document, platform.Content) {
-	d := &platform.Document{
+func bigDocument(t testing.TB, revision document.Revision, keys int) (*document.Document, document.Content) {
+	d := &document.Document{
 		Revision:      revision,
-		Organisations: []platform.Organisation{{Name: "host", Host: true, Rate: 10, Burst: 10, Weight: 1}},
-		Zones:         []platform.Zone{{Name: "a", RateFraction: 1}},
-		Isolation:     platform.Isolation{KeyedLimit: 60},
+		Organisations: []document.Organisation{{Name: "host", Host: true, Rate: 10, Burst: 10, Weight: 1}},
+		Zones:         []document.Zone{{Name: "a", RateFraction: 1}},
+		Isolation:     document.Isolation{KeyedLimit: 60},
 		ChangeWindow:  60,
 	}
 	rng := rand.New(rand.NewPCG(7, 7))
 	for i := range keys {
-		d.Organisations[0].Keys = append(d.Organisations[0].Keys, platform.Key{
+		d.Organisations[0].Keys = append(d.Organisations[0].Keys, document.Key{
 			ID: fmt.Sprintf("key-%d", i), SHA256: fmt.Sprintf("%016x%016x%016x%016x", rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64()),
 		})
 	}
 	d.Organisations[0].Rate = float64(revision)
-	content, err := platformjson.Encode(revision, d)
+	content, err := documentjson.Encode(revision, d)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return d, content
 }
 
-func (p *peer) adopt(t testing.TB, d *platform.Document, source control.Source) {
+func (p *peer) adopt(t testing.TB, d *document.Document, source control.Source) {
 	p.loop.Post(control.DocumentRead{Document: d, Source: source})
 	p.await(t, d.Revision)
 }
 
 // await waits until the control goroutine published the revision.
-func (p *peer) await(t testing.TB, revision platform.Revision) {
+func (p *peer) await(t testing.TB, revision document.Revision) {
 	for limit := time.Now().Add(5 * time.Second); p.loop.Snapshot().DocumentHeld.Revision != revision; time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("revision in force is %d after 5 s, want %d", p.loop.Snapshot().DocumentHeld.Revision, revision)
@@ -109,13 +109,13 @@
 	first, firstContent := bigDocument(t, 1, 100)
 	p.adopt(t, first, control.Source{Content: firstContent})
 	_, next := bigDocument(t, 2, 100)
-	d, err := platform.Diff(firstContent, next)
+	d, err := document.Diff(firstContent, next)
 	if err != nil {
 		t.Fatal(err)
 	}
 	bad := d
 	bad.Sum++
-	if err := p.receiver.Receive("x", sibling.Document, []platform.Difference{bad}); !errors.Is(err, platform.ErrMismatch) {
+	if err := p.receiver.Receive("x", sibling.Document, []document.Difference{bad}); !errors.Is(err, document.ErrMismatch) {
 		t.Fatalf("difference with a wrong checksum: error %v, want ErrMismatch", err)
 	}
 	announce := sibling.Announce{To: p.member, Value: sibling.Document, Revision: 2, Difference: &d}
@@ -131,16 +131,16 @@
 	p, q := startPeer(t, "p"), startPeer(t, "q")
 	client := NewClient()
 	defer client.Close()
-	var previous platform.Content
-	for r := platform.Revision(1); r <= 5; r++ {
+	var previous document.Content
+	for r := document.Revision(1); r <= 5; r++ {
 		d, content := bigDocument(t, r, 100)
 		source := control.Source{Content: content}
 		if r > 1 {
-			diff, err := platform.Diff(previous, content)
+			diff, err := document.Diff(previous, content)
 			if err != nil {
 				t.Fatal(err)
 			}
-			source.Differences = []platform.Difference{diff}
+			source.Differences = []document.Difference{diff}
 		}
 		p.adopt(t, d, source)
 		if r == 2 {
@@ -149,7 +149,7 @@
 		previous = content
 	}
 	for _, c := range []struct {
-		after platform.Revision
+		after document.Revision
 		want  int
 	}{{0, 1}, {1, 4}, {4, 1}, {5, 0}} {
 		got, err := client.Fetch(t.Context(), sibling.Fetch{From: p.member, Value: sibling.Document, After: c.after})
@@ -230,7 +230,7 @@
 	defer client.Close()
 	doc, content := bigDocument(b, 1, 10000)
 	_, next := bigDocument(b, 2, 10000)
-	d, err := platform.Diff(content, next)
+	d, err := document.Diff(content, next)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -274,7 +274,7 @@
 	for _, keys := range []int{100, 1000, 10000} {
 		old, content := bigDocument(b, 1, keys)
 		_, next := bigDocument(b, 2, keys)
-		d, err := platform.Diff(content, next)
+		d, err := document.Diff(content, next)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -288,11 +288,11 @@
 				state.Step(control.DocumentRead{Document: old, Source: control.Source{Content: content}}, time.Unix(1, 0))
 				held := state.Snapshot().DocumentHeld
 				b.StartTimer()
-				got, err := held.Follow([]platform.Difference{d})
+				got, err := held.Follow([]document.Difference{d})
 				if err != nil {
 					b.Fatal(err)
 				}
-				event, err := decodeEvent(sibling.Document, got, control.Source{Content: got, Differences: []platform.Difference{d}})
+				event, err := decodeEvent(sibling.Document, got, control.Source{Content: got, Differences: []document.Difference{d}})
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/sibling/siblinggrpc/notices.go
+++ b/sibling/siblinggrpc/notices.go
@@ -13,7 +13,7 @@
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // RegisterNotices adds the notice service to a gRPC server.
@@ -36,7 +36,7 @@
 
 // Ask returns what this instance knows about the targets.
 func (n *notices) Ask(ctx context.Context, r *siblingpb.AskRequest) (*siblingpb.Notices, error) {
-	known, err := control.Ask(ctx, n.loop, func(reply chan<- target.Notices) control.Event {
+	known, err := control.Ask(ctx, n.loop, func(reply chan<- targets.Notices) control.Event {
 		return control.NoticesAsked{Targets: r.GetTargets(), Reply: reply}
 	})
 	if err != nil {
@@ -46,7 +46,7 @@
 }
 
 // Tell sends notices to a sibling.
-func (c *Client) Tell(ctx context.Context, to sibling.Member, n target.Notices) error {
+func (c *Client) Tell(ctx context.Context, to sibling.Member, n targets.Notices) error {
 	_, err := call(c, to.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.TellReply, error) {
 		return siblingpb.NewNoticeBoardClient(conn).Tell(ctx, encodeNotices(n))
 	})
@@ -54,17 +54,17 @@
 }
 
 // Ask returns what a sibling knows about the targets.
-func (c *Client) Ask(ctx context.Context, to sibling.Member, targets []string) (target.Notices, error) {
+func (c *Client) Ask(ctx context.Context, to sibling.Member, names []string) (targets.Notices, error) {
 	reply, err := call(c, to.PeerAddress, func(conn grpc.ClientConnInterface) (*siblingpb.Notices, error) {
-		return siblingpb.NewNoticeBoardClient(conn).Ask(ctx, &siblingpb.AskRequest{Targets: targets})
+		return siblingpb.NewNoticeBoardClient(conn).Ask(ctx, &siblingpb.AskRequest{Targets: names})
 	})
 	if err != nil {
-		return target.Notices{}, err
+		return targets.Notices{}, err
 	}
 	return decodeNotices(reply), nil
 }
 
-func encodeNotices(n target.Notices) *siblingpb.Notices {
+func encodeNotices(n targets.Notices) *siblingpb.Notices {
 	out := &siblingpb.Notices{}
 	for _, w := range n.Warm {
 		out.Warm = append(out.Warm, &siblingpb.WarmNotice{Target: w.Target, Incarnation: w.Incarnation})
@@ -85,24 +85,24 @@
 }
 
 // decodeNotices leaves out fingerprints of another length.
-func decodeNotices(n *siblingpb.Notices) target.Notices {
-	var out target.Notices
+func decodeNotices(n *siblingpb.Notices) targets.Notices {
+	var out targets.Notices
 	for _, w := range n.GetWarm() {
-		out.Warm = append(out.Warm, target.WarmNotice{Target: w.GetTarget(), Incarnation: w.GetIncarnation()})
+		out.Warm = append(out.Warm, targets.WarmNotice{Target: w.GetTarget(), Incarnation: w.GetIncarnation()})
 	}
 	for _, c := range n.GetCrashes() {
-		crash := target.CrashNotice{Target: c.GetTarget(), Incarnation: c.GetIncarnation()}
+		crash := targets.CrashNotice{Target: c.GetTarget(), Incarnation: c.GetIncarnation()}
 		for _, b := range c.GetSuspects() {
-			if len(b) == len(target.Fingerprint{}) {
-				crash.Suspects = append(crash.Suspects, target.Fingerprint(b))
+			if len(b) == len(targets.Fingerprint{}) {
+				crash.Suspects = append(crash.Suspects, targets.Fingerprint(b))
 			}
 		}
 		out.Crashes = append(out.Crashes, crash)
 	}
 	for _, q := range n.GetQuarantined() {
-		if b := q.GetFingerprint(); len(b) == len(target.Fingerprint{}) {
-			out.Quarantined = append(out.Quarantined, target.QuarantineNotice{
-				Fingerprint: target.Fingerprint(b), Left: time.Duration(q.GetLeftMs()) * time.Millisecond,
+		if b := q.GetFingerprint(); len(b) == len(targets.Fingerprint{}) {
+			out.Quarantined = append(out.Quarantined, targets.QuarantineNotice{
+				Fingerprint: targets.Fingerprint(b), Left: time.Duration(q.GetLeftMs()) * time.Millisecond,
 			})
 		}
 	}
--- a/sibling/siblinggrpc/notices_test.go
+++ b/sibling/siblinggrpc/notices_test.go
@@ -6,16 +6,16 @@
 	"time"
 
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Guards against a part of a notice that is lost on the way, and against a panic on a short fingerprint.
 func TestNoticesSurviveEncoding(t *testing.T) {
-	p := target.FingerprintOf("s", "text")
-	want := target.Notices{
-		Warm:        []target.WarmNotice{{Target: "t", Incarnation: "i"}},
-		Crashes:     []target.CrashNotice{{Target: "t", Incarnation: "i", Suspects: []target.Fingerprint{p}}},
-		Quarantined: []target.QuarantineNotice{{Fingerprint: p, Left: time.Second}},
+	p := targets.FingerprintOf("s", "text")
+	want := targets.Notices{
+		Warm:        []targets.WarmNotice{{Target: "t", Incarnation: "i"}},
+		Crashes:     []targets.CrashNotice{{Target: "t", Incarnation: "i", Suspects: []targets.Fingerprint{p}}},
+		Quarantined: []targets.QuarantineNotice{{Fingerprint: p, Left: time.Second}},
 	}
 	if got := decodeNotices(encodeNotices(want)); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
--- a/sibling/siblinggrpc/server.go
+++ b/sibling/siblinggrpc/server.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
@@ -51,7 +51,7 @@
 func decodeHeartbeat(h *siblingpb.Heartbeat) sibling.Heartbeat {
 	return sibling.Heartbeat{
 		ID: h.GetId(), Zone: h.GetZone(),
-		DocumentRevision: platform.Revision(h.GetDocumentRevision()), ListRevision: platform.Revision(h.GetListRevision()),
+		DocumentRevision: document.Revision(h.GetDocumentRevision()), ListRevision: document.Revision(h.GetListRevision()),
 		DirectAge: decodeAge(h.DirectAgeMs), ZoneAge: decodeAge(h.ZoneAgeMs), OutsideAge: decodeAge(h.OutsideAgeMs),
 	}
 }
--- a/sibling/siblinggrpc/tokens.go
+++ b/sibling/siblinggrpc/tokens.go
@@ -11,7 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
@@ -159,7 +159,7 @@
 }
 
 func decodeCountReply(r *siblingpb.CountReply) sibling.CountReply {
-	out := sibling.CountReply{From: decodeMember(r.GetFrom()), Order: r.GetOrder(), Fraction: r.GetFraction(), Document: platform.Revision(r.GetDocumentRevision())}
+	out := sibling.CountReply{From: decodeMember(r.GetFrom()), Order: r.GetOrder(), Fraction: r.GetFraction(), Document: document.Revision(r.GetDocumentRevision())}
 	for _, a := range r.GetAcknowledgements() {
 		ack := sibling.Acknowledgement{
 			Group: int(a.GetGroup()), Epoch: a.GetEpoch(), Counted: a.GetCounted(), Void: a.GetVoid(),
--- a/sibling/spread.go
+++ b/sibling/spread.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Value names one of the two values that the platform publishes and instances spread.
@@ -28,14 +28,14 @@
 // Adopted says that a value came into force. The differences, which may be empty, led to it.
 type Adopted struct {
 	Value       Value
-	Content     platform.Content
-	Differences []platform.Difference
+	Content     document.Content
+	Differences []document.Difference
 }
 
 // Refused says that a newer value failed its checks. It is not asked for again.
 type Refused struct {
 	Value    Value
-	Revision platform.Revision
+	Revision document.Revision
 }
 
 // Listed gives the listed entry instances, ordered by ID.
@@ -45,7 +45,7 @@
 type Announced struct {
 	From     string
 	Value    Value
-	Revision platform.Revision
+	Revision document.Revision
 }
 
 // Heard is a heartbeat that a sibling sent. It may have been under way for any time, so it proves no contact.
@@ -81,23 +81,23 @@
 type Announce struct {
 	To       Member
 	Value    Value
-	Revision platform.Revision
+	Revision document.Revision
 	// Difference, if any, is what led to the revision from the one before.
-	Difference *platform.Difference
+	Difference *document.Difference
 }
 
 // Fetch asks a sibling for what leads from the revision in force here to the one in force there.
 type Fetch struct {
 	From  Member
 	Value Value
-	After platform.Revision
+	After document.Revision
 }
 
 // ReadPlatform asks for one read of the platform, which waits for a revision above After for at most Wait. The
 // answer must begin within Limit.
 type ReadPlatform struct {
 	Value       Value
-	After       platform.Revision
+	After       document.Revision
 	Wait, Limit time.Duration
 }
 
@@ -157,9 +157,9 @@
 }
 
 type spreadValue struct {
-	held       platform.Held
-	refused    platform.Revision
-	difference *platform.Difference
+	held       document.Held
+	refused    document.Revision
+	difference *document.Difference
 	rounds     int // announcements still to make
 	nextRound  time.Time
 	claims     map[string]claim // by ID of the sibling
@@ -170,7 +170,7 @@
 
 // claim is the word of a sibling that it has a newer revision.
 type claim struct {
-	revision platform.Revision
+	revision document.Revision
 	heard    time.Time
 }
 
@@ -206,10 +206,10 @@
 }
 
 // Revision returns the revision in force.
-func (s *Spread) Revision(v Value) platform.Revision { return s.values[v].held.Revision }
+func (s *Spread) Revision(v Value) document.Revision { return s.values[v].held.Revision }
 
 // Held returns the content in force with its history.
-func (s *Spread) Held(v Value) platform.Held { return s.values[v].held }
+func (s *Spread) Held(v Value) document.Held { return s.values[v].held }
 
 // Heartbeat returns what this instance tells a sibling now.
 func (s *Spread) Heartbeat(now time.Time) Heartbeat {
@@ -241,7 +241,7 @@
 }
 
 // seen returns the newest revision that was checked here, refused or not.
-func (v *spreadValue) seen() platform.Revision { return max(v.held.Revision, v.refused) }
+func (v *spreadValue) seen() document.Revision { return max(v.held.Revision, v.refused) }
 
 func (v *spreadValue) dropClaims() {
 	for id, c := range v.claims {
@@ -295,7 +295,7 @@
 }
 
 // claim notes that a sibling has a revision, if it is newer than the one in force here.
-func (s *Spread) claim(id string, value Value, revision platform.Revision, now time.Time) {
+func (s *Spread) claim(id string, value Value, revision document.Revision, now time.Time) {
 	v := &s.values[value]
 	if !revision.Supersedes(v.seen()) {
 		return
--- a/sibling/spread_test.go
+++ b/sibling/spread_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Guards against a change that does not reach every instance in time, also with lost messages.
@@ -95,7 +95,7 @@
 		old := p.order[i]
 		old.alive = false
 		n := p.add(fmt.Sprintf("%s-r%03d", old.member.Zone, i), old.member.Zone)
-		n.old, n.stale = true, [valueCount]platform.Revision{Document: stale[Document], InstanceList: p.served[InstanceList]}
+		n.old, n.stale = true, [valueCount]document.Revision{Document: stale[Document], InstanceList: p.served[InstanceList]}
 		p.publishList()
 		published := p.served[Document]
 		if !p.run(8*time.Second, func() bool { return n.spread.Joined() }) {
@@ -235,7 +235,7 @@
 	members = MembersOf(listOf(members))
 	now := time.Unix(1000, 0)
 	s.Step(Listed{Members: members}, now)
-	s.Step(Adopted{Value: Document, Content: platform.Content{Revision: 5}}, now)
+	s.Step(Adopted{Value: Document, Content: document.Content{Revision: 5}}, now)
 	return s, members, now
 }
 
@@ -268,8 +268,8 @@
 // Guards against a value that reverts because a lower revision is put into force after a higher one.
 func TestRevisionsOnlyRise(t *testing.T) {
 	s, _, now := newListed("a")
-	for _, r := range []platform.Revision{4, 5} {
-		s.Step(Adopted{Value: Document, Content: platform.Content{Revision: r, Bytes: []byte("old")}}, now)
+	for _, r := range []document.Revision{4, 5} {
+		s.Step(Adopted{Value: Document, Content: document.Content{Revision: r, Bytes: []byte("old")}}, now)
 		if held := s.Held(Document); held.Revision != 5 || len(held.Bytes) != 0 {
 			t.Errorf("revision %d replaced revision 5", r)
 		}
--- a/target/fleet.go
+++ b/targets/fleet.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 import (
 	"cmp"
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // Effect is an action that Fleet asks for.
@@ -103,7 +103,7 @@
 
 type tracked struct {
 	warmth
-	instance    platform.Instance
+	instance    document.Instance
 	out         bool
 	slots       int
 	accepts     int // connections over all instances
@@ -142,14 +142,14 @@
 func (f *Fleet) emit(e Effect) { f.effects = append(f.effects, e) }
 
 // Configure takes the document and the list in force.
-func (f *Fleet) Configure(doc *platform.Document, list *platform.InstanceList, now time.Time) {
+func (f *Fleet) Configure(doc *document.Document, list *document.InstanceList, now time.Time) {
 	if f.started.IsZero() {
 		f.started = now
 	}
 	f.changed = true
 	f.entrants = f.entrants[:0]
 	for _, in := range list.Entries() {
-		if in.State == platform.StateLive && !doc.InstanceOut(in.ID) && !doc.ZoneOut(in.Zone) {
+		if in.State == document.StateLive && !doc.InstanceOut(in.ID) && !doc.ZoneOut(in.Zone) {
 			f.entrants = append(f.entrants, Entrant{ID: in.ID, Zone: in.Zone})
 		}
 	}
@@ -173,7 +173,7 @@
 			t = &tracked{gauge: &Gauge{}, warmth: warmth{phase: PhaseUnknown}, nextRead: now}
 			f.targets[in.ID] = t
 		}
-		out := in.State == platform.StateLeaving || doc.InstanceOut(in.ID) || doc.ZoneOut(in.Zone)
+		out := in.State == document.StateLeaving || doc.InstanceOut(in.ID) || doc.ZoneOut(in.Zone)
 		if t.out && !out && t.phase != PhaseUnknown {
 			t.chill(t.bears(), now)
 		}
--- a/target/fleet_test.go
+++ b/targets/fleet_test.go
@@ -1,18 +1,18 @@
-package target
+package targets
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // fleetTest drives one Fleet of instance "e0" with a service "s" of one shard.
 type fleetTest struct {
 	*Fleet
-	doc     *platform.Document
-	list    *platform.InstanceList
+	doc     *document.Document
+	list    *document.InstanceList
 	now     time.Time
 	effects []Effect
 }
@@ -20,21 +20,21 @@
 func newFleetTest(self string, entries, targets int) *fleetTest {
 	f := &fleetTest{
 		Fleet: NewFleet(Entrant{ID: self, Zone: "a"}, DefaultPolicy()),
-		doc: &platform.Document{
-			Services: []platform.Service{{Name: "s", Sharded: true, Slots: 8, Connections: 100}},
-			Zones:    []platform.Zone{{Name: "a"}},
+		doc: &document.Document{
+			Services: []document.Service{{Name: "s", Sharded: true, Slots: 8, Connections: 100}},
+			Zones:    []document.Zone{{Name: "a"}},
 		},
-		list: &platform.InstanceList{},
+		list: &document.InstanceList{},
 		now:  time.Unix(1000, 0),
 	}
 	for i := range entries {
-		f.list.Instances = append(f.list.Instances, platform.Instance{
-			ID: fmt.Sprintf("e%d", i), Kind: platform.KindEntry, Zone: "a", State: platform.StateLive,
+		f.list.Instances = append(f.list.Instances, document.Instance{
+			ID: fmt.Sprintf("e%d", i), Kind: document.KindEntry, Zone: "a", State: document.StateLive,
 		})
 	}
 	for i := range targets {
-		f.list.Instances = append(f.list.Instances, platform.Instance{
-			ID: fmt.Sprintf("t%d", i), Kind: platform.KindTarget, Service: "s", Zone: "a", Address: fmt.Sprintf("t%d:1", i), State: platform.StateLive,
+		f.list.Instances = append(f.list.Instances, document.Instance{
+			ID: fmt.Sprintf("t%d", i), Kind: document.KindTarget, Service: "s", Zone: "a", Address: fmt.Sprintf("t%d:1", i), State: document.StateLive,
 		})
 	}
 	f.configure()
@@ -237,7 +237,7 @@
 // Guards against new legs to leaving targets, to what operators took out, and to targets that say they drain.
 func TestLeavingTargetsGetNoLegs(t *testing.T) {
 	cases := map[string]func(f *fleetTest){
-		"leaving":  func(f *fleetTest) { f.list.Instances[1].State = platform.StateLeaving; f.configure() },
+		"leaving":  func(f *fleetTest) { f.list.Instances[1].State = document.StateLeaving; f.configure() },
 		"instance": func(f *fleetTest) { f.doc.InstancesOut = []string{"t0"}; f.configure() },
 		"zone":     func(f *fleetTest) { f.doc.Zones[0].Out = true; f.configure() },
 		"draining": func(f *fleetTest) { f.status("t0", "i1", StateDraining) },
@@ -318,7 +318,7 @@
 // Guards against requests that are cut off at an instance that is leaving, out of service or not listed yet.
 func TestInstanceServesWhileNotListedAsLive(t *testing.T) {
 	cases := map[string]func(f *fleetTest){
-		"leaving":      func(f *fleetTest) { f.list.Instances[0].State = platform.StateLeaving },
+		"leaving":      func(f *fleetTest) { f.list.Instances[0].State = document.StateLeaving },
 		"out":          func(f *fleetTest) { f.doc.InstancesOut = []string{"e0"} },
 		"not listed":   func(f *fleetTest) { f.list.Instances[0].ID = "another" },
 		"other's zone": func(f *fleetTest) { f.list.Instances[0].Zone = "b" },
--- a/target/targethttp/change_test.go
+++ b/targets/targetshttp/change_test.go
@@ -1,4 +1,4 @@
-package targethttp
+package targetshttp
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // listen serves raw connections with f until the test ends.
@@ -46,7 +46,7 @@
 }
 
 func testChange(address, id, body string) Change {
-	return Change{RequestID: target.RequestID(id), IdempotencyKey: "k", Target: &target.Target{Address: address, Gauge: &target.Gauge{}}, Timeout: time.Second, Body: []byte(body)}
+	return Change{RequestID: targets.RequestID(id), IdempotencyKey: "k", Target: &targets.Target{Address: address, Gauge: &targets.Gauge{}}, Timeout: time.Second, Body: []byte(body)}
 }
 
 // Guards against a second run of a change whose connection broke after the request was written, on a fresh and on a
@@ -78,7 +78,7 @@
 				t.Fatal(err)
 			}
 			_, err := client.Change(t.Context(), testChange(address, "second", body))
-			if !errors.Is(err, target.ErrFailed) {
+			if !errors.Is(err, targets.ErrFailed) {
 				t.Errorf("body %q, reset %v: error is %v, want one that may have run", body, reset, err)
 			}
 			if n := served.Load(); n != 2 {
@@ -98,7 +98,7 @@
 	}))
 	defer server.Close()
 	_, err := newTestClient(t).Change(t.Context(), testChange(strings.TrimPrefix(server.URL, "http://"), "r", "text"))
-	if !errors.Is(err, target.ErrFailed) || served.Load() != 1 {
+	if !errors.Is(err, targets.ErrFailed) || served.Load() != 1 {
 		t.Errorf("error is %v after %d requests, want one that may have run after 1", err, served.Load())
 	}
 }
@@ -131,7 +131,7 @@
 		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { cancel() }}
 		id := strconv.Itoa(i)
 		_, err := New(&http.Client{Transport: transport}).Change(httptrace.WithClientTrace(ctx, trace), testChange(address, id, "text"))
-		unsent[id] = errors.Is(err, target.ErrNotSent)
+		unsent[id] = errors.Is(err, targets.ErrNotSent)
 		transport.CloseIdleConnections()
 	}
 	open.Wait()
@@ -167,7 +167,7 @@
 	for _, c := range []struct {
 		address, id string
 		want        error
-	}{{address, "mine", target.ErrFailed}, {address, "shed", target.ErrShed}, {gone, "mine", target.ErrNotSent}} {
+	}{{address, "mine", targets.ErrFailed}, {address, "shed", targets.ErrShed}, {gone, "mine", targets.ErrNotSent}} {
 		if _, err := newTestClient(t).Change(t.Context(), testChange(c.address, c.id, "")); !errors.Is(err, c.want) {
 			t.Errorf("request %q: error is %v, want %v", c.id, err, c.want)
 		}
--- a/target/targethttp/client.go
+++ b/targets/targetshttp/client.go
@@ -1,5 +1,5 @@
-// Package targethttp sends requests to targets over HTTP/1.1 and reads their status.
-package targethttp
+// Package targetshttp sends requests to targets over HTTP/1.1 and reads their status.
+package targetshttp
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"github.com/samber/oops"
 
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // The paths that targets serve.
@@ -50,7 +50,7 @@
 const maxReplyBytes = 4 << 20
 
 // Reporter takes reports of legs. It must not block.
-type Reporter interface{ ReportLeg(target.LegReport) }
+type Reporter interface{ ReportLeg(targets.LegReport) }
 
 // Client talks to targets. It is safe for concurrent use.
 type Client struct {
@@ -71,11 +71,11 @@
 
 // checkSilence closes the idle connections to a target when a request on one of them got no reply while fresh ones
 // work. The connection of the request itself is closed by its cancellation.
-func (c *Client) checkSilence(t *target.Target, started time.Time, o target.Outcome) {
+func (c *Client) checkSilence(t *targets.Target, started time.Time, o targets.Outcome) {
 	switch o {
-	case target.Replied:
+	case targets.Replied:
 		t.Gauge.Answered(started)
-	case target.Cancelled:
+	case targets.Cancelled:
 		if transport, ok := c.client.Transport.(*Transport); ok && t.Gauge.ReplaceSilent(started, time.Now()) {
 			transport.CloseIdle(t.Address)
 		}
@@ -84,9 +84,9 @@
 
 // report tells control about a leg that matters to it: any failure, and replies of a target that is ramping up,
 // that says it is not warm, or that is another incarnation than the view has.
-func (c *Client) report(t *target.Target, r target.LegReport) {
-	routine := r.Outcome == target.Replied && !t.Ramping && r.Incarnation == t.Incarnation && r.State == target.StateWarm
-	if c.reporter != nil && r.Outcome != target.Cancelled && !routine {
+func (c *Client) report(t *targets.Target, r targets.LegReport) {
+	routine := r.Outcome == targets.Replied && !t.Ramping && r.Incarnation == t.Incarnation && r.State == targets.StateWarm
+	if c.reporter != nil && r.Outcome != targets.Cancelled && !routine {
 		r.Target = t.ID
 		c.reporter.ReportLeg(r)
 	}
@@ -94,9 +94,9 @@
 
 // Search is one leg as sent to a target.
 type Search struct {
-	RequestID    target.RequestID
+	RequestID    targets.RequestID
 	Organisation string
-	Leg          target.Leg
+	Leg          targets.Leg
 	// Timeout is the time that the target has.
 	Timeout time.Duration
 	Body    []byte
@@ -104,10 +104,10 @@
 
 // Search sends one leg. It returns the headers of the reply, if one came. Its error wraps one of the errors of
 // package target.
-func (c *Client) Search(ctx context.Context, s Search) (target.Reply, http.Header, error) {
+func (c *Client) Search(ctx context.Context, s Search) (targets.Reply, http.Header, error) {
 	req, err := c.request(ctx, s.Leg.Target.Address, SearchPath, s.Body)
 	if err != nil {
-		return target.Reply{}, nil, err
+		return targets.Reply{}, nil, err
 	}
 	req.Header.Set(HeaderRequestID, string(s.RequestID))
 	req.Header.Set(HeaderAttempt, strconv.Itoa(s.Leg.Attempt))
@@ -117,14 +117,14 @@
 	req.Header.Set(HeaderOrganisation, s.Organisation)
 	header, body, err := c.do(measureTrip(req, s.Leg.Target.Gauge))
 	if err != nil {
-		return target.Reply{}, header, err
+		return targets.Reply{}, header, err
 	}
 	reply, err := decodeReply(header, body)
 	return reply, header, err
 }
 
 // measureTrip tells the gauge the time of the handshake if the request opens a connection.
-func measureTrip(req *http.Request, g *target.Gauge) *http.Request {
+func measureTrip(req *http.Request, g *targets.Gauge) *http.Request {
 	var start atomic.Pointer[time.Time] // the transport dials on other goroutines
 	trace := &httptrace.ClientTrace{
 		ConnectStart: func(string, string) { now := time.Now(); start.Store(&now) },
@@ -137,35 +137,35 @@
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 }
 
-func decodeReply(h http.Header, body []byte) (target.Reply, error) {
+func decodeReply(h http.Header, body []byte) (targets.Reply, error) {
 	attempt, err := strconv.Atoi(h.Get(HeaderAttempt))
 	if err != nil {
-		return target.Reply{}, oops.In("target").Wrapf(target.ErrFailed, "header %s: %v", HeaderAttempt, err)
+		return targets.Reply{}, oops.In("target").Wrapf(targets.ErrFailed, "header %s: %v", HeaderAttempt, err)
 	}
 	snapshot, err := strconv.ParseUint(h.Get(HeaderSnapshot), 10, 64)
 	if err != nil {
-		return target.Reply{}, oops.In("target").Wrapf(target.ErrFailed, "header %s: %v", HeaderSnapshot, err)
+		return targets.Reply{}, oops.In("target").Wrapf(targets.ErrFailed, "header %s: %v", HeaderSnapshot, err)
 	}
-	return target.Reply{
-		RequestID: target.RequestID(h.Get(HeaderRequestID)),
+	return targets.Reply{
+		RequestID: targets.RequestID(h.Get(HeaderRequestID)),
 		Attempt:   attempt,
-		Shard:     target.Shard(h.Get(HeaderShard)),
-		Snapshot:  target.Snapshot(snapshot),
+		Shard:     targets.Shard(h.Get(HeaderShard)),
+		Snapshot:  targets.Snapshot(snapshot),
 		Payload:   body,
 	}, nil
 }
 
 // Change is a non-idempotent request as sent to a target.
 type Change struct {
-	RequestID      target.RequestID
+	RequestID      targets.RequestID
 	Organisation   string
 	IdempotencyKey string
-	Target         *target.Target
+	Target         *targets.Target
 	Timeout        time.Duration
 	Body           []byte
 }
 
-// Change sends a change once. An error that wraps target.ErrNotSent or target.ErrShed means that it did not
+// Change sends a change once. An error that wraps targets.ErrNotSent or targets.ErrShed means that it did not
 // run; any other means that it may have run.
 func (c *Client) Change(ctx context.Context, ch Change) ([]byte, error) {
 	req, err := c.request(ctx, ch.Target.Address, ChangePath, ch.Body)
@@ -179,16 +179,16 @@
 	start := time.Now()
 	header, body, err := c.do(req)
 	if got := header.Get(HeaderRequestID); err == nil && got != string(ch.RequestID) {
-		err = oops.In("target").Wrapf(target.ErrFailed, "the reply is for request %q", got)
+		err = oops.In("target").Wrapf(targets.ErrFailed, "the reply is for request %q", got)
 	}
-	report := target.LegReport{
-		Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)), Elapsed: time.Since(start),
+	report := targets.LegReport{
+		Incarnation: header.Get(HeaderIncarnation), State: targets.State(header.Get(HeaderState)), Elapsed: time.Since(start),
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		report.Outcome = target.Cancelled
+		report.Outcome = targets.Cancelled
 	case err != nil:
-		report.Outcome, report.Reason = target.Failed, FailureReason(err)
+		report.Outcome, report.Reason = targets.Failed, FailureReason(err)
 	}
 	c.report(ch.Target, report)
 	c.checkSilence(ch.Target, start, report.Outcome)
@@ -199,18 +199,18 @@
 }
 
 // Status reads a target's own report.
-func (c *Client) Status(ctx context.Context, address string) (target.Status, error) {
+func (c *Client) Status(ctx context.Context, address string) (targets.Status, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+StatusPath, nil)
 	if err != nil {
-		return target.Status{}, oops.In("target").Wrapf(target.ErrNotSent, "build request: %v", err)
+		return targets.Status{}, oops.In("target").Wrapf(targets.ErrNotSent, "build request: %v", err)
 	}
 	_, body, err := c.do(req)
 	if err != nil {
-		return target.Status{}, err
+		return targets.Status{}, err
 	}
-	var status target.Status
+	var status targets.Status
 	if err := json.Unmarshal(body, &status); err != nil {
-		return target.Status{}, oops.In("target").Wrapf(target.ErrFailed, "decode status: %v", err)
+		return targets.Status{}, oops.In("target").Wrapf(targets.ErrFailed, "decode status: %v", err)
 	}
 	return status, nil
 }
@@ -218,7 +218,7 @@
 func (c *Client) request(ctx context.Context, address, path string, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, oops.In("target").Wrapf(target.ErrNotSent, "build request: %v", err)
+		return nil, oops.In("target").Wrapf(targets.ErrNotSent, "build request: %v", err)
 	}
 	return req, nil
 }
@@ -236,44 +236,44 @@
 	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		if !sent.Load() {
-			return nil, nil, oops.In("target").Wrapf(target.ErrNotSent, "%v", err)
+			return nil, nil, oops.In("target").Wrapf(targets.ErrNotSent, "%v", err)
 		}
-		return nil, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "%v", err)
+		return nil, nil, oops.In("target").Wrapf(targets.ErrConnectionLost, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReplyBytes))
 	if err != nil {
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-			return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "read reply: %v", err)
+			return resp.Header, nil, oops.In("target").Wrapf(targets.ErrFailed, "read reply: %v", err)
 		}
-		return resp.Header, nil, oops.In("target").Wrapf(target.ErrConnectionLost, "read reply: %v", err)
+		return resp.Header, nil, oops.In("target").Wrapf(targets.ErrConnectionLost, "read reply: %v", err)
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return resp.Header, body, nil
 	case resp.StatusCode == http.StatusConflict:
-		return resp.Header, nil, oops.In("target").Wrap(target.ErrSnapshotGone)
+		return resp.Header, nil, oops.In("target").Wrap(targets.ErrSnapshotGone)
 	case resp.Header.Get(HeaderRan) == RanNo:
-		return resp.Header, nil, oops.In("target").Wrap(target.ErrShed)
+		return resp.Header, nil, oops.In("target").Wrap(targets.ErrShed)
 	default:
-		return resp.Header, nil, oops.In("target").Wrapf(target.ErrFailed, "status %d", resp.StatusCode)
+		return resp.Header, nil, oops.In("target").Wrapf(targets.ErrFailed, "status %d", resp.StatusCode)
 	}
 }
 
 // FailureReason maps an error of Search to the reason that an answer reports.
-func FailureReason(err error) target.Reason {
+func FailureReason(err error) targets.Reason {
 	switch {
-	case errors.Is(err, target.ErrShed):
-		return target.ReasonShed
-	case errors.Is(err, target.ErrSnapshotGone):
-		return target.ReasonSnapshotGone
-	case errors.Is(err, target.ErrNotSent):
-		return target.ReasonUnreachable
-	case errors.Is(err, target.ErrConnectionLost):
-		return target.ReasonConnectionLost
-	case errors.Is(err, target.ErrMismatched):
-		return target.ReasonMismatched
+	case errors.Is(err, targets.ErrShed):
+		return targets.ReasonShed
+	case errors.Is(err, targets.ErrSnapshotGone):
+		return targets.ReasonSnapshotGone
+	case errors.Is(err, targets.ErrNotSent):
+		return targets.ReasonUnreachable
+	case errors.Is(err, targets.ErrConnectionLost):
+		return targets.ReasonConnectionLost
+	case errors.Is(err, targets.ErrMismatched):
+		return targets.ReasonMismatched
 	default:
-		return target.ReasonFailed
+		return targets.ReasonFailed
 	}
 }
--- a/target/targethttp/run.go
+++ b/targets/targetshttp/run.go
@@ -1,27 +1,27 @@
-package targethttp
+package targetshttp
 
 import (
 	"context"
 	"time"
 
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Request is what Run needs of one caller's query.
 type Request struct {
-	ID           target.RequestID
+	ID           targets.RequestID
 	Organisation string
 	Deadline     time.Time
 	Body         []byte
-	Fingerprint  target.Fingerprint
+	Fingerprint  targets.Fingerprint
 }
 
 // Run drives a query to its answer: it sends the legs that the state machine asks for, feeds it replies and
 // failures, and cancels what is no longer wanted. It returns early when ctx ends, with what was merged so far.
-func (c *Client) Run(ctx context.Context, r Request, q *target.Query, ready target.Ready) *target.Answer {
+func (c *Client) Run(ctx context.Context, r Request, q *targets.Query, ready targets.Ready) *targets.Answer {
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
-	messages := make(chan target.Message)
+	messages := make(chan targets.Message)
 	cancels := map[int]context.CancelFunc{}
 	timer := time.NewTimer(time.Until(r.Deadline))
 	defer timer.Stop()
@@ -39,16 +39,16 @@
 		case m := <-messages:
 			ready = q.Step(m, time.Now())
 		case <-timer.C:
-			ready = q.Step(target.Timeout{}, time.Now())
+			ready = q.Step(targets.Timeout{}, time.Now())
 		case <-ctx.Done():
-			ready = q.Step(target.Timeout{}, r.Deadline)
+			ready = q.Step(targets.Timeout{}, r.Deadline)
 		}
 	}
 	return ready.Answer
 }
 
 // runLeg sends one leg and delivers its outcome unless the query is over.
-func (c *Client) runLeg(ctx context.Context, r Request, leg target.Leg, messages chan<- target.Message) {
+func (c *Client) runLeg(ctx context.Context, r Request, leg targets.Leg, messages chan<- targets.Message) {
 	start := time.Now()
 	reply, header, err := c.Search(ctx, Search{
 		RequestID:    r.ID,
@@ -58,25 +58,25 @@
 		Body:         r.Body,
 	})
 	if err == nil && !leg.Matches(r.ID, reply) {
-		err = target.ErrMismatched
+		err = targets.ErrMismatched
 	}
-	var m target.Message = reply
-	outcome := target.Replied
+	var m targets.Message = reply
+	outcome := targets.Replied
 	switch {
 	case err != nil && ctx.Err() != nil:
-		outcome = target.Cancelled
+		outcome = targets.Cancelled
 	case err != nil:
-		outcome = target.Failed
-		m = target.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
+		outcome = targets.Failed
+		m = targets.Failure{Attempt: leg.Attempt, Reason: FailureReason(err)}
 	}
 	elapsed := time.Since(start)
 	c.checkSilence(leg.Target, start, outcome) // before Finish raises the latency that it compares with
 	leg.Finish(elapsed, outcome)
-	c.report(leg.Target, target.LegReport{
-		Fingerprint: r.Fingerprint, Incarnation: header.Get(HeaderIncarnation), State: target.State(header.Get(HeaderState)),
+	c.report(leg.Target, targets.LegReport{
+		Fingerprint: r.Fingerprint, Incarnation: header.Get(HeaderIncarnation), State: targets.State(header.Get(HeaderState)),
 		Outcome: outcome, Reason: FailureReason(err), Elapsed: elapsed,
 	})
-	if outcome == target.Cancelled {
+	if outcome == targets.Cancelled {
 		return
 	}
 	select {
--- a/target/targethttp/run_test.go
+++ b/targets/targetshttp/run_test.go
@@ -1,4 +1,4 @@
-package targethttp
+package targetshttp
 
 import (
 	"context"
@@ -13,31 +13,31 @@
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
-type fixedView struct{ view *target.ServiceView }
+type fixedView struct{ view *targets.ServiceView }
 
-func (f fixedView) ServiceView(string) *target.ServiceView { return f.view }
+func (f fixedView) ServiceView(string) *targets.ServiceView { return f.view }
 
 // replicas serves shard "a" of snapshot 1 on two test servers.
-func replicas(t *testing.T, handlers ...http.HandlerFunc) *target.ServiceView {
+func replicas(t *testing.T, handlers ...http.HandlerFunc) *targets.ServiceView {
 	t.Helper()
-	var usable []target.Usable
+	var usable []targets.Usable
 	for i, h := range handlers {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
-		usable = append(usable, target.Usable{
-			Target: &target.Target{
-				ID: strconv.Itoa(i), Address: strings.TrimPrefix(server.URL, "http://"), Limit: 4, Gauge: &target.Gauge{},
+		usable = append(usable, targets.Usable{
+			Target: &targets.Target{
+				ID: strconv.Itoa(i), Address: strings.TrimPrefix(server.URL, "http://"), Limit: 4, Gauge: &targets.Gauge{},
 			},
-			Status: target.Status{
-				Manifests: []target.Manifest{{Snapshot: 1, Shards: []target.Shard{"a"}}},
-				Replicas:  []target.Replica{{Shard: "a", Snapshots: []target.Snapshot{1}}},
+			Status: targets.Status{
+				Manifests: []targets.Manifest{{Snapshot: 1, Shards: []targets.Shard{"a"}}},
+				Replicas:  []targets.Replica{{Shard: "a", Snapshots: []targets.Snapshot{1}}},
 			},
 		})
 	}
-	return target.BuildServiceView("s", target.NewTail(target.DefaultPolicy()), usable)
+	return targets.BuildServiceView("s", targets.NewTail(targets.DefaultPolicy()), usable)
 }
 
 func echo(w http.ResponseWriter, r *http.Request) {
@@ -47,10 +47,10 @@
 	_, _ = w.Write([]byte("reply"))
 }
 
-func runQuery(t *testing.T, c *Client, view *target.ServiceView, timeout time.Duration) *target.Answer {
+func runQuery(t *testing.T, c *Client, view *targets.ServiceView, timeout time.Duration) *targets.Answer {
 	t.Helper()
 	now := time.Now()
-	q, ready := target.NewQuery(target.QueryConfig{
+	q, ready := targets.NewQuery(targets.QueryConfig{
 		ID: "q", View: view, Views: fixedView{view}, Deadline: now.Add(timeout), Rand: rand.New(rand.NewPCG(1, 1)),
 	}, now)
 	return c.Run(context.Background(), Request{ID: "q", Deadline: now.Add(timeout)}, q, ready)
@@ -162,7 +162,7 @@
 	for range 8 {
 		workers.Go(func() {
 			for range 20 {
-				if _, err := c.Status(context.Background(), view.Targets[0].Address); errors.Is(err, target.ErrNotSent) {
+				if _, err := c.Status(context.Background(), view.Targets[0].Address); errors.Is(err, targets.ErrNotSent) {
 					t.Error(err)
 				}
 			}
--- a/target/targethttp/transport.go
+++ b/targets/targetshttp/transport.go
@@ -1,4 +1,4 @@
-package targethttp
+package targetshttp
 
 import (
 	"net/http"
--- a/target/view.go
+++ b/targets/view.go
@@ -1,4 +1,4 @@
-package target
+package targets
 
 import (
 	"cmp"
--- a/traffic/admit.go
+++ b/traffic/admit.go
@@ -6,13 +6,13 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 type admission struct {
 	snapshot     *control.Snapshot
-	service      platform.Service
-	organisation *platform.Organisation
+	service      document.Service
+	organisation *document.Organisation
 	digest       string
 	ticket       *caller.Ticket
 }
--- a/traffic/change.go
+++ b/traffic/change.go
@@ -9,7 +9,7 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
+	"dogwooddrift.org/drift/targets"
 )
 
 // Change is a non-idempotent request to one target.
@@ -23,7 +23,7 @@
 
 // Outcome is the outcome of a change that ran.
 type Outcome struct {
-	RequestID target.RequestID
+	RequestID targets.RequestID
 	Reply     []byte
 }
 
@@ -112,7 +112,7 @@
 		}
 		return nil, r
 	}
-	return &Outcome{RequestID: target.RequestID(reply.RequestID), Reply: reply.Reply}, nil
+	return &Outcome{RequestID: targets.RequestID(reply.RequestID), Reply: reply.Reply}, nil
 }
 
 // sleep waits for d. It reports false if ctx ended before.
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -12,10 +12,10 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 const testKey = "key"
@@ -24,11 +24,11 @@
 type fleet struct {
 	t       *testing.T
 	nodes   map[string]*testNode
-	client  *targethttp.Client
-	targets target.View
+	client  *targetshttp.Client
+	targets targets.View
 
 	mu   sync.Mutex
-	list *platform.InstanceList
+	list *document.InstanceList
 	runs map[string]int // by idempotency key
 	// cut decides whether a call is lost, before it arrives or before its reply does.
 	cut func(method string) (before, after bool)
@@ -44,36 +44,36 @@
 	pools map[string]*caller.TokenPool
 }
 
-func testDocument(revision platform.Revision, key string) *platform.Document {
-	return &platform.Document{
+func testDocument(revision document.Revision, key string) *document.Document {
+	return &document.Document{
 		Revision: revision,
-		Organisations: []platform.Organisation{{
-			Name: "o", Host: true, Rate: 1e6, Burst: 1e6, Weight: 1, Keys: []platform.Key{{ID: "k", SHA256: caller.Digest(key)}},
+		Organisations: []document.Organisation{{
+			Name: "o", Host: true, Rate: 1e6, Burst: 1e6, Weight: 1, Keys: []document.Key{{ID: "k", SHA256: caller.Digest(key)}},
 		}},
-		Services:  []platform.Service{{Name: "s", Slots: 100, Connections: 100}},
-		Zones:     []platform.Zone{{Name: "z", RateFraction: 1}},
-		Isolation: platform.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
+		Services:  []document.Service{{Name: "s", Slots: 100, Connections: 100}},
+		Zones:     []document.Zone{{Name: "z", RateFraction: 1}},
+		Isolation: document.Isolation{KeyedLimit: 60}, ChangeWindow: 60,
 	}
 }
 
 func newFleet(t *testing.T, ids ...string) *fleet {
 	f := &fleet{
-		t: t, nodes: map[string]*testNode{}, runs: map[string]int{}, list: &platform.InstanceList{},
+		t: t, nodes: map[string]*testNode{}, runs: map[string]int{}, list: &document.InstanceList{},
 		cut: func(string) (bool, bool) { return false, false },
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		f.runs[r.Header.Get(targethttp.HeaderIdempotencyKey)]++
+		f.runs[r.Header.Get(targetshttp.HeaderIdempotencyKey)]++
 		f.mu.Unlock()
-		w.Header().Set(targethttp.HeaderRequestID, r.Header.Get(targethttp.HeaderRequestID))
+		w.Header().Set(targetshttp.HeaderRequestID, r.Header.Get(targetshttp.HeaderRequestID))
 		_, _ = w.Write([]byte("done"))
 	}))
 	t.Cleanup(server.Close)
-	f.client = targethttp.New(server.Client())
-	view := &target.ServiceView{Name: "s", Targets: []*target.Target{{
-		ID: "t", Address: strings.TrimPrefix(server.URL, "http://"), Limit: 100, Gauge: &target.Gauge{},
+	f.client = targetshttp.New(server.Client())
+	view := &targets.ServiceView{Name: "s", Targets: []*targets.Target{{
+		ID: "t", Address: strings.TrimPrefix(server.URL, "http://"), Limit: 100, Gauge: &targets.Gauge{},
 	}}}
-	f.targets = target.View{"s": view}
+	f.targets = targets.View{"s": view}
 	for _, id := range ids {
 		f.add(id)
 	}
@@ -96,10 +96,10 @@
 
 // relist publishes the list of entry instances and waits until every living one takes part by it.
 func (f *fleet) relist(ids ...string) {
-	f.list = &platform.InstanceList{Revision: f.list.Revision + 1}
+	f.list = &document.InstanceList{Revision: f.list.Revision + 1}
 	for _, id := range ids {
-		f.list.Instances = append(f.list.Instances, platform.Instance{
-			ID: id, Kind: platform.KindEntry, Zone: "z", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: platform.StateLive,
+		f.list.Instances = append(f.list.Instances, document.Instance{
+			ID: id, Kind: document.KindEntry, Zone: "z", Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:1", State: document.StateLive,
 		})
 	}
 	for _, id := range ids {
--- a/traffic/home.go
+++ b/traffic/home.go
@@ -9,8 +9,8 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 // witnessTimeout bounds the wait for the witness. An entry instance answers within milliseconds.
@@ -158,8 +158,8 @@
 		}
 		// The change is not cancelled when its caller goes away: a repeat then gets its outcome.
 		sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-		reply, err := t.targets.Change(sendCtx, targethttp.Change{
-			RequestID: target.RequestID(r.RequestID), Organisation: r.Organisation, IdempotencyKey: r.IdempotencyKey,
+		reply, err := t.targets.Change(sendCtx, targetshttp.Change{
+			RequestID: targets.RequestID(r.RequestID), Organisation: r.Organisation, IdempotencyKey: r.IdempotencyKey,
 			Target: chosen, Timeout: deadline.Sub(start) - chosen.Gauge.ReturnTrip(), Body: r.Body,
 		})
 		cancel()
@@ -173,7 +173,7 @@
 		case err == nil:
 			machine.Done()
 			return sibling.ChangeReply{RequestID: r.RequestID, Reply: reply}
-		case errors.Is(err, target.ErrShed), errors.Is(err, target.ErrNotSent):
+		case errors.Is(err, targets.ErrShed), errors.Is(err, targets.ErrNotSent):
 			machine.NotSent()
 			tried[chosen.ID] = true
 		default:
@@ -206,11 +206,11 @@
 }
 
 // reserve counts a request at the usable target with the fewest outstanding ones, passing over those in tried.
-func reserve(view *target.ServiceView, tried map[string]bool) *target.Target {
+func reserve(view *targets.ServiceView, tried map[string]bool) *targets.Target {
 	if view == nil {
 		return nil
 	}
-	var best *target.Target
+	var best *targets.Target
 	for _, t := range view.Targets {
 		if tried[t.ID] {
 			continue
--- a/traffic/isolation_test.go
+++ b/traffic/isolation_test.go
@@ -7,7 +7,7 @@
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/control"
-	"dogwooddrift.org/drift/platform"
+	"dogwooddrift.org/drift/document"
 )
 
 // published is a control state whose snapshots the test publishes.
@@ -18,23 +18,23 @@
 
 func (p published) Snapshot() *control.Snapshot { return p.state.Snapshot() }
 
-func isolationDocument(revision platform.Revision, keys ...string) *platform.Document {
-	d := &platform.Document{
+func isolationDocument(revision document.Revision, keys ...string) *document.Document {
+	d := &document.Document{
 		Revision: revision,
-		Organisations: []platform.Organisation{
+		Organisations: []document.Organisation{
 			{Name: "host", Host: true, Rate: 1000, Burst: 1000, Weight: 1},
 			{Name: "tenant", Rate: 1000, Burst: 1000, Weight: 1},
 		},
-		Services: []platform.Service{
+		Services: []document.Service{
 			{Name: "keyed", Sharded: true, Slots: 1, Connections: 1},
 			{Name: "open", Sharded: true, Open: true, Slots: 1, Connections: 1},
 		},
-		Zones:        []platform.Zone{{Name: "a", RateFraction: 1}},
-		Isolation:    platform.Isolation{KeyedLimit: 10},
+		Zones:        []document.Zone{{Name: "a", RateFraction: 1}},
+		Isolation:    document.Isolation{KeyedLimit: 10},
 		ChangeWindow: 60,
 	}
 	for _, k := range keys {
-		d.Organisations[1].Keys = append(d.Organisations[1].Keys, platform.Key{ID: k, SHA256: caller.Digest(k)})
+		d.Organisations[1].Keys = append(d.Organisations[1].Keys, document.Key{ID: k, SHA256: caller.Digest(k)})
 	}
 	return d
 }
@@ -44,7 +44,7 @@
 func newPublished(read time.Time) published {
 	p := published{state: control.NewState(control.Identity{ID: "i", Zone: "a"}, rand.New(rand.NewPCG(1, 1)))}
 	source := control.Source{Sent: read}
-	p.state.Step(control.InstancesRead{List: &platform.InstanceList{Revision: 1}, Source: source}, time.Now())
+	p.state.Step(control.InstancesRead{List: &document.InstanceList{Revision: 1}, Source: source}, time.Now())
 	p.state.Step(control.DocumentRead{Document: isolationDocument(1, "k1", "k2"), Source: source}, time.Now())
 	return p
 }
@@ -90,14 +90,14 @@
 // Guards against new work at an instance that operators took out of service, against an instance that turns callers
 // away before the balancer can notice, and against changes that are cut off midway.
 func TestInstanceOutOfServiceTakesNoNewWork(t *testing.T) {
-	for name, takeOut := range map[string]func(*platform.Document){
-		"zone":     func(d *platform.Document) { d.Zones[0].Out = true },
-		"instance": func(d *platform.Document) { d.InstancesOut = []string{"i"} },
+	for name, takeOut := range map[string]func(*document.Document){
+		"zone":     func(d *document.Document) { d.Zones[0].Out = true },
+		"instance": func(d *document.Document) { d.InstancesOut = []string{"i"} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPublished(time.Now())
 			tier := newTier(p)
-			publish := func(revision platform.Revision, out bool, age time.Duration) {
+			publish := func(revision document.Revision, out bool, age time.Duration) {
 				d := isolationDocument(revision, "k1")
 				if out {
 					takeOut(d)
--- a/traffic/query.go
+++ b/traffic/query.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 
 	"dogwooddrift.org/drift/caller"
-	"dogwooddrift.org/drift/target"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 // Query is a request to every shard of a service.
@@ -22,12 +22,12 @@
 
 // Answer is the answer to a query.
 type Answer struct {
-	RequestID target.RequestID
-	*target.Answer
+	RequestID targets.RequestID
+	*targets.Answer
 }
 
 // ServiceView returns the newest view of a service, nil if there is none.
-func (t *Tier) ServiceView(service string) *target.ServiceView {
+func (t *Tier) ServiceView(service string) *targets.ServiceView {
 	return t.control.Snapshot().Targets[service]
 }
 
@@ -46,16 +46,16 @@
 	if view == nil || len(view.Snapshots) == 0 {
 		return nil, caller.Refuse(caller.CodeNoTarget, retryLater, "no target of service %q is usable", q.Service)
 	}
-	fingerprint := target.FingerprintOf(q.Service, q.Text)
+	fingerprint := targets.FingerprintOf(q.Service, q.Text)
 	if until, ok := a.snapshot.Quarantined[fingerprint]; ok && time.Now().Before(until) {
 		return nil, caller.Refuse(caller.CodeQuarantined, time.Until(until), "the request was running on targets when they crashed")
 	}
-	id := target.RequestID(uuid.NewString())
+	id := targets.RequestID(uuid.NewString())
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	machine, ready := target.NewQuery(target.QueryConfig{
+	machine, ready := targets.NewQuery(targets.QueryConfig{
 		ID: id, View: view, Views: t, Deadline: q.Deadline, Rand: rng,
 	}, time.Now())
-	answer := t.targets.Run(ctx, targethttp.Request{
+	answer := t.targets.Run(ctx, targetshttp.Request{
 		ID: id, Organisation: a.organisation.Name, Deadline: q.Deadline, Body: []byte(q.Text), Fingerprint: fingerprint,
 	}, machine, ready)
 	return &Answer{RequestID: id, Answer: answer}, nil
--- a/traffic/tier.go
+++ b/traffic/tier.go
@@ -11,7 +11,7 @@
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/sibling"
-	"dogwooddrift.org/drift/target/targethttp"
+	"dogwooddrift.org/drift/targets/targetshttp"
 )
 
 // Control is what the tier needs of the control goroutine.
@@ -33,7 +33,7 @@
 type Tier struct {
 	control  Control
 	siblings Siblings
-	targets  *targethttp.Client
+	targets  *targetshttp.Client
 	queue    *queue
 	// step is called between the steps of a change. Tests stop the process there.
 	step     func(step string)
@@ -54,7 +54,7 @@
 
 // New returns a tier that forwards changes to siblings, sends to targets through the client and keeps to the
 // limits.
-func New(control Control, siblings Siblings, targets *targethttp.Client, limits caller.QueueLimits) *Tier {
+func New(control Control, siblings Siblings, targets *targetshttp.Client, limits caller.QueueLimits) *Tier {
 	return &Tier{
 		control: control, siblings: siblings, targets: targets, queue: newQueue(limits),
 		step: func(string) {}, idle: make(chan struct{}),
