--- /dev/null
+++ b/caller/gate.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"sync"
+	"time"
+)
+
+// GateLimits is the part of an organisation's rate that this instance admits. It does not count what siblings
+// admit; control divides the rate among them.
+type GateLimits struct {
+	// Limited is false for organisations without a rate.
+	Limited bool
+	// Rate is in requests a second, Burst in requests.
+	Rate, Burst float64
+}
+
+// Gate admits the requests of one organisation at this instance: a token bucket, with a count of the demand by
+// which control divides the organisation's rate. Traffic spends, control sets the limits. It is safe for concurrent
+// use.
+type Gate struct {
+	mu      sync.Mutex
+	limits  GateLimits
+	level   float64
+	at      time.Time
+	asked   int64
+	refused int64
+}
+
+// startLevel is the part of the burst that a new gate may admit at once: an instance that restarts has forgotten
+// what it admitted shortly before.
+const startLevel = 0.5
+
+// NewGate returns a gate with the limits.
+func NewGate(l GateLimits, now time.Time) *Gate {
+	return &Gate{limits: l, level: l.Burst * startLevel, at: now}
+}
+
+// SetLimits replaces the limits. Tokens that are saved up stay, up to the new burst.
+func (g *Gate) SetLimits(l GateLimits, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fill(now)
+	if !g.limits.Limited {
+		g.level = l.Burst * startLevel
+	}
+	g.limits = l
+	g.level = min(g.level, l.Burst)
+}
+
+func (g *Gate) fill(now time.Time) {
+	if passed := now.Sub(g.at); passed > 0 {
+		g.level = min(g.level+passed.Seconds()*g.limits.Rate, g.limits.Burst)
+		g.at = now
+	}
+}
+
+// Take admits a request, or says after what time one may be admitted.
+func (g *Gate) Take(now time.Time) (admitted bool, retryAfter time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asked++
+	if !g.limits.Limited {
+		return true, 0
+	}
+	g.fill(now)
+	if g.level >= 1 {
+		g.level--
+		return true, 0
+	}
+	g.refused++
+	if g.limits.Rate <= 0 {
+		return false, maxGateRetry
+	}
+	missing := time.Duration((1 - g.level) / g.limits.Rate * float64(time.Second))
+	return false, min(missing, maxGateRetry)
+}
+
+// maxGateRetry bounds the time after which a refused caller is asked to come back: demand moves, and with it the
+// part of the rate that an instance has.
+const maxGateRetry = time.Second
+
+// Asked returns how many requests asked for admission since the start, and how many of them were refused.
+func (g *Gate) Asked() (asked, refused int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.asked, g.refused
+}
--- /dev/null
+++ b/cmd/dogwooddrift/edge.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/cmd/internal/edge"
+	"dogwooddrift.org/drift/cmd/internal/linelog"
+	"dogwooddrift.org/drift/platform/nodefile"
+)
+
+// logFlush is how long the exit waits for log lines to be written.
+const logFlush = 200 * time.Millisecond
+
+func edgeCommand() *cli.Command {
+	c := edge.DefaultConfig()
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "forward requests on the users' platform, with the settings file that " + nodefile.PathVariable + " names",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "metrics-port", Value: c.MetricsPort, Usage: "port of /metrics and /dump on the machine's address, 0 for none"},
+			&cli.DurationFlag{Name: "answer-margin", Value: c.AnswerMargin, Usage: "how long before a route's objective a gathered answer leaves if its coverage suffices"},
+			&cli.DurationFlag{Name: "reply-margin", Value: c.ReplyMargin, Usage: "how long before the deadline the final answer leaves"},
+			&cli.DurationFlag{Name: "notice", Value: c.Notice, Usage: "how long the instance serves on after SIGTERM"},
+			&cli.FloatFlag{Name: "log-failures", Value: c.Log.Failures, Usage: "failed or partial requests that are logged each second"},
+			&cli.FloatFlag{Name: "log-successes", Value: c.Log.Successes, Usage: "other requests that are logged each second"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			c.MetricsPort, c.Notice = cmd.Int("metrics-port"), cmd.Duration("notice")
+			c.AnswerMargin, c.ReplyMargin = cmd.Duration("answer-margin"), cmd.Duration("reply-margin")
+			c.Log = edge.LogLimits{Failures: cmd.Float("log-failures"), Successes: cmd.Float("log-successes")}
+			return runEdge(c)
+		},
+	}
+}
+
+func runEdge(c edge.Config) error {
+	path := os.Getenv(nodefile.PathVariable)
+	if path == "" {
+		return errors.New(nodefile.PathVariable + " is not set")
+	}
+	out := linelog.New(os.Stdout)
+	defer func() {
+		limit, cancel := context.WithTimeout(context.Background(), logFlush)
+		defer cancel()
+		out.Close(limit.Done())
+	}()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(out).With().Timestamp().Logger()
+	n, err := edge.New(path, c, log)
+	if err != nil {
+		return err
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return n.Run(stop, reload)
+}
--- a/cmd/dogwooddrift/main.go
+++ b/cmd/dogwooddrift/main.go
@@ -24,9 +24,15 @@
 		Name:  "dogwooddrift",
 		Usage: "serve queries and changes of callers from the targets of this deployment",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "path of the YAML settings file", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "path of the YAML settings file"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error { return run(c.String("settings")) },
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.String("settings") == "" {
+				return errors.New("the flag --settings is required")
+			}
+			return run(c.String("settings"))
+		},
+		Commands: []*cli.Command{edgeCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwooddrift:", err)
--- /dev/null
+++ b/cmd/internal/edge/edge.go
@@ -0,0 +1,358 @@
+// Package edge wires an instance on the users' platform together: the settings file, sockets, the control loop, the
+// request path, the execution of control's effects, and the planned stop.
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/cmd/internal/metrics"
+	"dogwooddrift.org/drift/control/loop"
+	"dogwooddrift.org/drift/platform/front"
+	"dogwooddrift.org/drift/platform/nodefile"
+	"dogwooddrift.org/drift/platform/searcher"
+	"dogwooddrift.org/drift/platform/store"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling/siblinggrpc"
+	"dogwooddrift.org/drift/traffic"
+)
+
+// ErrListen means that an address of the settings cannot be used.
+var ErrListen = errors.New("cannot listen")
+
+// Config holds the figures that the settings file does not state.
+type Config struct {
+	// MetricsPort is the port of metrics and dump on the machine's address, 0 for none.
+	MetricsPort int
+	// AnswerMargin and ReplyMargin are those of traffic.ForwarderSettings.
+	AnswerMargin, ReplyMargin time.Duration
+	// MaxDeadline and DefaultDeadline are those of front.Settings.
+	MaxDeadline, DefaultDeadline time.Duration
+	// Notice is how long the instance serves on after SIGTERM, until the balancer has noticed that it is not ready.
+	Notice time.Duration
+	Log    LogLimits
+}
+
+// DefaultConfig returns the figures in use.
+func DefaultConfig() Config {
+	return Config{
+		MetricsPort: 9464,
+		// Three round trips of 3 ms: opening the connection, the request, the reply.
+		AnswerMargin: 12 * time.Millisecond,
+		ReplyMargin:  6 * time.Millisecond,
+		MaxDeadline:  time.Hour, DefaultDeadline: 30 * time.Second,
+		// The balancer asks each second and takes an instance out after two misses.
+		Notice: 2500 * time.Millisecond,
+		Log:    LogLimits{Failures: 100, Successes: 10},
+	}
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is above the idle times that operators allow callers.
+	idleTimeout = 2 * time.Minute
+	// memoryPart is the part of the memory limit at which the collector works harder.
+	memoryPart = 0.7
+	// housekeeping is the time between two looks at idle connections, metrics and the settings file.
+	housekeeping = time.Second
+	// stopReserve is the part of the grace time that is kept for the exit itself.
+	stopReserve = 700 * time.Millisecond
+	// quietTime without a request must pass before the listener closes: closing it resets connections that the
+	// kernel accepted and the process did not.
+	quietTime = 100 * time.Millisecond
+)
+
+// Node is one instance.
+type Node struct {
+	path     string
+	settings nodefile.Settings
+	config   Config
+	log      zerolog.Logger
+	loop     *siblinggrpc.RoutingLoop
+	siblings *siblinggrpc.Client
+	searcher *searcher.Client
+	store    *store.Client
+	metrics  *metrics.Metrics
+	recorder *recorder
+	handler  *front.Handler
+
+	callers, readiness, peers, operators net.Listener
+}
+
+// New binds the addresses of the settings file at path and returns a node that is ready to run.
+func New(path string, c Config, log zerolog.Logger) (*Node, error) {
+	s, err := nodefile.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
+	}
+	now := time.Now()
+	dialer := &net.Dialer{}
+	n := &Node{
+		path: path, settings: s, config: c, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
+		siblings: siblinggrpc.NewClient(), searcher: searcher.New(dialer.DialContext),
+	}
+	n.recorder = newRecorder(n.log, n.metrics, c.Log)
+	n.store = store.New(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}, func(err error) {
+		n.log.Warn().Err(err).Msg("platform: value not understood")
+	})
+	state := routing.NewState(routing.Identity{
+		ID: s.Instance, Zone: s.Zone, Address: s.Siblings, Regions: s.Regions, Seeds: s.Seeds, Bounds: s.Bounds,
+		Born: uint64(now.UnixMilli()),
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
+	n.loop = loop.New[routing.Event, routing.Effect, routing.Snapshot](state)
+	forwarder := traffic.NewForwarder(traffic.ForwarderSettings{
+		Zone: s.Zone, AnswerMargin: c.AnswerMargin, ReplyMargin: c.ReplyMargin,
+	}, n.loop, n.searcher, n.recorder)
+	n.handler = front.NewHandler(front.Settings{MaxDeadline: c.MaxDeadline, DefaultDeadline: c.DefaultDeadline}, forwarder,
+		n.loop.Snapshot, n.malformed)
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	addresses := map[string]*net.Listener{
+		n.settings.Callers: &n.callers, n.settings.Readiness: &n.readiness, n.settings.Siblings: &n.peers,
+	}
+	if n.config.MetricsPort != 0 {
+		addresses[net.JoinHostPort(n.settings.Host, strconv.Itoa(n.config.MetricsPort))] = &n.operators
+	}
+	for address, listener := range addresses {
+		var err error
+		if *listener, err = net.Listen("tcp", address); err != nil {
+			return oops.In("edge").Wrapf(ErrListen, "%s: %v", address, err)
+		}
+	}
+	return nil
+}
+
+func (n *Node) malformed(id string, r *caller.Refusal) {
+	n.recorder.Record(&traffic.Record{ID: id, Outcome: string(r.Code), Message: r.Message})
+}
+
+// Run serves until ctx ends, then stops gracefully. reload asks for another look at the settings file.
+func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	callers := &http.Server{Handler: n.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: readHeaderTimeout}
+	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	peers := grpc.NewServer()
+	siblinggrpc.RegisterGossip(peers, n.loop)
+
+	group.Go(func() error { n.loop.Run(work, &executor{ctx: work, node: n}); return nil })
+	group.Go(func() error { n.housekeep(work, reload); return nil })
+	group.Go(func() error { return ignoreClosed(callers.Serve(n.callers)) })
+	group.Go(func() error { return ignoreClosed(readiness.Serve(n.readiness)) })
+	group.Go(func() error { return peers.Serve(n.peers) })
+	if n.operators != nil {
+		group.Go(func() error { return ignoreClosed(operators.Serve(n.operators)) })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.drain(callers)
+		case <-work.Done():
+		}
+		for _, s := range []*http.Server{callers, readiness, operators} {
+			_ = s.Close()
+		}
+		peers.Stop()
+		n.siblings.Close()
+		stopWork()
+		return nil
+	})
+	n.log.Info().Str("callers", n.settings.Callers).Str("zone", n.settings.Zone).Strs("seeds", n.settings.Seeds).Msg("edge: started")
+	err := group.Wait()
+	_ = n.metrics.Close()
+	n.log.Info().Err(err).Msg("edge: stopped")
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain performs the planned stop: not ready, serving on until the balancer has noticed, then no new connections,
+// and running requests finish.
+func (n *Node) drain(callers *http.Server) {
+	n.log.Info().Dur("notice", n.config.Notice).Msg("edge: stopping")
+	n.loop.Post(routing.Leaving{})
+	limit, cancel := context.WithTimeout(context.Background(), max(n.settings.Grace-stopReserve, n.config.Notice+time.Second))
+	defer cancel()
+	pause(limit, n.config.Notice)
+	for n.handler.Running() > 0 && limit.Err() == nil {
+		pause(limit, quietTime)
+	}
+	if err := callers.Shutdown(limit); err != nil {
+		n.log.Warn().Int64("running", n.handler.Running()).Msg("edge: requests were still running at the end of the grace time")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// ready answers the balancer.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if !n.loop.Snapshot().Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		text, err := n.metrics.Text()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(text)
+	})
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
+		dump, err := loop.Ask(r.Context(), n.loop, func(reply chan<- routing.Dump) routing.Event {
+			return routing.TakeDump{Reply: reply}
+		})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(dump)
+	})
+	return mux
+}
+
+// housekeep closes idle connections, sets the gauges, and looks for changed settings, also without a signal.
+func (n *Node) housekeep(ctx context.Context, reload <-chan os.Signal) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			n.reload("signal")
+		case <-ticker.C:
+			n.searcher.Sweep(time.Now())
+			n.sample()
+			n.reload("file")
+		}
+	}
+}
+
+// reload takes over changed settings. Addresses need a restart; what is invalid is refused and logged.
+func (n *Node) reload(cause string) {
+	s, err := nodefile.Load(n.path)
+	if err != nil {
+		n.log.Warn().Err(err).Str("cause", cause).Msg("edge: settings refused, the earlier ones stay")
+		return
+	}
+	if equalSettings(s, n.settings) {
+		return
+	}
+	n.settings.Seeds, n.settings.Bounds, n.settings.Grace = s.Seeds, s.Bounds, s.Grace
+	n.loop.Post(routing.Reconfigured{Seeds: s.Seeds, Bounds: s.Bounds})
+	n.log.Info().Str("cause", cause).Strs("seeds", s.Seeds).Msg("edge: settings reloaded")
+}
+
+func equalSettings(a, b nodefile.Settings) bool {
+	if len(a.Seeds) != len(b.Seeds) || a.Bounds != b.Bounds || a.Grace != b.Grace {
+		return false
+	}
+	for i := range a.Seeds {
+		if a.Seeds[i] != b.Seeds[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// sample sets the gauges that show the control state.
+func (n *Node) sample() {
+	scope, s := n.metrics.Scope, n.loop.Snapshot()
+	scope.Gauge(metricLeftOut).Update(float64(n.recorder.LeftOut()))
+	scope.Gauge(metricLoopDrops).Update(float64(n.loop.Dropped()))
+	scope.Gauge(metricMembers).Update(float64(s.Members))
+	scope.Gauge(metricRevision).Update(float64(s.Revision))
+	if s.Routing != nil {
+		scope.Gauge(metricVersion).Update(float64(s.Routing.Version))
+	}
+	for name, v := range s.Services {
+		scope.Tagged(map[string]string{tagService: name}).Gauge(metricUsable).Update(float64(len(v.Targets)))
+	}
+	for name, g := range s.Gates {
+		asked, refused := g.Asked()
+		tagged := scope.Tagged(map[string]string{tagOrganisation: name})
+		tagged.Gauge(metricAsked).Update(float64(asked))
+		tagged.Gauge(metricRefused).Update(float64(refused))
+	}
+}
+
+// executor carries out the effects of control outside of the control goroutine.
+type executor struct {
+	ctx  context.Context
+	node *Node
+}
+
+// Execute starts an effect.
+func (x *executor) Execute(e routing.Effect) {
+	switch e := e.(type) {
+	case routing.ReadStore:
+		go x.read(e)
+	case routing.SendExchange:
+		go x.exchange(e)
+	case routing.Note:
+		x.node.recorder.note(e)
+	}
+}
+
+func (x *executor) read(e routing.ReadStore) {
+	start := time.Now()
+	update, err := x.node.store.Read(x.ctx, e)
+	x.post(routing.StoreRead{Update: update, Err: err, Took: time.Since(start)})
+}
+
+func (x *executor) exchange(e routing.SendExchange) {
+	ctx, cancel := context.WithTimeout(x.ctx, siblinggrpc.SwapTimeout)
+	defer cancel()
+	heard, err := x.node.siblings.Swap(ctx, e.Address, e.Exchange)
+	if err != nil {
+		x.post(routing.ExchangeFailed{Address: e.Address, Err: err})
+		return
+	}
+	x.post(routing.Heard{Exchange: heard})
+}
+
+// post waits for room in the queue: a lost outcome of a read would end reading.
+func (x *executor) post(e routing.Event) {
+	for !x.node.loop.Post(e) {
+		pause(x.ctx, 10*time.Millisecond)
+		if x.ctx.Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/edge/log.go
@@ -0,0 +1,157 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"dogwooddrift.org/drift/cmd/internal/metrics"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/traffic"
+)
+
+// The names of metrics. docs/metrics.md describes each.
+const (
+	metricRequests  = "forwarded_requests"
+	metricLatency   = "forwarded_latency"
+	metricParts     = "forwarded_parts"
+	metricMissing   = "forwarded_parts_missing"
+	metricSends     = "sends"
+	metricLeftOut   = "log_requests_left_out"
+	metricDropped   = "log_lines_dropped"
+	metricMembers   = "members"
+	metricRevision  = "store_revision"
+	metricVersion   = "routing_version"
+	metricUsable    = "usable_targets"
+	metricAsked     = "organisation_asked"
+	metricRefused   = "organisation_refused"
+	metricLoopDrops = "loop_events_dropped"
+)
+
+const (
+	tagRoute        = "route"
+	tagOutcome      = "outcome"
+	tagService      = "service"
+	tagHedge        = "hedge"
+	tagOrganisation = "organisation"
+)
+
+// latencyBuckets doubles from 1 ms to 16 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// LogLimits bounds the requests that are logged.
+type LogLimits struct {
+	// Failures and Successes are how many a second are written; the rest is counted.
+	Failures, Successes float64
+}
+
+// recorder logs and counts requests. It is safe for concurrent use.
+type recorder struct {
+	log     zerolog.Logger
+	metrics *metrics.Metrics
+
+	mu        sync.Mutex
+	failures  allowance
+	successes allowance
+	leftOut   int64
+}
+
+// allowance is a token bucket that holds one second's worth.
+type allowance struct {
+	rate, level float64
+	at          time.Time
+}
+
+func (a *allowance) take(now time.Time) bool {
+	if !a.at.IsZero() {
+		a.level = min(a.rate, a.level+now.Sub(a.at).Seconds()*a.rate)
+	}
+	a.at = now
+	if a.level < 1 {
+		return false
+	}
+	a.level--
+	return true
+}
+
+func newRecorder(log zerolog.Logger, m *metrics.Metrics, l LogLimits) *recorder {
+	return &recorder{
+		log: log, metrics: m, failures: allowance{rate: l.Failures, level: l.Failures},
+		successes: allowance{rate: l.Successes, level: l.Successes},
+	}
+}
+
+// Record counts a request, and logs it whole or not at all.
+func (r *recorder) Record(x *traffic.Record) {
+	r.count(x)
+	whole := x.Outcome == traffic.OutcomeOK && x.Covered == x.Parts
+	r.mu.Lock()
+	a := &r.failures
+	if whole {
+		a = &r.successes
+	}
+	logged := a.take(time.Now())
+	if !logged {
+		r.leftOut++
+	}
+	r.mu.Unlock()
+	if logged {
+		r.write(x)
+	}
+}
+
+func (r *recorder) count(x *traffic.Record) {
+	route := r.metrics.Scope.Tagged(map[string]string{tagRoute: x.Route})
+	route.Tagged(map[string]string{tagOutcome: x.Outcome}).Counter(metricRequests).Inc(1)
+	route.Histogram(metricLatency, latencyBuckets).RecordDuration(x.Took)
+	if x.Outcome == traffic.OutcomeOK {
+		route.Counter(metricParts).Inc(int64(x.Covered))
+		route.Counter(metricMissing).Inc(int64(x.Parts - x.Covered))
+	}
+	for i := range x.Legs {
+		l := &x.Legs[i]
+		hedge := "no"
+		if l.Hedge {
+			hedge = "yes"
+		}
+		r.metrics.Scope.Tagged(map[string]string{tagOutcome: l.Outcome, tagHedge: hedge}).Counter(metricSends).Inc(1)
+	}
+}
+
+// LeftOut returns how many requests were not logged.
+func (r *recorder) LeftOut() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leftOut
+}
+
+// write logs a request: one line for each send that did not simply succeed, and one for the outcome. All lines of a
+// request are one write, so that none is lost alone.
+func (r *recorder) write(x *traffic.Record) {
+	legs := zerolog.Arr()
+	for i := range x.Legs {
+		l := &x.Legs[i]
+		if l.Outcome == "replied" && !l.Hedge && len(x.Legs) > 1 {
+			continue
+		}
+		legs.Dict(zerolog.Dict().Int("n", l.Attempt).Str("service", l.Service).Str("target", l.Target).Bool("hedge", l.Hedge).
+			Int64("sent_ms", l.Sent.Milliseconds()).Int64("ended_ms", l.Ended.Milliseconds()).
+			Str("outcome", l.Outcome).Str("reason", l.Reason))
+	}
+	e := r.log.Info()
+	if x.Outcome != traffic.OutcomeOK {
+		e = r.log.Warn()
+	}
+	e.Str("request", x.ID).Str("outcome", x.Outcome).Str("message_detail", x.Message).Str("route", x.Route).
+		Str("organisation", x.Organisation).Uint64("routing_version", uint64(x.Version)).
+		Uint64("store_revision", uint64(x.Revision)).Int64("took_ms", x.Took.Milliseconds()).Int("status", x.Status).
+		Int("parts", x.Parts).Int("covered", x.Covered).Int("sends", len(x.Legs)).
+		Int64("retry_after_ms", x.RetryAfter.Milliseconds()).Array("legs", legs).Msg("request: ended")
+}
+
+func (r *recorder) note(n routing.Note) {
+	r.log.Info().Str("subject", n.Subject).Str("name", n.Name).Str("old", n.Old).Str("new", n.New).Str("source", n.Source).
+		Msg("belief: changed")
+}
--- a/cmd/internal/node/metrics.go
+++ b/cmd/internal/metrics/metrics.go
@@ -1,4 +1,5 @@
-package node
+// Package metrics keeps a process's metrics and renders them in the Prometheus text format.
+package metrics
 
 import (
 	"bytes"
@@ -11,17 +12,18 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
 
-// metrics holds the process's metrics scope and its Prometheus registry.
-type metrics struct {
-	scope    tally.Scope
+// Metrics holds the process's metrics scope and its Prometheus registry.
+type Metrics struct {
+	Scope    tally.Scope
 	closer   io.Closer
 	registry *prometheus.Registry
 }
 
-// reportInterval is how often tally hands its values to the registry, and so how old a metric may be.
-const reportInterval = time.Second
+// ReportInterval is how often tally hands its values to the registry, and so how old a metric may be.
+const ReportInterval = time.Second
 
-func newMetrics() *metrics {
+// New returns an empty set of metrics.
+func New() *Metrics {
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -30,11 +32,12 @@
 		Separator:              tallyprom.DefaultSeparator,
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
-	}, reportInterval)
-	return &metrics{scope: scope, closer: closer, registry: registry}
+	}, ReportInterval)
+	return &Metrics{Scope: scope, closer: closer, registry: registry}
 }
 
-func (m *metrics) text() ([]byte, error) {
+// Text renders the metrics.
+func (m *Metrics) Text() ([]byte, error) {
 	families, err := m.registry.Gather()
 	if err != nil {
 		return nil, err
@@ -47,3 +50,6 @@
 	}
 	return out.Bytes(), nil
 }
+
+// Close stops the reports.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- a/cmd/internal/node/metered.go
+++ b/cmd/internal/node/metered.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -87,7 +88,7 @@
 // sampleMetrics sets the gauges before each report until ctx ends. A gauge set only when metrics are read would
 // show the value of the read before.
 func (n *Node) sampleMetrics(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(metrics.ReportInterval)
 	defer ticker.Stop()
 	for {
 		n.sample()
@@ -101,7 +102,7 @@
 
 // sample sets the gauges that show the control state.
 func (n *Node) sample() {
-	scope, s := n.metrics.scope, n.loop.Snapshot()
+	scope, s := n.metrics.Scope, n.loop.Snapshot()
 	scope.Gauge(metricEventsDropped).Update(float64(n.loop.Dropped()))
 	if s.Document != nil {
 		scope.Gauge(metricDocumentRevision).Update(float64(s.Document.Revision))
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -41,7 +42,7 @@
 	siblings  *siblinggrpc.Client
 	receiver  *siblinggrpc.Receiver
 	platform  *documenthttp.Client
-	metrics   *metrics
+	metrics   *metrics.Metrics
 	// handOvers counts the messages with records of changes that are under way.
 	handOvers pending
 
@@ -81,7 +82,7 @@
 		siblings: siblinggrpc.NewClient(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		})),
-		metrics: newMetrics(),
+		metrics: metrics.New(),
 	}
 	n.transport = &targetshttp.Transport{New: func() *http.Transport {
 		return &http.Transport{
@@ -147,7 +148,7 @@
 	work, stopWork := context.WithCancel(abort)
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.scope}), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.Scope}), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop, n.receiver)
@@ -176,7 +177,7 @@
 	n.log.Info().Str("callers", n.CallersAddress()).Str("operators", n.OperatorsAddress()).Msg("node: started")
 	err := group.Wait()
 	exec.wait()
-	_ = n.metrics.closer.Close()
+	_ = n.metrics.Close()
 	n.log.Info().Msg("node: stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -202,5 +203,5 @@
 
 // Metrics returns the metrics in the Prometheus text format.
 func (n *Node) Metrics() ([]byte, error) {
-	return n.metrics.text()
+	return n.metrics.Text()
 }
--- a/control/control.go
+++ b/control/control.go
@@ -24,15 +24,6 @@
 // Effect is an action that State asks the I/O packages for.
 type Effect interface{ effect() }
 
-// Ready is the outcome of one Step.
-type Ready struct {
-	Effects []Effect
-	// Changed says that a new Snapshot is due.
-	Changed bool
-	// Wake is when Step needs a Tick at the latest.
-	Wake time.Time
-}
-
 // Snapshot is what traffic may read of the control state. It is immutable, but for the gauges and token pools
 // that it points to.
 type Snapshot struct {
--- /dev/null
+++ b/document/routing_test.go
@@ -0,0 +1,70 @@
+package document
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+func routing(t *testing.T, routes ...Route) *Routing {
+	t.Helper()
+	r := &Routing{Version: 1, Routes: routes}
+	if err := r.Index(); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a request that goes to the route of a shorter prefix or of another host.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	to := func(name, host, prefix string) Route {
+		return Route{Name: name, Host: host, Prefix: prefix, Services: []WeightedService{{name, 1}}}
+	}
+	r := routing(t, to("short", "a.example", "/x/"), to("long", "a.example", "/x/y/"), to("other", "b.example", "/x/y/z/"))
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"}, {"A.Example", "/x/y/z/1", "long"},
+		{"b.example", "/x/y/z/1", "other"}, {"b.example", "/x/1", ""}, {"a.example", "/xy", ""}, {"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if route := r.Match(c.host, c.path); route != nil {
+			got = route.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against services that get another part of the requests than their weight.
+func TestPickFollowsTheWeights(t *testing.T) {
+	route := Route{Services: []WeightedService{{"a", 1}, {"none", 0}, {"b", 3}}}
+	const n = 1000
+	count := map[string]int{}
+	for i := range n {
+		count[route.Pick(float64(i)/n)]++
+	}
+	if count["a"] != n/4 || count["b"] != 3*n/4 {
+		t.Errorf("counts %v", count)
+	}
+	if s := route.Pick(math.Nextafter(1, 0)); s != "b" {
+		t.Errorf("the upper end picks %q", s)
+	}
+}
+
+// Guards against a routing that is put in force although part of it makes no sense.
+func TestIndexRefusesRoutingsThatMakeNoSense(t *testing.T) {
+	one := []WeightedService{{"a", 1}}
+	for name, route := range map[string]Route{
+		"neither":  {Prefix: "/"},
+		"both":     {Prefix: "/", Services: one, Shards: []string{"s"}},
+		"prefix":   {Prefix: "/x", Services: one},
+		"weight":   {Prefix: "/", Services: []WeightedService{{"a", math.NaN()}}},
+		"coverage": {Prefix: "/", Shards: []string{"s"}, MinCoverage: 1.5},
+		"timeout":  {Prefix: "/", Services: one, Timeout: -1},
+	} {
+		r := &Routing{Routes: []Route{route}}
+		if err := r.Index(); !errors.Is(err, ErrRouting) {
+			t.Errorf("%s: %v, want ErrRouting", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/routing/doc.go
@@ -0,0 +1,263 @@
+// Package routing holds the control state of an instance that forwards requests by an operators' routing: the
+// platform's values as far as they are known, the other instances, and what this instance may spend of the limits
+// that hold for all of them.
+//
+// State is a pure state machine: it does no I/O and reads no clock. control/loop runs it on the one control
+// goroutine; traffic reads the snapshots that it publishes.
+package routing
+
+import (
+	"errors"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/targets"
+)
+
+// ErrStore means that the platform could not be read.
+var ErrStore = errors.New("the platform could not be read")
+
+// ErrHistoryGone means that the platform no longer has the changes after a revision.
+var ErrHistoryGone = errors.New("the platform has forgotten its history")
+
+// Kind tells the platform's values apart.
+type Kind string
+
+// The kinds of values.
+const (
+	KindRouting Kind = "routing"
+	KindTarget  Kind = "target"
+	// KindZoneOut takes the targets of a zone out of service while the value exists.
+	KindZoneOut Kind = "zone_out"
+)
+
+// Change is one of the platform's values as it was written or removed.
+type Change struct {
+	Kind Kind `json:"kind"`
+	// Name is the ID of a target, the name of a zone, or empty.
+	Name     string            `json:"name,omitempty"`
+	Revision document.Revision `json:"revision"`
+	Removed  bool              `json:"removed,omitempty"`
+	// Lapsed says that the value was found missing after the platform had been away. If its writer lives, it is
+	// written again soon.
+	Lapsed bool `json:"lapsed,omitempty"`
+	// Routing and Target hold the value; both are nil if it could not be understood.
+	Routing *document.Routing     `json:"routing,omitempty"`
+	Target  *targets.Registration `json:"target,omitempty"`
+}
+
+// Update is a set of changes.
+type Update struct {
+	// Since and Upto say what the update is complete for: the changes after Since up to Upto.
+	Since, Upto document.Revision
+	// Full says that values which it does not name do not exist.
+	Full    bool
+	Changes []Change
+}
+
+// Exchange is what two instances tell each other.
+type Exchange struct {
+	Beats   []sibling.Beat
+	Update  Update
+	Notices targets.Notices
+}
+
+// Bounds are the limits that hold for all instances together, and the times within which changes must take effect.
+type Bounds struct {
+	// ExtraRatio and ExtraConstant bound the sends of a service beyond the first of each request in ExtraWindow.
+	ExtraRatio, ExtraConstant float64
+	ExtraWindow               time.Duration
+	// RateOverage and RateSlack are the part and the number by which organisations may exceed their rates in a
+	// window; zero is strict. They cover the time until a moved demand is known everywhere.
+	RateOverage, RateSlack float64
+	// ColdOverage and ColdSlack are the same for the rate of a cold target.
+	ColdOverage, ColdSlack float64
+}
+
+// Identity is what a State starts from.
+type Identity struct {
+	ID, Zone, Address string
+	// Regions maps zones to regions.
+	Regions map[string]string
+	Seeds   []string
+	Bounds  Bounds
+	// Born orders the runs of the instance.
+	Born uint64
+}
+
+// Event is an input of Step.
+type Event interface{ event() }
+
+// Events of the control loop.
+type (
+	// Tick makes Step look at what is due.
+	Tick struct{}
+	// StoreRead carries what a read of the platform gave; After is the revision that was asked for.
+	StoreRead struct {
+		Update Update
+		Err    error
+		// Took is how long the platform took to answer, without the time that it was asked to wait.
+		Took time.Duration
+	}
+	// Heard carries what a sibling told. Reply, if not nil, gets the answer and has room for it.
+	Heard struct {
+		Exchange Exchange
+		Reply    chan<- Exchange
+	}
+	// ExchangeFailed says that a sibling could not be reached.
+	ExchangeFailed struct {
+		Address string
+		Err     error
+	}
+	// TargetBroke says that a target broke the connection of a request that it may have been running.
+	TargetBroke struct {
+		Target      string
+		Fingerprint targets.Fingerprint
+	}
+	// TargetRefused says that a target refuses connections.
+	TargetRefused struct{ Target string }
+	// TargetMisdirected says that another target answers at the address of a target.
+	TargetMisdirected struct{ Target string }
+	// TargetCold says that a target told that it is cold for so long.
+	TargetCold struct {
+		Target string
+		For    time.Duration
+	}
+	// Reconfigured carries the settings that changed.
+	Reconfigured struct {
+		Seeds  []string
+		Bounds Bounds
+	}
+	// Leaving says that the instance stops.
+	Leaving struct{}
+	// TakeDump asks for the state.
+	TakeDump struct{ Reply chan<- Dump }
+)
+
+func (Tick) event()              {}
+func (StoreRead) event()         {}
+func (Heard) event()             {}
+func (ExchangeFailed) event()    {}
+func (TargetBroke) event()       {}
+func (TargetRefused) event()     {}
+func (TargetMisdirected) event() {}
+func (TargetCold) event()        {}
+func (Reconfigured) event()      {}
+func (Leaving) event()           {}
+func (TakeDump) event()          {}
+
+// Effect is an output of Step.
+type Effect interface{ effect() }
+
+// Effects of the control loop.
+type (
+	// ReadStore reads the platform: everything if Full, else the changes after After, awaiting them for Wait.
+	ReadStore struct {
+		Full  bool
+		After document.Revision
+		Wait  time.Duration
+		// Delay is how long to wait before.
+		Delay time.Duration
+	}
+	// SendExchange talks to a sibling.
+	SendExchange struct {
+		Address  string
+		Exchange Exchange
+	}
+	// Note is a change of what this instance believes, for the log.
+	Note struct {
+		Subject string
+		Name    string
+		Old     string
+		New     string
+		Source  string
+	}
+)
+
+func (ReadStore) effect()    {}
+func (SendExchange) effect() {}
+func (Note) effect()         {}
+
+// Service is what traffic needs to know of one service. It is immutable but for its budget and gauges.
+type Service struct {
+	Name    string
+	Targets []*targets.Target
+	Extra   *targets.ExtraBudget
+}
+
+// Snapshot is the view of the control state that traffic reads. It is immutable but for gates, budgets and gauges,
+// which are safe for concurrent use.
+type Snapshot struct {
+	// Routing is nil while none is known.
+	Routing  *document.Routing
+	Services map[string]*Service
+	// Gates admits the requests of organisations, by name.
+	Gates map[string]*caller.Gate
+	// Refused are the requests that crash targets.
+	Refused map[targets.Fingerprint]time.Time
+	// Revision is that of the platform's values, StoreContact when this instance or a sibling of its zone is known
+	// to have reached the platform.
+	Revision     document.Revision
+	StoreContact time.Time
+	Members      int
+	Leaving      bool
+	// Ready says that requests can be served.
+	Ready bool
+}
+
+// Candidates returns the targets of a service that may get new requests.
+func (s *Snapshot) Candidates(service string) []*targets.Target {
+	if v := s.Services[service]; v != nil {
+		return v.Targets
+	}
+	return nil
+}
+
+// Extra returns the budget of extra sends of a service.
+func (s *Snapshot) Extra(service string) *targets.ExtraBudget {
+	if v := s.Services[service]; v != nil {
+		return v.Extra
+	}
+	return noExtra
+}
+
+var noExtra = targets.NewExtraBudget(targets.ExtraLimits{Window: time.Second})
+
+// Dump is the state for operators. Each belief comes with its version and age.
+type Dump struct {
+	ID             string             `json:"id"`
+	Zone           string             `json:"zone"`
+	Revision       document.Revision  `json:"revision"`
+	StoreAge       string             `json:"store_age"`
+	Reading        bool               `json:"reading"`
+	RoutingVersion document.Revision  `json:"routing_version"`
+	Members        []MemberDump       `json:"members"`
+	Targets        []TargetDump       `json:"targets"`
+	ZonesOut       []string           `json:"zones_out"`
+	Shares         map[string]float64 `json:"shares"`
+	Refused        []string           `json:"refused"`
+}
+
+// MemberDump is one sibling in a Dump.
+type MemberDump struct {
+	ID       string            `json:"id"`
+	Zone     string            `json:"zone"`
+	Live     bool              `json:"live"`
+	Have     document.Revision `json:"have"`
+	StoreAge string            `json:"store_age"`
+}
+
+// TargetDump is one target in a Dump.
+type TargetDump struct {
+	ID          string            `json:"id"`
+	Service     string            `json:"service"`
+	Zone        string            `json:"zone"`
+	Address     string            `json:"address"`
+	State       string            `json:"state"`
+	Revision    document.Revision `json:"revision"`
+	Outstanding int               `json:"outstanding"`
+	LatencyMs   float64           `json:"latency_ms"`
+	Avoided     bool              `json:"avoided"`
+}
--- /dev/null
+++ b/routing/state.go
@@ -0,0 +1,523 @@
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/control/loop"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/targets"
+)
+
+// Ready is the outcome of one Step.
+type Ready = loop.Ready[Effect]
+
+const (
+	// tickInterval is the time between two looks at what is due.
+	tickInterval = 100 * time.Millisecond
+	// storeWait is how long a read may wait for changes. A silent platform is noticed after this time and a reply
+	// limit; the platform prices each read.
+	storeWait = 2 * time.Second
+	// readPause is the time between two reads, which gathers changes that come in quick succession.
+	readPause = 250 * time.Millisecond
+	// retryRead is the time before a failed read is repeated.
+	retryRead = 300 * time.Millisecond
+	// readerLimit is how long ago the reader of a zone may have reached the platform before another one reads too:
+	// one waiting read, its reply and a round of gossip.
+	readerLimit = storeWait + 1200*time.Millisecond
+	// outage is after how long without contact a return of the platform may show lapsed entries.
+	outage = 1500 * time.Millisecond
+	// lapseNotice is how long after its return the platform may still remove entries that lapsed.
+	lapseNotice = 2500 * time.Millisecond
+	// shareInterval is the time between two divisions of the rates.
+	shareInterval = 250 * time.Millisecond
+	// misdirectedTime is how long a target is left out after another one answered at its address.
+	misdirectedTime = 2 * time.Second
+)
+
+type targetState struct {
+	target      *targets.Target
+	misdirected time.Time // until
+	coldUntil   time.Time
+}
+
+// State is the control state. It belongs to the control goroutine.
+type State struct {
+	id      Identity
+	rng     *rand.Rand
+	started time.Time
+	at      time.Time // of the last Step
+	members int       // of the last division
+
+	values   *values
+	gossip   *sibling.Gossip
+	crashes  *targets.CrashLog
+	blamed   map[targets.Fingerprint]time.Time // when a request was last on a target that broke off
+	recent   targets.Notices
+	recentAt time.Time
+
+	routing   *document.Routing
+	targets   map[string]*targetState // by ID
+	budgets   map[string]*targets.ExtraBudget
+	gates     map[string]*gateState
+	leaving   bool
+	reading   bool // a read is under way
+	readAt    time.Time
+	contact   time.Time // when this instance reached the platform
+	recovered time.Time // when the platform came back after an outage
+	failures  int
+	divided   time.Time
+	changed   bool
+	notes     []Effect
+}
+
+type gateState struct {
+	gate   *caller.Gate
+	asked  int64
+	demand float64
+	share  float64
+	limits caller.GateLimits
+}
+
+// NewState returns the state of an instance that knows nothing yet.
+func NewState(id Identity, rng *rand.Rand, now time.Time) *State {
+	self := sibling.Beat{ID: id.ID, Zone: id.Zone, Address: id.Address, Born: id.Born, StoreAge: sibling.NoContact}
+	return &State{
+		id: id, rng: rng, started: now, at: now, values: newValues(), gossip: sibling.NewGossip(self, id.Seeds, rng, now),
+		crashes: targets.NewCrashLog(), targets: map[string]*targetState{}, budgets: map[string]*targets.ExtraBudget{},
+		gates: map[string]*gateState{}, blamed: map[targets.Fingerprint]time.Time{},
+	}
+}
+
+// Tick returns the event that makes Step look at what is due.
+func (s *State) Tick() Event { return Tick{} }
+
+// Step takes one event.
+func (s *State) Step(e Event, now time.Time) Ready {
+	var ready Ready
+	s.at = now
+	switch e := e.(type) {
+	case StoreRead:
+		s.storeRead(e, now)
+	case Heard:
+		s.heard(e, now)
+	case ExchangeFailed:
+	case TargetBroke:
+		s.broke(e, now)
+	case TargetRefused:
+		if t := s.targets[e.Target]; t != nil {
+			s.crashes.Lost(e.Target, t.target.Incarnation, now)
+		}
+	case TargetMisdirected:
+		s.misdirected(e.Target, now)
+	case TargetCold:
+		if t := s.targets[e.Target]; t != nil && e.For > 0 {
+			t.coldUntil = now.Add(e.For)
+			s.changed = true
+		}
+	case Reconfigured:
+		s.id.Bounds = e.Bounds
+		s.gossip.Seeds(e.Seeds)
+		s.divided = time.Time{}
+	case Leaving:
+		s.leaving, s.changed = true, true
+		s.gossip.Leave()
+	case TakeDump:
+		e.Reply <- s.dump(now)
+	}
+	s.due(now, &ready)
+	ready.Changed = s.changed
+	s.changed = false
+	ready.Effects = append(ready.Effects, s.notes...)
+	s.notes = nil
+	return ready
+}
+
+// oneCrash is the time within which broken connections of one request count as one: the targets of all shards run a
+// gathered request at the same time, and some may crash together for another reason.
+const oneCrash = time.Second
+
+func (s *State) broke(e TargetBroke, now time.Time) {
+	if s.targets[e.Target] == nil || now.Sub(s.blamed[e.Fingerprint]) < oneCrash {
+		return
+	}
+	maps.DeleteFunc(s.blamed, func(_ targets.Fingerprint, at time.Time) bool { return now.Sub(at) >= oneCrash })
+	s.blamed[e.Fingerprint] = now
+	s.crashes.Broken(e.Target, e.Fingerprint, now)
+}
+
+// due does what time requires.
+func (s *State) due(now time.Time, ready *Ready) {
+	if s.values.tick(now) || s.coldEnded(now) {
+		s.rebuild(now)
+	}
+	s.crashes.Tick(now)
+	s.divide(now)
+	s.gossip.Self(s.values.have, s.contact, s.demands())
+	for _, address := range s.gossip.Round(now) {
+		ready.Effects = append(ready.Effects, SendExchange{Address: address, Exchange: s.exchangeFor(s.haveOf(address), now)})
+	}
+	if !s.reading && !now.Before(s.readAt) && (s.values.have == 0 || s.gossip.Reads(now, readerLimit)) {
+		s.reading = true
+		read := ReadStore{After: s.values.have, Wait: storeWait, Full: s.values.have == 0 || s.failures < 0}
+		ready.Effects = append(ready.Effects, read)
+	}
+	ready.Wake = now.Add(tickInterval)
+	if next := s.gossip.Next(); next.Before(ready.Wake) {
+		ready.Wake = next
+	}
+}
+
+// coldEnded forgets the cold starts and misdirections that are over and reports whether there were any.
+func (s *State) coldEnded(now time.Time) bool {
+	ended := false
+	for _, t := range s.targets {
+		if !t.coldUntil.IsZero() && !now.Before(t.coldUntil) {
+			t.coldUntil, ended = time.Time{}, true
+		}
+		if !t.misdirected.IsZero() && !now.Before(t.misdirected) {
+			t.misdirected, ended = time.Time{}, true
+		}
+	}
+	return ended
+}
+
+// haveOf returns the revision that the instance at an address said that it has. An instance that has said nothing
+// gets no values unasked, since its reply will say what it lacks.
+func (s *State) haveOf(address string) document.Revision {
+	for _, b := range s.gossip.Live(s.at) {
+		if b.Address == address {
+			return b.Have
+		}
+	}
+	return s.values.have
+}
+
+func (s *State) exchangeFor(have document.Revision, now time.Time) Exchange {
+	if now.Sub(s.recentAt) >= sibling.GossipInterval {
+		n := s.crashes.Recent(now)
+		// A crash is told in a few rounds, so that it reaches all instances although each round reaches two.
+		s.recent = targets.Notices{Crashes: append(lastCrashes(s.recent.Crashes), n.Crashes...), Quarantined: n.Quarantined}
+		s.recentAt = now
+	}
+	return Exchange{Beats: s.gossip.Beats(now), Update: s.values.updateSince(have), Notices: s.recent}
+}
+
+// maxCrashNotices bounds the crash notices in a message.
+const maxCrashNotices = 32
+
+func lastCrashes(c []targets.CrashNotice) []targets.CrashNotice {
+	return slices.Clone(c[max(0, len(c)-maxCrashNotices):])
+}
+
+func (s *State) heard(e Heard, now time.Time) {
+	s.gossip.Hear(e.Exchange.Beats, now)
+	s.crashes.Hear(e.Exchange.Notices, now)
+	s.take(e.Exchange.Update, "sibling", now)
+	if e.Reply != nil {
+		have := document.Revision(0)
+		if len(e.Exchange.Beats) > 0 {
+			have = e.Exchange.Beats[0].Have
+		}
+		e.Reply <- s.exchangeFor(have, now)
+	}
+}
+
+func (s *State) storeRead(e StoreRead, now time.Time) {
+	s.reading = false
+	if e.Err != nil {
+		s.readFailed(e.Err, now)
+		return
+	}
+	if s.failures > 0 {
+		s.note("platform", "", "lost", "regained", "read")
+	}
+	if !s.contact.IsZero() && s.failures > 0 && now.Sub(s.contact) > outage {
+		s.recovered = now
+	}
+	s.failures, s.contact = 0, now
+	s.readAt = now.Add(readPause)
+	if now.Sub(s.recovered) < lapseNotice {
+		markLapsed(e.Update.Changes)
+	}
+	s.take(e.Update, "platform", now)
+}
+
+// markLapsed marks removals of targets as such that the platform's outage may have caused.
+func markLapsed(changes []Change) {
+	for i := range changes {
+		if c := &changes[i]; c.Removed && c.Kind == KindTarget {
+			c.Lapsed = true
+		}
+	}
+}
+
+// readFailed notes a failed read. The marker -1 makes the next read a full one.
+func (s *State) readFailed(err error, now time.Time) {
+	if isHistoryGone(err) {
+		s.failures = -1
+		s.readAt = now
+		s.note("platform", "", "history", "read all again", err.Error())
+		return
+	}
+	if s.failures == 0 {
+		s.note("platform", "", "reached", "lost", err.Error())
+	}
+	if s.failures >= 0 {
+		s.failures++
+	}
+	s.readAt = now.Add(retryRead)
+}
+
+// take applies an update and notes what changed.
+func (s *State) take(u Update, source string, now time.Time) {
+	if u.Upto == 0 && len(u.Changes) == 0 {
+		return
+	}
+	news := s.values.apply(u, now)
+	if len(news) == 0 {
+		return
+	}
+	for _, c := range news {
+		s.noteChange(c, source)
+	}
+	s.rebuild(now)
+}
+
+func (s *State) noteChange(c Change, source string) {
+	state := "present"
+	switch {
+	case c.Removed && c.Lapsed:
+		state = "lapsed"
+	case c.Removed:
+		state = "removed"
+	case c.Kind == KindTarget && c.Target == nil, c.Kind == KindRouting && c.Routing == nil:
+		state = "not understood"
+	case c.Kind == KindTarget && c.Target.Draining:
+		state = "draining"
+	case c.Kind == KindRouting:
+		state = "version " + strconv.FormatUint(uint64(c.Routing.Version), 10)
+	}
+	s.note(string(c.Kind), c.Name, "", state, source+" revision "+strconv.FormatUint(uint64(c.Revision), 10))
+}
+
+func (s *State) note(subject, name, before, after, source string) {
+	s.notes = append(s.notes, Note{Subject: subject, Name: name, Old: before, New: after, Source: source})
+}
+
+func (s *State) misdirected(id string, now time.Time) {
+	if t := s.targets[id]; t != nil {
+		t.misdirected = now.Add(misdirectedTime)
+		s.note(string(KindTarget), id, "used", "misdirected", "reply")
+		s.rebuild(now)
+	}
+}
+
+// rebuild derives routing and targets from the values.
+func (s *State) rebuild(now time.Time) {
+	s.changed = true
+	used := map[string]bool{}
+	for _, e := range s.values.entries {
+		c, ok := e.current(now)
+		if !ok {
+			continue
+		}
+		switch {
+		case c.Kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
+			s.routing = c.Routing
+			s.divided = time.Time{}
+		case c.Kind == KindTarget && c.Target != nil:
+			used[c.Name] = true
+			s.use(c.Name, c.Target, e.since)
+		}
+	}
+	maps.DeleteFunc(s.targets, func(id string, t *targetState) bool {
+		if !used[id] {
+			s.crashes.Lost(id, t.target.Incarnation, now)
+		}
+		return !used[id]
+	})
+}
+
+// use makes or renews the target of a registration. A new incarnation gets a new gauge.
+func (s *State) use(id string, r *targets.Registration, since time.Time) {
+	old := s.targets[id]
+	t := &targets.Target{
+		ID: id, Service: r.Service, Zone: r.Zone, Address: r.Address, Incarnation: r.Incarnation, Slots: r.Slots,
+		Gauge: &targets.Gauge{},
+	}
+	next := &targetState{target: t}
+	if r.ColdFor > 0 {
+		next.coldUntil = since.Add(r.ColdFor)
+	}
+	if old != nil && old.target.Incarnation == r.Incarnation && old.target.Address == r.Address {
+		t.Gauge = old.target.Gauge
+		next.misdirected = old.misdirected
+		if old.coldUntil.After(next.coldUntil) {
+			next.coldUntil = old.coldUntil
+		}
+	}
+	s.targets[id] = next
+}
+
+// Snapshot returns the view for traffic.
+func (s *State) Snapshot() *Snapshot {
+	now := s.at
+	members := len(s.gossip.Counted(now)) + 1
+	out := &Snapshot{
+		Routing: s.routing, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
+		Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
+		Ready: s.routing != nil && !s.leaving,
+	}
+	if s.routing == nil {
+		return out
+	}
+	for i := range s.routing.Services {
+		v := &s.routing.Services[i]
+		out.Services[v.Name] = &Service{Name: v.Name, Extra: s.budget(v.Name, now)}
+	}
+	zonesOut := s.zonesOut(now)
+	draining := s.draining()
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		t := s.targets[id]
+		v := out.Services[t.target.Service]
+		if v == nil || draining[id] || zonesOut[t.target.Zone] || now.Before(t.misdirected) {
+			continue
+		}
+		service := s.routing.Service(v.Name)
+		if service.ColdRate > 0 && now.Before(t.coldUntil) && !s.gossip.Owner(id, now) {
+			continue
+		}
+		usable := *t.target
+		usable.Limit = connectionLimit(service.Connections, members)
+		if now.Before(t.coldUntil) {
+			usable.ColdRate = service.ColdRate * coldPart
+		}
+		v.Targets = append(v.Targets, &usable)
+	}
+	for name, g := range s.gates {
+		out.Gates[name] = g.gate
+	}
+	return out
+}
+
+const (
+	// connectionPart is the part of a target's connections that all instances use together. The rest covers
+	// instances that restarted and whose old connections the target has not closed yet.
+	connectionPart = 0.9
+	// unknownConnections is the limit where the routing states none.
+	unknownConnections = 8
+)
+
+// coldPart is the part of what a cold target tolerates that its owner sends, since two instances may both take
+// themselves for the owner while their views differ.
+const coldPart = 0.7
+
+// connectionLimit divides a target's connections among the instances.
+func connectionLimit(connections, members int) int {
+	if connections <= 0 {
+		return unknownConnections
+	}
+	return max(1, int(float64(connections)*connectionPart)/members)
+}
+
+func (s *State) zonesOut(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, e := range s.values.entries {
+		if c, ok := e.current(now); ok && c.Kind == KindZoneOut {
+			out[c.Name] = true
+		}
+	}
+	return out
+}
+
+func (s *State) draining() map[string]bool {
+	out := map[string]bool{}
+	for _, e := range s.values.entries {
+		if e.Kind == KindTarget && (e.Target != nil && e.Target.Draining || e.last.Target != nil && e.last.Target.Draining) {
+			out[e.Name] = true
+		}
+	}
+	return out
+}
+
+func (s *State) budget(service string, now time.Time) *targets.ExtraBudget {
+	b := s.budgets[service]
+	if b == nil {
+		b = targets.NewExtraBudget(s.extraLimits(now))
+		s.budgets[service] = b
+	}
+	return b
+}
+
+const (
+	// extraPart is the part of the fleet's extra sends that is spent, since instances count windows apart.
+	extraPart = 0.9
+	// joiners is added to the number of instances among which constant parts are divided, for those that this
+	// instance has not heard of yet.
+	joiners = 1
+)
+
+func (s *State) extraLimits(now time.Time) targets.ExtraLimits {
+	l := targets.ExtraLimits{Window: s.id.Bounds.ExtraWindow, Ratio: s.id.Bounds.ExtraRatio * extraPart}
+	if now.Sub(s.started) >= s.id.Bounds.ExtraWindow {
+		l.Constant = s.id.Bounds.ExtraConstant * extraPart / float64(len(s.gossip.Counted(now))+1+joiners)
+	}
+	return l
+}
+
+func (s *State) dump(now time.Time) Dump {
+	d := Dump{
+		ID: s.id.ID, Zone: s.id.Zone, Revision: s.values.have, StoreAge: ageText(s.contact, now),
+		Reading: s.gossip.Reads(now, readerLimit), Shares: map[string]float64{},
+	}
+	if s.routing != nil {
+		d.RoutingVersion = s.routing.Version
+	}
+	live := s.gossip.Live(now)
+	for _, b := range s.gossip.Counted(now) {
+		m := MemberDump{ID: b.ID, Zone: b.Zone, Have: b.Have, StoreAge: "never"}
+		m.Live = slices.ContainsFunc(live, func(l sibling.Beat) bool { return l.ID == b.ID })
+		if b.StoreAge != sibling.NoContact {
+			m.StoreAge = b.StoreAge.String()
+		}
+		d.Members = append(d.Members, m)
+	}
+	for k, e := range s.values.entries {
+		if k.kind != KindTarget || e.Target == nil {
+			continue
+		}
+		t := TargetDump{ID: k.name, Service: e.Target.Service, Zone: e.Target.Zone, Address: e.Target.Address, State: "ready", Revision: e.Revision}
+		if e.Target.Draining {
+			t.State = "draining"
+		}
+		if x := s.targets[k.name]; x != nil {
+			g := x.target.Gauge
+			t.Outstanding, t.LatencyMs, t.Avoided = g.Outstanding(), g.Latency().Seconds()*1000, g.Avoided(now)
+		}
+		d.Targets = append(d.Targets, t)
+	}
+	slices.SortFunc(d.Targets, func(a, b TargetDump) int { return cmp.Compare(a.ID, b.ID) })
+	d.ZonesOut = slices.Sorted(maps.Keys(s.zonesOut(now)))
+	for name, g := range s.gates {
+		d.Shares[name] = g.share
+	}
+	for p := range s.crashes.Refused() {
+		d.Refused = append(d.Refused, p.String())
+	}
+	slices.Sort(d.Refused)
+	return d
+}
+
+func ageText(at, now time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return now.Sub(at).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/sibling/gossip.go
@@ -0,0 +1,251 @@
+package sibling
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dogwooddrift.org/drift/document"
+)
+
+// Beat is what an instance says of itself. Siblings pass beats on, so that instances which know few addresses learn
+// of all others.
+type Beat struct {
+	ID      string
+	Zone    string
+	Address string
+	// Born and Count order the beats of an instance: Born rises with each start, Count with each beat.
+	Born, Count uint64
+	// Leaving says that the instance stops.
+	Leaving bool
+	// Have is the newest revision of the platform's values that the instance is complete to.
+	Have document.Revision
+	// StoreAge is how long ago the instance itself reached the platform, NoContact if it never did.
+	StoreAge time.Duration
+	// Demand is the requests a second that organisations send to the instance.
+	Demand map[string]float64
+}
+
+func (b Beat) newerThan(o Beat) bool {
+	return b.Born > o.Born || b.Born == o.Born && b.Count > o.Count
+}
+
+const (
+	// GossipInterval is the time between the exchanges of an instance. Nine instances learn of a change in three
+	// to four rounds.
+	GossipInterval = 250 * time.Millisecond
+	// firstInterval is the same while the instance looks for siblings, at most for joinTime after its start.
+	firstInterval = 100 * time.Millisecond
+	joinTime      = 2 * time.Second
+	// silentAfter is after how long without a newer beat a member counts as gone: eight rounds.
+	silentAfter = 2 * time.Second
+	// countedFor is how long a silent member still counts where a limit is divided among members, since it may be
+	// cut off and go on spending its part.
+	countedFor = 20 * time.Second
+	// forgetAfter is when a silent member is not contacted any more.
+	forgetAfter = 2 * time.Minute
+	// maxBeats bounds the beats of one message, so that its size does not grow with the fleet.
+	maxBeats = 24
+	// lonely is the number of live siblings below which the seeds are asked in every round.
+	lonely = 2
+	// reviveEvery is how many rounds lie between two contacts with a silent member or a seed.
+	reviveEvery = 4
+)
+
+type member struct {
+	Beat
+	heard time.Time // when the newest beat came
+	store time.Time // when the instance itself reached the platform, zero if never
+}
+
+// Gossip is the view of the entry instances that they build by talking to each other. It belongs to the control
+// goroutine.
+type Gossip struct {
+	self    Beat
+	store   time.Time
+	seeds   []string
+	members map[string]*member
+	rng     *rand.Rand
+	started time.Time
+	rounds  int
+	next    time.Time
+}
+
+// NewGossip returns a view that knows only this instance and the seeds, addresses which may be stale.
+func NewGossip(self Beat, seeds []string, rng *rand.Rand, now time.Time) *Gossip {
+	return &Gossip{self: self, seeds: seeds, members: map[string]*member{}, rng: rng, started: now, next: now}
+}
+
+// Seeds replaces the seeds.
+func (g *Gossip) Seeds(seeds []string) { g.seeds = seeds }
+
+// Self updates what this instance says of itself. store is when it reached the platform, zero if never.
+func (g *Gossip) Self(have document.Revision, store time.Time, demand map[string]float64) {
+	g.self.Have, g.store, g.self.Demand = have, store, demand
+}
+
+// Leave makes this instance say that it stops.
+func (g *Gossip) Leave() { g.self.Leaving = true }
+
+// Next returns when the next round is due.
+func (g *Gossip) Next() time.Time { return g.next }
+
+// Round returns the addresses to exchange with now, none before the round is due.
+func (g *Gossip) Round(now time.Time) []string {
+	if now.Before(g.next) {
+		return nil
+	}
+	g.rounds++
+	g.self.Count++
+	live := g.Live(now)
+	g.next = now.Add(g.interval(len(live), now))
+	maps.DeleteFunc(g.members, func(_ string, m *member) bool { return now.Sub(m.heard) > forgetAfter })
+	var to []string
+	add := func(address string) {
+		if address != "" && address != g.self.Address && !slices.Contains(to, address) {
+			to = append(to, address)
+		}
+	}
+	near := slices.DeleteFunc(slices.Clone(live), func(b Beat) bool { return b.Zone != g.self.Zone })
+	if len(near) > 0 {
+		add(near[g.rng.IntN(len(near))].Address)
+	}
+	if len(live) > 0 {
+		add(live[g.rng.IntN(len(live))].Address)
+	}
+	if len(live) < lonely {
+		for _, s := range g.seeds {
+			add(s)
+		}
+	}
+	if len(live) < lonely || g.rounds%reviveEvery == 0 {
+		if others := g.silent(now); len(others) > 0 {
+			add(others[g.rng.IntN(len(others))])
+		}
+	}
+	return to
+}
+
+func (g *Gossip) interval(live int, now time.Time) time.Duration {
+	if live < lonely && now.Sub(g.started) < joinTime {
+		return firstInterval
+	}
+	return GossipInterval
+}
+
+// silent returns the addresses of silent members, and of seeds that are not those of live members.
+func (g *Gossip) silent(now time.Time) []string {
+	var out []string
+	known := map[string]bool{g.self.Address: true}
+	for _, id := range slices.Sorted(maps.Keys(g.members)) {
+		m := g.members[id]
+		known[m.Address] = true
+		if now.Sub(m.heard) >= silentAfter {
+			out = append(out, m.Address)
+		}
+	}
+	for _, s := range g.seeds {
+		if !known[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Hear takes the beats of an exchange.
+func (g *Gossip) Hear(beats []Beat, now time.Time) {
+	for _, b := range beats {
+		if b.ID == g.self.ID {
+			if b.Born > g.self.Born || b.Born == g.self.Born && b.Count > g.self.Count {
+				// An earlier run of this instance had a clock that was ahead.
+				g.self.Born = b.Born + 1
+			}
+			continue
+		}
+		m := g.members[b.ID]
+		if m != nil && !b.newerThan(m.Beat) {
+			continue
+		}
+		if m == nil {
+			m = &member{}
+			g.members[b.ID] = m
+		}
+		m.Beat, m.heard, m.store = b, now, time.Time{}
+		if b.StoreAge != NoContact {
+			m.store = now.Add(-b.StoreAge)
+		}
+	}
+}
+
+// Beats returns what to send in an exchange: the own beat and the freshest of the others.
+func (g *Gossip) Beats(now time.Time) []Beat {
+	own := g.self
+	own.StoreAge = ageOf(g.store, now)
+	fresh := slices.Collect(maps.Values(g.members))
+	slices.SortFunc(fresh, func(a, b *member) int {
+		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.ID, b.ID))
+	})
+	out := []Beat{own}
+	for _, m := range fresh[:min(len(fresh), maxBeats-1)] {
+		if now.Sub(m.heard) >= silentAfter {
+			break
+		}
+		b := m.Beat
+		b.StoreAge = ageOf(m.store, now)
+		out = append(out, b)
+	}
+	return out
+}
+
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return NoContact
+	}
+	return max(now.Sub(at), 0)
+}
+
+// Live returns the other instances that were heard of lately and do not stop, by ID.
+func (g *Gossip) Live(now time.Time) []Beat {
+	return g.within(now, silentAfter)
+}
+
+// Counted returns the other instances among which, with this one, limits of the fleet are divided.
+func (g *Gossip) Counted(now time.Time) []Beat {
+	return g.within(now, countedFor)
+}
+
+func (g *Gossip) within(now time.Time, limit time.Duration) []Beat {
+	var out []Beat
+	for _, m := range g.members {
+		if now.Sub(m.heard) < limit && !m.Leaving {
+			b := m.Beat
+			b.StoreAge = ageOf(m.store, now)
+			out = append(out, b)
+		}
+	}
+	slices.SortFunc(out, func(a, b Beat) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Reads reports whether this instance reads the platform for its zone: no live instance of the zone that ranks
+// before it reached the platform within limit.
+func (g *Gossip) Reads(now time.Time, limit time.Duration) bool {
+	mine := rendezvous(readerKey, g.self.ID)
+	for _, b := range g.Live(now) {
+		if b.Zone == g.self.Zone && b.StoreAge != NoContact && b.StoreAge <= limit && rendezvous(readerKey, b.ID) > mine {
+			return false
+		}
+	}
+	return true
+}
+
+// readerKey is what the instances of a zone are ranked by as readers of the platform.
+const readerKey = "reader"
+
+// Owner reports whether this instance ranks first for a key among the live instances.
+func (g *Gossip) Owner(key string, now time.Time) bool {
+	mine := rendezvous(key, g.self.ID)
+	return !slices.ContainsFunc(g.Live(now), func(b Beat) bool { return rendezvous(key, b.ID) > mine })
+}
--- /dev/null
+++ b/sibling/gossip_test.go
@@ -0,0 +1,164 @@
+package sibling
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet runs the gossip of some instances on a virtual clock.
+type gossipFleet struct {
+	now   time.Time
+	nodes map[string]*Gossip // by address
+	cut   func(a, b string) bool
+	sent  int
+	beats int
+	rng   *rand.Rand
+}
+
+func newGossipFleet(n int, seeds []string) *gossipFleet {
+	f := &gossipFleet{now: time.Unix(1000, 0), nodes: map[string]*Gossip{}, cut: func(string, string) bool { return false },
+		rng: rand.New(rand.NewPCG(3, 4))}
+	for i := range n {
+		f.start(i, seeds)
+	}
+	return f
+}
+
+func gossipAddress(i int) string { return fmt.Sprintf("10.%d.0.%d:1", i%3, i) }
+
+func (f *gossipFleet) start(i int, seeds []string) {
+	self := Beat{ID: fmt.Sprintf("i%d", i), Zone: fmt.Sprintf("z%d", i%3), Address: gossipAddress(i), Born: uint64(f.now.UnixMilli())}
+	f.nodes[self.Address] = NewGossip(self, seeds, rand.New(rand.NewPCG(uint64(i), 9)), f.now)
+}
+
+func (f *gossipFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
+		for address, g := range f.nodes {
+			for _, to := range g.Round(f.now) {
+				f.sent++
+				other := f.nodes[to]
+				if other == nil || f.cut(address, to) {
+					continue
+				}
+				beats := g.Beats(f.now)
+				f.beats += len(beats)
+				other.Hear(beats, f.now)
+				g.Hear(other.Beats(f.now), f.now)
+			}
+		}
+	}
+}
+
+func (f *gossipFleet) complete(t *testing.T, what string) {
+	t.Helper()
+	for address, g := range f.nodes {
+		if n := len(g.Live(f.now)); n != len(f.nodes)-1 {
+			t.Errorf("%s: %s knows %d others, want %d", what, address, n, len(f.nodes)-1)
+		}
+	}
+}
+
+// Guards against instances that do not find each other within two seconds of a start with one live seed, after
+// most were killed, and after a zone was cut off.
+func TestGossipFindsAllWithinTwoSeconds(t *testing.T) {
+	seeds := []string{gossipAddress(0), "10.9.9.9:1", "10.9.9.8:1"}
+	f := newGossipFleet(9, seeds)
+	f.run(2 * time.Second)
+	f.complete(t, "start")
+
+	for i := 1; i < 7; i++ {
+		delete(f.nodes, gossipAddress(i))
+	}
+	f.run(1 * time.Second)
+	for i := 1; i < 7; i++ {
+		f.start(i, seeds)
+	}
+	f.run(2 * time.Second)
+	f.complete(t, "kill of six")
+
+	zone := func(a string) bool { return a[:5] == "10.0." }
+	f.cut = func(a, b string) bool { return zone(a) != zone(b) }
+	f.run(6 * time.Second)
+	for address, g := range f.nodes {
+		want := 2
+		if !zone(address) {
+			want = 5
+		}
+		if n := len(g.Live(f.now)); n != want {
+			t.Errorf("during the cut %s knows %d live others, want %d", address, n, want)
+		}
+		if n := len(g.Counted(f.now)); n != 8 {
+			t.Errorf("during the cut %s divides limits among %d others, want 8", address, n)
+		}
+	}
+	f.cut = func(string, string) bool { return false }
+	f.run(2 * time.Second)
+	f.complete(t, "heal")
+}
+
+// Guards against an instance that restarts with a clock behind that of its earlier run and stays unknown.
+func TestGossipKnowsRestartWithClockBehind(t *testing.T) {
+	f := newGossipFleet(3, []string{gossipAddress(0)})
+	f.run(2 * time.Second)
+	self := Beat{ID: "i2", Zone: "z2", Address: gossipAddress(2), Born: 1}
+	f.nodes[self.Address] = NewGossip(self, []string{gossipAddress(0)}, f.rng, f.now)
+	f.run(4 * time.Second)
+	f.complete(t, "restart")
+}
+
+// Guards against two readers of a zone in steady state, and against none after the reader lost the platform.
+func TestOneReaderInAZone(t *testing.T) {
+	const limit = 1500 * time.Millisecond
+	f := newGossipFleet(9, []string{gossipAddress(0)})
+	f.run(2 * time.Second)
+	reads := func(lost string) map[string]int {
+		out := map[string]int{}
+		for step := 0; step < 40; step++ {
+			for address, g := range f.nodes {
+				store := f.now
+				if address == lost || !g.Reads(f.now, limit) {
+					store = g.store
+				}
+				g.Self(1, store, nil)
+			}
+			f.run(100 * time.Millisecond)
+		}
+		for address, g := range f.nodes {
+			if g.Reads(f.now, limit) && address != lost {
+				out[g.self.Zone]++
+				_ = address
+			}
+		}
+		return out
+	}
+	for zone, n := range reads("") {
+		if n != 1 {
+			t.Errorf("zone %s has %d readers", zone, n)
+		}
+	}
+	for address, g := range f.nodes {
+		if g.Reads(f.now, limit) {
+			if n := reads(address)[g.self.Zone]; n != 1 {
+				t.Errorf("%d readers after %s lost the platform", n, address)
+			}
+			break
+		}
+	}
+}
+
+// States the cost of one instance: exchanges and beats a second.
+func TestGossipCostDoesNotGrowWithTheFleet(t *testing.T) {
+	for _, n := range []int{9, 86, 200} {
+		f := newGossipFleet(n, []string{gossipAddress(0), gossipAddress(1)})
+		f.run(3 * time.Second)
+		f.sent, f.beats = 0, 0
+		f.run(3 * time.Second)
+		perSecond := float64(f.sent) / 3 / float64(n)
+		t.Logf("%d instances: %.1f exchanges and %.0f beats a second", n, perSecond, float64(f.beats)/3/float64(n))
+		if perSecond > 12 {
+			t.Errorf("%d instances: %.1f exchanges a second", n, perSecond)
+		}
+	}
+}
--- /dev/null
+++ b/sibling/siblinggrpc/gossip.go
@@ -0,0 +1,134 @@
+package siblinggrpc
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dogwooddrift.org/drift/control/loop"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+)
+
+// RoutingLoop is the control loop of an instance that forwards requests.
+type RoutingLoop = loop.Loop[routing.Event, routing.Effect, routing.Snapshot]
+
+// RegisterGossip adds the gossip service to a gRPC server. Its handler talks to the control goroutine by events.
+func RegisterGossip(s grpc.ServiceRegistrar, l *RoutingLoop) {
+	siblingpb.RegisterGossipServer(s, &gossipServer{loop: l})
+}
+
+type gossipServer struct {
+	siblingpb.UnimplementedGossipServer
+	loop *RoutingLoop
+}
+
+// Swap takes what a sibling knows and returns what it lacks.
+func (s *gossipServer) Swap(ctx context.Context, m *siblingpb.GossipMessage) (*siblingpb.GossipMessage, error) {
+	heard, err := decodeExchange(m)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	own, err := loop.Ask(ctx, s.loop, func(reply chan<- routing.Exchange) routing.Event {
+		return routing.Heard{Exchange: heard, Reply: reply}
+	})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return encodeExchange(own)
+}
+
+// Swap sends what this instance knows to a sibling and returns what the sibling knows.
+func (c *Client) Swap(ctx context.Context, address string, e routing.Exchange) (routing.Exchange, error) {
+	m, err := encodeExchange(e)
+	if err != nil {
+		return routing.Exchange{}, oops.In("sibling").Wrapf(sibling.ErrNotSent, "%v", err)
+	}
+	reply, err := call(c, address, func(conn grpc.ClientConnInterface) (*siblingpb.GossipMessage, error) {
+		return siblingpb.NewGossipClient(conn).Swap(ctx, m)
+	})
+	if err != nil {
+		return routing.Exchange{}, err
+	}
+	heard, err := decodeExchange(reply)
+	if err != nil {
+		return routing.Exchange{}, oops.In("sibling").Wrapf(sibling.ErrNoReply, "%v", err)
+	}
+	return heard, nil
+}
+
+func encodeExchange(e routing.Exchange) (*siblingpb.GossipMessage, error) {
+	out := &siblingpb.GossipMessage{Notices: encodeNotices(e.Notices), Update: &siblingpb.Update{
+		Since: uint64(e.Update.Since), Upto: uint64(e.Update.Upto), Full: e.Update.Full,
+	}}
+	for _, b := range e.Beats {
+		out.Beats = append(out.Beats, encodeBeat(b))
+	}
+	if len(e.Update.Changes) == 0 {
+		return out, nil
+	}
+	text, err := json.Marshal(e.Update.Changes)
+	if err != nil {
+		return nil, fmt.Errorf("encode changes: %w", err)
+	}
+	out.Update.Changes = text
+	return out, nil
+}
+
+func encodeBeat(b sibling.Beat) *siblingpb.Beat {
+	out := &siblingpb.Beat{
+		Id: b.ID, Zone: b.Zone, Address: b.Address, Born: b.Born, Count: b.Count, Leaving: b.Leaving,
+		Have: uint64(b.Have), StoreAgeMs: encodeAge(b.StoreAge), Demand: make(map[string]float32, len(b.Demand)),
+	}
+	for name, demand := range b.Demand {
+		out.Demand[name] = float32(demand)
+	}
+	return out
+}
+
+// decodeExchange refuses a message whose changes cannot be read: applying only some of them would make this
+// instance believe that it is complete.
+func decodeExchange(m *siblingpb.GossipMessage) (routing.Exchange, error) {
+	u := m.GetUpdate()
+	out := routing.Exchange{Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
+		Since: document.Revision(u.GetSince()), Upto: document.Revision(u.GetUpto()), Full: u.GetFull(),
+	}}
+	for _, b := range m.GetBeats() {
+		beat := sibling.Beat{
+			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Born: b.GetBorn(), Count: b.GetCount(),
+			Leaving: b.GetLeaving(), Have: document.Revision(b.GetHave()), StoreAge: decodeAge(b.StoreAgeMs),
+			Demand: make(map[string]float64, len(b.GetDemand())),
+		}
+		for name, demand := range b.GetDemand() {
+			beat.Demand[name] = float64(demand)
+		}
+		out.Beats = append(out.Beats, beat)
+	}
+	if len(u.GetChanges()) == 0 {
+		return out, nil
+	}
+	if err := json.Unmarshal(u.GetChanges(), &out.Update.Changes); err != nil {
+		return routing.Exchange{}, fmt.Errorf("decode changes: %w", err)
+	}
+	for _, c := range out.Update.Changes {
+		if c.Routing == nil {
+			continue
+		}
+		if err := c.Routing.Index(); err != nil {
+			return routing.Exchange{}, err
+		}
+	}
+	return out, nil
+}
+
+// SwapTimeout bounds an exchange. It is a few round trips between regions; an exchange that takes longer is worth
+// less than the next one.
+const SwapTimeout = 600 * time.Millisecond
--- a/sibling/siblinggrpc/server.go
+++ b/sibling/siblinggrpc/server.go
@@ -1,7 +1,7 @@
 // Package siblinggrpc connects entry instances over gRPC.
 package siblinggrpc
 
-//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/sibling.proto siblingpb/config.proto
+//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/sibling.proto siblingpb/config.proto siblingpb/gossip.proto
 
 import (
 	"context"
--- /dev/null
+++ b/targets/dispatch.go
@@ -0,0 +1,429 @@
+package targets
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Directory gives what is newest known of a service.
+type Directory interface {
+	// Candidates returns the targets that may get new requests of the service.
+	Candidates(service string) []*Target
+	// Extra returns the budget of extra sends of the service.
+	Extra(service string) *ExtraBudget
+}
+
+// DispatchPlan is what a dispatch starts from.
+type DispatchPlan struct {
+	// Services are those that each must give one part. A request that is not gathered has one.
+	Services []string
+	// Gather says that an answer with some parts missing is of use.
+	Gather bool
+	// MinCoverage is the least part of the services that an answer of Gather needs.
+	MinCoverage float64
+	// Idempotent requests may run at more than one target.
+	Idempotent bool
+	// Attempts is how many targets of one service may run the request.
+	Attempts int
+	// Deadline ends the dispatch. Parts missing at AnswerBy are not awaited if the coverage suffices.
+	Deadline, AnswerBy time.Time
+	// Tail holds the latency of earlier dispatches of the same route.
+	Tail *Tail
+	// MaxHedgeDelay bounds the time after which a second target is asked.
+	MaxHedgeDelay time.Duration
+	Directory     Directory
+	// Zone is the zone of this instance, whose targets are preferred.
+	Zone string
+	// Rand is used by this dispatch only.
+	Rand *rand.Rand
+}
+
+// LegOutcome says how one send ended.
+type LegOutcome int
+
+// The outcomes of a send.
+const (
+	// LegReplied is a complete reply that is final.
+	LegReplied LegOutcome = iota
+	// LegFailed is a complete reply that tells a failure of a target that ran the request.
+	LegFailed
+	// LegNotRun means that the target said that it did not run the request.
+	LegNotRun
+	// LegNotSent means that nothing reached the target.
+	LegNotSent
+	// LegBroken means that no usable reply came. The target may have run the request.
+	LegBroken
+)
+
+// String returns the word for logs.
+func (o LegOutcome) String() string {
+	return [...]string{"replied", "failed", "not_run", "not_sent", "broken"}[o]
+}
+
+// Send is one request to one target.
+type Send struct {
+	// Attempt is unique in the dispatch.
+	Attempt int
+	// Part is the index of the service.
+	Part   int
+	Target *Target
+	// Hedge says that another send of the part is under way.
+	Hedge bool
+}
+
+// LegEnded is the input of Step that ends a send.
+type LegEnded struct {
+	Attempt int
+	Outcome LegOutcome
+}
+
+// DispatchReady is what the embedder must do: cancel, then send, then call Step at Wake, or answer if Done.
+type DispatchReady struct {
+	Send   []Send
+	Cancel []int
+	Wake   time.Time
+	Done   bool
+}
+
+const (
+	// Sheds and lost connections are retried after retryPause, twice as long each time.
+	retryPause    = 4 * time.Millisecond
+	maxRetryPause = 64 * time.Millisecond
+	// roomPause is the time between two looks for a target with room.
+	roomPause = 3 * time.Millisecond
+	// notRunSends is how many sends of a part may be refused by targets beyond its attempts.
+	notRunSends = 3
+	// minHedgeDelay keeps hedges from firing at every request when latencies are tiny.
+	minHedgeDelay = 5 * time.Millisecond
+	// firstHedgeDivisor divides the longest hedge delay while no latency is known.
+	firstHedgeDivisor = 2
+)
+
+type dispatchPart struct {
+	service string
+	ran     []*Target // targets that run or may have run the request
+	open    []openSend
+	sends   int
+	retries int
+	winner  int // attempt of the final reply, 0: none yet
+	failure int // attempt of the last complete failure, 0: none
+	done    bool
+	mayRun  bool // some send may have run
+	again   time.Time
+	hedgeAt time.Time
+}
+
+type openSend struct {
+	attempt int
+	target  *Target
+	sent    time.Time
+}
+
+// Dispatch is the state machine of one forwarded request: which target of each service gets it, when a second one
+// is asked, and when there is an answer. It belongs to one goroutine.
+//
+// Invariants: a request that is not idempotent is sent again only after the outcome of every earlier send proves
+// that it did not run; no part runs at more than Attempts targets; every send but the first of a part is paid from
+// the budget of its service.
+type Dispatch struct {
+	DispatchPlan
+	parts   []dispatchPart
+	owner   map[int]int // part of each open attempt
+	attempt int
+	done    bool
+}
+
+// NewDispatch plans a request and returns the first sends.
+func NewDispatch(p DispatchPlan, now time.Time) (*Dispatch, DispatchReady) {
+	d := &Dispatch{DispatchPlan: p, parts: make([]dispatchPart, len(p.Services)), owner: map[int]int{}}
+	if d.Attempts < 1 {
+		d.Attempts = 1
+	}
+	for i, s := range p.Services {
+		d.parts[i] = dispatchPart{service: s, again: now}
+	}
+	return d, d.Step(nil, now)
+}
+
+// Step takes the ends of sends, if any, and returns what to do.
+func (d *Dispatch) Step(ended []LegEnded, now time.Time) DispatchReady {
+	var ready DispatchReady
+	if d.done {
+		ready.Done = true
+		return ready
+	}
+	for _, e := range ended {
+		d.end(e, now, &ready)
+	}
+	ready.Wake = d.Deadline
+	if !now.Before(d.Deadline) {
+		d.finish(&ready)
+		return ready
+	}
+	for i := range d.parts {
+		if p := &d.parts[i]; !p.done {
+			d.advance(i, p, now, &ready)
+		}
+	}
+	if d.answered(now, &ready) {
+		// A send decided in this step has not left.
+		for _, s := range ready.Send {
+			s.Target.Gauge.Finish(0)
+		}
+		ready.Send = nil
+		d.finish(&ready)
+	}
+	return ready
+}
+
+func (d *Dispatch) end(e LegEnded, now time.Time, ready *DispatchReady) {
+	i, ok := d.owner[e.Attempt]
+	if !ok {
+		return
+	}
+	delete(d.owner, e.Attempt)
+	p := &d.parts[i]
+	n := slices.IndexFunc(p.open, func(o openSend) bool { return o.attempt == e.Attempt })
+	target := p.open[n].target
+	p.open = slices.Delete(p.open, n, n+1)
+	switch e.Outcome {
+	case LegReplied:
+		p.winner, p.done = e.Attempt, true
+		for _, o := range p.open {
+			ready.Cancel = append(ready.Cancel, o.attempt)
+			delete(d.owner, o.attempt)
+		}
+		p.open = nil
+		return
+	case LegFailed:
+		p.failure, p.mayRun = e.Attempt, true
+	case LegBroken:
+		p.mayRun = true
+	case LegNotRun, LegNotSent:
+		p.ran = slices.DeleteFunc(p.ran, func(t *Target) bool { return t == target })
+	}
+	p.retries++
+	if !d.Idempotent && p.mayRun {
+		p.done = true
+		return
+	}
+	pause := time.Duration(0)
+	if p.retries > 1 {
+		pause = min(retryPause<<min(p.retries-2, 6), maxRetryPause)
+	}
+	p.again = now.Add(pause)
+}
+
+// advance sends a part that has no open send, or hedges one that is late.
+func (d *Dispatch) advance(i int, p *dispatchPart, now time.Time, ready *DispatchReady) {
+	if len(p.open) > 0 {
+		d.hedge(i, p, now, ready)
+		return
+	}
+	if now.Before(p.again) {
+		ready.wakeAt(p.again)
+		return
+	}
+	if p.sends >= d.Attempts+notRunSends {
+		p.done = true
+		return
+	}
+	t, busy := d.choose(p, now)
+	switch {
+	case t == nil && busy:
+		p.again = now.Add(roomPause)
+		ready.wakeAt(p.again)
+	case t == nil:
+		p.done = true
+	case p.sends > 0 && !d.Directory.Extra(p.service).TakeRetry(now):
+		t.Gauge.Finish(0)
+		p.done = true
+	default:
+		d.send(i, p, t, now, ready)
+	}
+}
+
+func (d *Dispatch) hedge(i int, p *dispatchPart, now time.Time, ready *DispatchReady) {
+	if !d.Idempotent || len(p.open) > 1 || p.sends >= d.Attempts+notRunSends {
+		return
+	}
+	if now.Before(p.hedgeAt) {
+		ready.wakeAt(p.hedgeAt)
+		return
+	}
+	t, _ := d.choose(p, now)
+	if t == nil || t.Gauge.Avoided(now) || !d.Directory.Extra(p.service).TakeHedge(now) {
+		if t != nil {
+			t.Gauge.Finish(0)
+		}
+		p.hedgeAt = now.Add(d.hedgeDelay())
+		ready.wakeAt(p.hedgeAt)
+		return
+	}
+	d.send(i, p, t, now, ready)
+}
+
+func (d *Dispatch) send(i int, p *dispatchPart, t *Target, now time.Time, ready *DispatchReady) {
+	d.attempt++
+	ready.Send = append(ready.Send, Send{Attempt: d.attempt, Part: i, Target: t, Hedge: len(p.open) > 0})
+	d.owner[d.attempt] = i
+	p.open = append(p.open, openSend{attempt: d.attempt, target: t, sent: now})
+	p.sends++
+	if !slices.Contains(p.ran, t) {
+		p.ran = append(p.ran, t)
+	}
+	p.hedgeAt = now.Add(d.hedgeDelay())
+	ready.wakeAt(p.hedgeAt)
+}
+
+func (d *Dispatch) hedgeDelay() time.Duration {
+	if q := d.Tail.Quantile(); q > 0 {
+		return min(max(q, minHedgeDelay), d.MaxHedgeDelay)
+	}
+	return d.MaxHedgeDelay / firstHedgeDivisor
+}
+
+// choose reserves a place at the target that is expected to reply first, and reports whether all that may be asked
+// are full. Targets that the part ran at already are asked again only if their number is exhausted and nothing is
+// open there.
+func (d *Dispatch) choose(p *dispatchPart, now time.Time) (best *Target, busy bool) {
+	candidates := d.Directory.Candidates(p.service)
+	fresh := len(p.ran) < d.Attempts && slices.ContainsFunc(candidates, func(t *Target) bool { return !slices.Contains(p.ran, t) })
+	type ranked struct {
+		target *Target
+		score  float64
+	}
+	order := make([]ranked, 0, len(candidates))
+	for _, t := range candidates {
+		if slices.Contains(p.ran, t) == fresh || slices.ContainsFunc(p.open, func(o openSend) bool { return o.target == t }) {
+			continue
+		}
+		order = append(order, ranked{t, d.score(t, now)})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		switch {
+		case a.score < b.score:
+			return -1
+		case a.score > b.score:
+			return 1
+		}
+		return 0
+	})
+	for n, r := range order {
+		if r.target.Gauge.TryStart(r.target.Limit) {
+			if !r.target.Gauge.takeCold(r.target.ColdRate, now) {
+				r.target.Gauge.Finish(0)
+				continue
+			}
+			for _, passed := range order[n+1:] {
+				passed.target.Gauge.passOver()
+			}
+			return r.target, false
+		}
+	}
+	return nil, len(order) > 0
+}
+
+const (
+	// avoidedScore is added for targets that are avoided, in seconds: more than any latency.
+	avoidedScore = 10.0
+	// unknownLatency stands for the latency of a target that was not asked yet, so that it is tried soon.
+	unknownLatency = 5 * time.Millisecond
+	// scoreSpread is the random part of a score. It keeps instances from all choosing the same target.
+	scoreSpread = 0.3
+	// zoneFactor is the advantage of targets in the own zone.
+	zoneFactor = 0.85
+)
+
+// score is the expected time to a reply in seconds.
+func (d *Dispatch) score(t *Target, now time.Time) float64 {
+	latency := t.Gauge.Latency()
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	score := latency.Seconds() * (1 - scoreSpread/2 + scoreSpread*d.Rand.Float64())
+	if t.Slots > 0 {
+		score *= max(1, float64(t.Gauge.Load(now)+1)/float64(t.Slots))
+	}
+	if t.Zone == d.Zone {
+		score *= zoneFactor
+	}
+	if t.Gauge.Avoided(now) {
+		score += avoidedScore
+	}
+	return score
+}
+
+// answered reports whether there is nothing left to wait for.
+func (d *Dispatch) answered(now time.Time, ready *DispatchReady) bool {
+	in, open := 0, 0
+	for i := range d.parts {
+		switch p := &d.parts[i]; {
+		case p.winner != 0:
+			in++
+		case !p.done:
+			open++
+		}
+	}
+	if open == 0 {
+		return true
+	}
+	if !d.Gather {
+		return false
+	}
+	if !d.Covers(in + open) {
+		return true // no answer is possible any more
+	}
+	if !d.Covers(in) {
+		return false
+	}
+	if now.Before(d.AnswerBy) {
+		ready.wakeAt(d.AnswerBy)
+		return false
+	}
+	return true
+}
+
+// Covers reports whether so many parts suffice for an answer.
+func (d *Dispatch) Covers(parts int) bool {
+	return parts > 0 && float64(parts) >= d.MinCoverage*float64(len(d.parts))
+}
+
+func (d *Dispatch) finish(ready *DispatchReady) {
+	d.done, ready.Done = true, true
+	for i := range d.parts {
+		p := &d.parts[i]
+		for _, o := range p.open {
+			ready.Cancel = append(ready.Cancel, o.attempt)
+			p.mayRun = true
+		}
+		p.open, p.done = nil, true
+	}
+}
+
+func (r *DispatchReady) wakeAt(t time.Time) {
+	if t.Before(r.Wake) {
+		r.Wake = t
+	}
+}
+
+// PartResult is what came of one part.
+type PartResult struct {
+	// Reply is the attempt of the final reply, 0 if there is none.
+	Reply int
+	// Failure is the attempt of the last complete reply of a target that failed, 0 if there is none.
+	Failure int
+	// MayHaveRun says that some target may have run the request.
+	MayHaveRun bool
+}
+
+// Results returns what came of each part.
+func (d *Dispatch) Results() []PartResult {
+	out := make([]PartResult, len(d.parts))
+	for i := range d.parts {
+		p := &d.parts[i]
+		out[i] = PartResult{Reply: p.winner, Failure: p.failure, MayHaveRun: p.mayRun || p.winner != 0}
+	}
+	return out
+}
--- /dev/null
+++ b/targets/extra.go
@@ -0,0 +1,92 @@
+package targets
+
+import (
+	"sync"
+	"time"
+)
+
+// ExtraLimits bounds the sends of a service beyond the first of each request, at this instance.
+type ExtraLimits struct {
+	// Window is the time over which sends and requests are counted.
+	Window time.Duration
+	// Ratio is how many extra sends each request of the window allows. Ratios of instances add up by themselves.
+	Ratio float64
+	// Constant is how many extra sends the window allows besides. It is this instance's part of the fleet's.
+	Constant float64
+}
+
+const (
+	// extraSlots is how many parts the window is counted in.
+	extraSlots = 20
+	// hedgeReserve is the part of the allowance that hedges leave for retries, since a lost retry is a lost part.
+	hedgeReserve = 0.3
+)
+
+// ExtraBudget bounds extra sends in every window, also one that slides. Traffic spends from it, control sets its
+// limits. It is safe for concurrent use.
+type ExtraBudget struct {
+	mu     sync.Mutex
+	limits ExtraLimits
+	slot   int64 // the newest slot, counted from the zero time
+	// requests and extras count the last window in slots; one slot more, so that the part of the oldest slot that
+	// still lies in the window counts.
+	requests, extras [extraSlots + 1]int
+}
+
+// NewExtraBudget returns a budget without counts.
+func NewExtraBudget(l ExtraLimits) *ExtraBudget { return &ExtraBudget{limits: l} }
+
+// SetLimits replaces the limits and keeps the counts.
+func (b *ExtraBudget) SetLimits(l ExtraLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+}
+
+// Request counts a request of the service.
+func (b *ExtraBudget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests[b.at(now)]++
+}
+
+// TakeRetry spends one extra send and reports whether there was one.
+func (b *ExtraBudget) TakeRetry(now time.Time) bool { return b.take(now, 0) }
+
+// TakeHedge is TakeRetry for a send whose first is still under way.
+func (b *ExtraBudget) TakeHedge(now time.Time) bool { return b.take(now, hedgeReserve) }
+
+func (b *ExtraBudget) take(now time.Time, reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := b.at(now)
+	requests, extras := 0, 0
+	for slot := range b.extras {
+		extras += b.extras[slot]
+		if slot != (i+1)%len(b.extras) { // the oldest slot lies partly outside of the window
+			requests += b.requests[slot]
+		}
+	}
+	allowance := b.limits.Ratio*float64(requests) + b.limits.Constant
+	if float64(extras)+1 > allowance*(1-reserve) {
+		return false
+	}
+	b.extras[i]++
+	return true
+}
+
+// at moves the window to now and returns the index of the newest slot.
+func (b *ExtraBudget) at(now time.Time) int {
+	width := max(b.limits.Window/extraSlots, time.Millisecond)
+	slot := now.UnixNano() / int64(width)
+	n := int64(len(b.extras))
+	if slot-b.slot >= n || slot < b.slot-n {
+		b.requests, b.extras = [extraSlots + 1]int{}, [extraSlots + 1]int{}
+		b.slot = slot
+	}
+	for b.slot < slot {
+		b.slot++
+		b.requests[b.slot%n], b.extras[b.slot%n] = 0, 0
+	}
+	return int(b.slot % n)
+}
--- /dev/null
+++ b/targets/extra_test.go
@@ -0,0 +1,71 @@
+package targets
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against extra sends above the fleet's limit in some sliding window, with the constant part divided among
+// instances.
+func TestExtraBudgetHoldsInEverySlidingWindow(t *testing.T) {
+	const instances, window, ratio, constant = 9, 10 * time.Second, 0.2, 58.0
+	rng := rand.New(rand.NewPCG(1, 2))
+	var budgets []*ExtraBudget
+	for range instances {
+		budgets = append(budgets, NewExtraBudget(ExtraLimits{Window: window, Ratio: ratio, Constant: constant / instances}))
+	}
+	type send struct {
+		at    time.Time
+		extra bool
+	}
+	var sends []send
+	now := time.Unix(1000, 0)
+	for range 20000 {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(5*time.Millisecond)))
+		b := budgets[rng.IntN(instances)]
+		b.Request(now)
+		sends = append(sends, send{now, false})
+		for range 3 { // far more than is allowed
+			if b.TakeRetry(now) {
+				sends = append(sends, send{now, true})
+			}
+		}
+	}
+	from, requests, extras, total := 0, 0, 0, 0
+	for _, s := range sends {
+		for sends[from].at.Before(s.at.Add(-window)) {
+			if sends[from].extra {
+				extras--
+			} else {
+				requests--
+			}
+			from++
+		}
+		if s.extra {
+			extras++
+			total++
+		} else {
+			requests++
+		}
+		if float64(extras) > ratio*float64(requests)+constant {
+			t.Fatalf("%d extra sends for %d requests in the window that ends at %v", extras, requests, s.at)
+		}
+	}
+	if allowed := ratio * 20000; float64(total) < 0.8*allowed {
+		t.Errorf("only %d of %v extra sends were allowed", total, allowed)
+	}
+}
+
+// Guards against hedges that leave nothing for the retry of a lost part.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	b := NewExtraBudget(ExtraLimits{Window: 10 * time.Second, Constant: 10})
+	now := time.Unix(1000, 0)
+	hedges := 0
+	for b.TakeHedge(now) {
+		hedges++
+	}
+	if hedges != 7 || !b.TakeRetry(now) {
+		t.Errorf("%d hedges, then no retry", hedges)
+	}
+}
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -12,6 +12,12 @@
 	trip        atomic.Int64 // nanoseconds, shortest connect time seen, slowly rising
 	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
 	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
+	silences    atomic.Int64 // sends in a row that ended without a sign of life
+	avoidUntil  atomic.Int64 // Unix nanoseconds
+	waitingFor  atomic.Int64 // when the oldest send without a later sign of life left, in Unix nanoseconds; 0: none
+	reported    atomic.Int64 // requests that the target said it runs or queues
+	reportedAt  atomic.Int64 // in Unix nanoseconds
+	coldNext    atomic.Int64 // when the next request may go to the cold target, in Unix nanoseconds
 }
 
 const (
@@ -55,8 +61,8 @@
 	}
 }
 
-// finishCancelled ends a request whose latency is only known to exceed elapsed.
-func (g *Gauge) finishCancelled(elapsed time.Duration) {
+// FinishCancelled ends a request whose latency is only known to exceed elapsed.
+func (g *Gauge) FinishCancelled(elapsed time.Duration) {
 	if elapsed <= g.Latency() {
 		elapsed = 0
 	}
--- a/targets/message.go
+++ b/targets/message.go
@@ -41,7 +41,7 @@
 		l.Target.Gauge.Finish(elapsed)
 		l.tail.observe(elapsed, false)
 	case Cancelled:
-		l.Target.Gauge.finishCancelled(elapsed)
+		l.Target.Gauge.FinishCancelled(elapsed)
 		l.tail.observe(elapsed, true)
 	default:
 		l.Target.Gauge.Finish(0)
--- /dev/null
+++ b/targets/silence.go
@@ -0,0 +1,88 @@
+package targets
+
+import "time"
+
+const (
+	// A target that gave no sign of life is avoided for minAvoid, twice as long after each further silence, and at
+	// most for maxAvoid: long enough to pass over a pause of some 100 ms, short enough to notice a restart.
+	minAvoid = 200 * time.Millisecond
+	maxAvoid = 1600 * time.Millisecond
+	// silenceFactor is the multiple of a target's usual latency after which no sign of life means trouble.
+	silenceFactor = 4
+	// minSilence is the shortest time that counts as silence; shorter ones are seen at loaded targets too.
+	minSilence = 40 * time.Millisecond
+	// reportLife is how long a reported load is used.
+	reportLife = 300 * time.Millisecond
+)
+
+// Sent notes that a request left for the target.
+func (g *Gauge) Sent(now time.Time) { g.waitingFor.CompareAndSwap(0, now.UnixNano()) }
+
+// Heard notes a sign of life: a reply of any kind.
+func (g *Gauge) Heard(now time.Time) {
+	g.silences.Store(0)
+	g.avoidUntil.Store(0)
+	if g.Outstanding() > 1 {
+		g.waitingFor.Store(now.UnixNano())
+		return
+	}
+	g.waitingFor.Store(0)
+}
+
+// Lost notes that a request which left at sent ended without a reply. The target is avoided for a while if it was
+// silent for longer than usual, or broke the connection.
+func (g *Gauge) Lost(sent, now time.Time, broke bool) {
+	if g.Outstanding() <= 1 {
+		g.waitingFor.Store(0)
+	}
+	if !broke && now.Sub(sent) < g.silenceLimit() {
+		return
+	}
+	n := min(g.silences.Add(1), 8)
+	g.avoidUntil.Store(now.Add(min(minAvoid<<(n-1), maxAvoid)).UnixNano())
+}
+
+func (g *Gauge) silenceLimit() time.Duration { return max(silenceFactor*g.Latency(), minSilence) }
+
+// Avoided reports whether other targets should be used at present.
+func (g *Gauge) Avoided(now time.Time) bool {
+	if now.UnixNano() < g.avoidUntil.Load() {
+		return true
+	}
+	if g.silences.Load() > 0 && g.Outstanding() > 0 {
+		return true // one request at a time tries it again
+	}
+	since := g.waitingFor.Load()
+	return since != 0 && now.UnixNano()-since > int64(g.silenceLimit())
+}
+
+// Report notes the load that the target told.
+func (g *Gauge) Report(runningAndWaiting int, now time.Time) {
+	g.reported.Store(int64(runningAndWaiting))
+	g.reportedAt.Store(now.UnixNano())
+}
+
+// Load returns the requests at the target as far as this instance knows.
+func (g *Gauge) Load(now time.Time) int {
+	own := g.Outstanding()
+	if now.UnixNano()-g.reportedAt.Load() > int64(reportLife) {
+		return own
+	}
+	return max(own, int(g.reported.Load()))
+}
+
+// takeCold spends one request of the rate that a cold target gets and reports whether there was one.
+func (g *Gauge) takeCold(rate float64, now time.Time) bool {
+	if rate <= 0 {
+		return true
+	}
+	for {
+		next := g.coldNext.Load()
+		if now.UnixNano() < next {
+			return false
+		}
+		if g.coldNext.CompareAndSwap(next, now.UnixNano()+int64(float64(time.Second)/rate)) {
+			return true
+		}
+	}
+}
--- a/targets/tail.go
+++ b/targets/tail.go
@@ -56,6 +56,9 @@
 // Quantile returns the estimated quantile of recent latency, zero before the first sample.
 func (t *Tail) Quantile() time.Duration { return time.Duration(t.quantile.Load()) }
 
+// Observe takes the latency of a send, or with cancelled a time that the latency exceeds.
+func (t *Tail) Observe(elapsed time.Duration, cancelled bool) { t.observe(elapsed, cancelled) }
+
 // observe moves the estimate up by the quantile's complement or down by the quantile, which balances where the
 // quantile lies. Only the comparison matters, so a cancelled leg counts when it ran longer than the estimate.
 func (t *Tail) observe(elapsed time.Duration, cancelled bool) {
--- a/targets/view.go
+++ b/targets/view.go
@@ -15,6 +15,10 @@
 	Incarnation string
 	// Limit is how many requests this instance may have outstanding at the target.
 	Limit int
+	// Slots is how many requests the target runs at a time, 0 if it is not known.
+	Slots int
+	// ColdRate is how many requests a second this instance may send to the target while it is cold, 0 if it is not.
+	ColdRate float64
 	// Load is the reported part of slots in use, from 0 to 1. It may lag or mislead.
 	Load  float64
 	Gauge *Gauge
--- /dev/null
+++ b/traffic/forward.go
@@ -0,0 +1,502 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/targets"
+)
+
+// Request is a caller's request that is forwarded by the routing. Method, target, header and body are passed on
+// unchanged.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path and query as the caller sent them, Path the part that routes are matched with.
+	Target, Path string
+	Host         string
+	// Header holds the end-to-end fields, without those that this system sets or consumes.
+	Header map[string][]string
+	Body   []byte
+	// Key is the caller's credential, empty if there is none. It is not passed on.
+	Key string
+	// Received is when the request had arrived; the caller waits until Deadline.
+	Received, Deadline time.Time
+}
+
+// LegRequest is a request on its way to one target.
+type LegRequest struct {
+	*Request
+	// Organisation is whom the request runs for, empty if nobody.
+	Organisation string
+	Target       *targets.Target
+	// Deadline is when the target must stop.
+	Deadline time.Time
+	// Permit is asked right before the request is sent: the process may have been suspended since the decision.
+	Permit func(now time.Time) bool
+}
+
+// LegReply is what came of a LegRequest.
+type LegReply struct {
+	Outcome targets.LegOutcome
+	// Reason says more about the outcome, for logs.
+	Reason string
+	Status int
+	Header map[string][]string
+	Body   []byte
+	// Signature is the target's stamp on its reply.
+	Signature string
+	// Load is the number of requests at the target, -1 if it did not say.
+	Load int
+	// ColdFor is how long the target stays cold, 0 if it is not or did not say.
+	ColdFor time.Duration
+	// Refused says that the target refused the connection, Broke that it ended one, Misdirected that another
+	// target has the address.
+	Refused, Broke, Misdirected bool
+}
+
+// Success reports whether the target answered with success.
+func (r *LegReply) Success() bool { return r.Status >= 200 && r.Status < 300 }
+
+// LegSender sends requests to targets. Send returns when the reply is complete, the request failed or ctx ended.
+type LegSender interface {
+	Send(ctx context.Context, l LegRequest) LegReply
+}
+
+// Gathered is an answer that was put together from parts.
+type Gathered struct {
+	// Signatures are those of the parts that are in, Missing counts the others.
+	Signatures []string
+	Missing    int
+	Body       []byte
+}
+
+// Answer to a forwarded request: exactly one field is set.
+type Delivered struct {
+	Reply    *LegReply
+	Gathered *Gathered
+	Refusal  *caller.Refusal
+}
+
+// RoutingLoop is what traffic needs of the control loop.
+type RoutingLoop interface {
+	Snapshot() *routing.Snapshot
+	Post(routing.Event) bool
+}
+
+// ForwarderSettings are the settings of a Forwarder.
+type ForwarderSettings struct {
+	Zone string
+	// AnswerMargin is how long before a route's objective a gathered answer leaves: the way to the caller and the
+	// connection that it may have had to open.
+	AnswerMargin time.Duration
+	// ReplyMargin is how long before the deadline the final answer leaves.
+	ReplyMargin time.Duration
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	settings ForwarderSettings
+	loop     RoutingLoop
+	sender   LegSender
+	log      Recorder
+	tails    sync.Map // *targets.Tail by name of the route
+}
+
+// NewForwarder returns a forwarder that reports each request to log.
+func NewForwarder(s ForwarderSettings, l RoutingLoop, sender LegSender, log Recorder) *Forwarder {
+	return &Forwarder{settings: s, loop: l, sender: sender, log: log}
+}
+
+// The times after which refused callers are asked to come back.
+const (
+	// configureRetry is about the time in which an instance that just started learns the routing.
+	configureRetry = 300 * time.Millisecond
+	// targetRetry is about the time in which a target comes back or a replacement is known.
+	targetRetry = 250 * time.Millisecond
+	// shedRetry is about the time in which a full queue of a target empties.
+	shedRetry = 100 * time.Millisecond
+)
+
+// Forward runs a request and returns its answer. It returns early when ctx ends, which means that the caller left.
+func (f *Forwarder) Forward(ctx context.Context, r *Request) Delivered {
+	record := &Record{ID: r.ID, Received: r.Received}
+	delivered := f.forward(ctx, r, record)
+	record.finish(delivered, ctx.Err() != nil, time.Now())
+	f.log.Record(record)
+	return delivered
+}
+
+func refuse(r *caller.Refusal) Delivered { return Delivered{Refusal: r} }
+
+func (f *Forwarder) forward(ctx context.Context, r *Request, record *Record) Delivered {
+	now := time.Now()
+	s := f.loop.Snapshot()
+	if s.Routing == nil {
+		return refuse(caller.Refuse(caller.CodeNotConfigured, configureRetry, "no routing is known yet"))
+	}
+	record.Version, record.Revision = s.Routing.Version, s.Revision
+	route := s.Routing.Match(r.Host, r.Path)
+	if route == nil {
+		return refuse(caller.Refuse(caller.CodeUnknownService, 0, "no route for this host and path"))
+	}
+	record.Route = route.Name
+	account, refusal := identify(s.Routing, route, r.Key)
+	if refusal != nil {
+		return refuse(refusal)
+	}
+	organisation := ""
+	if account != nil {
+		organisation = account.Name
+	}
+	record.Organisation = organisation
+	fingerprint := targets.FingerprintOf(route.Name, r.Method+" "+r.Target+"\x00"+organisation+"\x00"+string(r.Body))
+	if until, refused := s.Refused[fingerprint]; refused && now.Before(until) {
+		return refuse(caller.Refuse(caller.CodeQuarantined, until.Sub(now), "the request crashes targets"))
+	}
+	deadline := r.Deadline
+	if limit := r.Received.Add(route.Timeout); route.Timeout > 0 && limit.Before(deadline) {
+		deadline = limit
+	}
+	deadline = deadline.Add(-f.settings.ReplyMargin)
+	if !now.Before(deadline) {
+		return refuse(caller.Refuse(caller.CodeDeadline, 0, "the deadline has passed"))
+	}
+	if gate := s.Gates[organisation]; gate != nil && account != nil {
+		if ok, after := gate.Take(now); !ok {
+			return refuse(caller.Refuse(caller.CodeRateLimited, after, "the organisation is above its rate"))
+		}
+	}
+	d := &delivery{
+		f: f, ctx: ctx, request: r, route: route, organisation: organisation, snapshot: s, deadline: deadline,
+		fingerprint: fingerprint, record: record,
+	}
+	return d.run(now)
+}
+
+// identify returns the organisation that a request runs for, nil if nobody.
+func identify(r *document.Routing, route *document.Route, key string) (*document.Account, *caller.Refusal) {
+	if !r.Keyed() {
+		return nil, nil
+	}
+	var account *document.Account
+	if key != "" {
+		account = r.Account(caller.Digest(key))
+	}
+	switch {
+	case account != nil || route.Open:
+		return account, nil
+	case key == "":
+		return nil, caller.Refuse(caller.CodeUnauthenticated, 0, "the route needs a key")
+	}
+	return nil, caller.Refuse(caller.CodeUnauthenticated, 0, "the key is not valid")
+}
+
+func (f *Forwarder) tail(route string) *targets.Tail {
+	if t, ok := f.tails.Load(route); ok {
+		return t.(*targets.Tail)
+	}
+	t, _ := f.tails.LoadOrStore(route, targets.NewTail(targets.DefaultPolicy()))
+	return t.(*targets.Tail)
+}
+
+// delivery is one request under way. It belongs to the request's goroutine; its legs run on goroutines of their own
+// and report through ended.
+type delivery struct {
+	f            *Forwarder
+	ctx          context.Context
+	request      *Request
+	route        *document.Route
+	organisation string
+	snapshot     *routing.Snapshot
+	deadline     time.Time
+	fingerprint  targets.Fingerprint
+	record       *Record
+
+	tail    *targets.Tail
+	ended   chan legEnd
+	cancels map[int]context.CancelFunc
+	replies map[int]*LegReply
+	shed    bool
+	// stamps are the signatures of the parts that are in.
+	stamps map[string]bool
+}
+
+type legEnd struct {
+	attempt int
+	reply   LegReply
+}
+
+// hedgePart divides the objective to get the longest time after which a second target is asked.
+const hedgePart = 3
+
+func (d *delivery) run(now time.Time) Delivered {
+	services := d.route.Shards
+	if !d.route.Gathers() {
+		services = []string{d.route.Pick(rand.Float64())}
+	}
+	for _, s := range services {
+		d.snapshot.Extra(s).Request(now)
+	}
+	d.record.Parts = len(services)
+	d.tail = d.f.tail(d.route.Name)
+	d.cancels, d.replies, d.stamps = map[int]context.CancelFunc{}, map[int]*LegReply{}, map[string]bool{}
+	objective := d.route.Objective
+	if objective <= 0 {
+		objective = d.deadline.Sub(d.request.Received)
+	}
+	machine, ready := targets.NewDispatch(targets.DispatchPlan{
+		Services: services, Gather: d.route.Gathers(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
+		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: d.request.Received.Add(objective - d.f.settings.AnswerMargin),
+		Tail: d.tail, MaxHedgeDelay: objective / hedgePart, Directory: newest{d.f.loop}, Zone: d.f.settings.Zone,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, now)
+	d.ended = make(chan legEnd, len(services)*legsPerPart)
+	defer d.cancelAll()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !ready.Done {
+		for _, attempt := range ready.Cancel {
+			d.cancel(attempt)
+		}
+		for _, s := range ready.Send {
+			d.send(s)
+		}
+		timer.Reset(time.Until(ready.Wake))
+		var ended []targets.LegEnded
+		select {
+		case e := <-d.ended:
+			ended = d.take(e)
+		case <-timer.C:
+		case <-d.ctx.Done():
+			return refuse(&caller.Refusal{Code: caller.CodeOutcomeUnknown, Ran: caller.RanUnknown, Message: "the caller left"})
+		}
+		ready = machine.Step(ended, time.Now())
+	}
+	return d.answer(machine)
+}
+
+// legsPerPart bounds the sends of one part; the channel of their ends never blocks.
+const legsPerPart = 16
+
+// newest is the directory that always reads the newest snapshot.
+type newest struct{ loop RoutingLoop }
+
+// Candidates returns the targets that may get new requests of the service.
+func (n newest) Candidates(service string) []*targets.Target {
+	return n.loop.Snapshot().Candidates(service)
+}
+
+// Extra returns the budget of extra sends of the service.
+func (n newest) Extra(service string) *targets.ExtraBudget { return n.loop.Snapshot().Extra(service) }
+
+// take collects the ends of sends that are there.
+func (d *delivery) take(e legEnd) []targets.LegEnded {
+	var out []targets.LegEnded
+	for {
+		out = append(out, d.judge(e))
+		select {
+		case e = <-d.ended:
+		default:
+			return out
+		}
+	}
+}
+
+// judge decides what a reply is worth to this request.
+func (d *delivery) judge(e legEnd) targets.LegEnded {
+	reply := &e.reply
+	if cancel := d.cancels[e.attempt]; cancel != nil {
+		cancel()
+		delete(d.cancels, e.attempt)
+	}
+	outcome := reply.Outcome
+	if outcome == targets.LegReplied && d.route.Gathers() {
+		switch {
+		case !reply.Success():
+			outcome = targets.LegFailed
+		case reply.Signature == "" || d.stamps[reply.Signature]:
+			outcome, reply.Reason = targets.LegBroken, "duplicate or missing signature"
+		default:
+			d.stamps[reply.Signature] = true
+		}
+	}
+	if outcome == targets.LegNotRun {
+		d.shed = true
+	}
+	d.replies[e.attempt] = reply
+	d.record.end(e.attempt, outcome, reply.Reason, time.Now())
+	return targets.LegEnded{Attempt: e.attempt, Outcome: outcome}
+}
+
+func (d *delivery) cancel(attempt int) {
+	if cancel := d.cancels[attempt]; cancel != nil {
+		cancel()
+		delete(d.cancels, attempt)
+		d.record.end(attempt, cancelledLeg, "", time.Now())
+	}
+}
+
+func (d *delivery) cancelAll() {
+	for attempt := range d.cancels {
+		d.cancel(attempt)
+	}
+}
+
+func (d *delivery) send(s targets.Send) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.cancels[s.Attempt] = cancel
+	d.record.send(s, time.Now())
+	go d.leg(ctx, s)
+}
+
+// leg runs one send and reports what it showed about the target.
+func (d *delivery) leg(ctx context.Context, s targets.Send) {
+	g := s.Target.Gauge
+	sent := time.Now()
+	g.Sent(sent)
+	reply := d.f.sender.Send(ctx, LegRequest{
+		Request: d.request, Organisation: d.organisation, Target: s.Target, Deadline: d.deadline, Permit: d.permit(s),
+	})
+	now := time.Now()
+	elapsed := now.Sub(sent)
+	if reply.Load >= 0 && reply.Outcome != targets.LegBroken {
+		g.Report(reply.Load, now)
+	}
+	switch {
+	case reply.Outcome == targets.LegReplied:
+		g.Heard(now)
+		g.Finish(elapsed)
+		d.tail.Observe(elapsed, false)
+	case reply.Outcome == targets.LegFailed || reply.Outcome == targets.LegNotRun:
+		g.Heard(now)
+		g.Finish(0)
+	case ctx.Err() != nil:
+		g.Lost(sent, now, false)
+		g.FinishCancelled(elapsed)
+		d.tail.Observe(elapsed, true)
+	case reply.Reason == ReasonNotPermitted:
+		g.Finish(0)
+	default:
+		g.Lost(sent, now, true)
+		g.Finish(0)
+	}
+	d.report(s, &reply)
+	d.ended <- legEnd{attempt: s.Attempt, reply: reply}
+}
+
+// report tells control what a reply shows about the target.
+func (d *delivery) report(s targets.Send, reply *LegReply) {
+	switch {
+	case reply.Refused:
+		d.f.loop.Post(routing.TargetRefused{Target: s.Target.ID})
+	case reply.Broke:
+		d.f.loop.Post(routing.TargetBroke{Target: s.Target.ID, Fingerprint: d.fingerprint})
+	case reply.Misdirected:
+		d.f.loop.Post(routing.TargetMisdirected{Target: s.Target.ID})
+	}
+	if reply.ColdFor > 0 {
+		d.f.loop.Post(routing.TargetCold{Target: s.Target.ID, For: reply.ColdFor})
+	}
+}
+
+// ReasonNotPermitted is the reason of a send that Permit refused.
+const ReasonNotPermitted = "not permitted any more"
+
+// oldRouting is for how long after its arrival a request may still be sent as a replaced routing said.
+const oldRouting = time.Second
+
+// permit returns the check right before a send: the deadline, that the target may still get requests, and that the
+// routing still sends the request to its service.
+func (d *delivery) permit(s targets.Send) func(time.Time) bool {
+	return func(now time.Time) bool {
+		if !now.Before(d.deadline) {
+			return false
+		}
+		newest := d.f.loop.Snapshot()
+		if newest == d.snapshot {
+			return true
+		}
+		usable := slices.ContainsFunc(newest.Candidates(s.Target.Service), func(t *targets.Target) bool {
+			return t.ID == s.Target.ID
+		})
+		if now.Sub(d.request.Received) < oldRouting {
+			return usable || newest.Services[s.Target.Service] == nil
+		}
+		route := newest.Routing.Match(d.request.Host, d.request.Path)
+		if !usable || route == nil || !route.Allows(s.Target.Service) {
+			return false
+		}
+		account, refusal := identify(newest.Routing, route, d.request.Key)
+		return refusal == nil && (account == nil) == (d.organisation == "") && (account == nil || account.Name == d.organisation)
+	}
+}
+
+// answer puts the answer together from what came of the parts.
+func (d *delivery) answer(m *targets.Dispatch) Delivered {
+	results := m.Results()
+	mayHaveRun := false
+	for _, r := range results {
+		mayHaveRun = mayHaveRun || r.MayHaveRun
+	}
+	if d.route.Gathers() {
+		if g := d.gather(results); m.Covers(len(g.Signatures)) {
+			d.record.Covered = len(g.Signatures)
+			return Delivered{Gathered: g}
+		}
+		return d.refusal(mayHaveRun)
+	}
+	if reply := d.replies[results[0].Reply]; reply != nil {
+		d.record.Covered = 1
+		if promisesNotRun(reply.Status) {
+			// The target ran the request, so its status must not be passed on.
+			return d.refusal(true)
+		}
+		return Delivered{Reply: reply}
+	}
+	if reply := d.replies[results[0].Failure]; reply != nil && !promisesNotRun(reply.Status) {
+		return Delivered{Reply: reply}
+	}
+	return d.refusal(mayHaveRun)
+}
+
+// promisesNotRun reports whether callers take a status as the promise that the request did not run.
+func promisesNotRun(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+func (d *delivery) gather(results []targets.PartResult) *Gathered {
+	g := &Gathered{}
+	var parts [][]byte
+	for _, r := range results {
+		reply := d.replies[r.Reply]
+		if reply == nil {
+			g.Missing++
+			continue
+		}
+		g.Signatures = append(g.Signatures, reply.Signature)
+		parts = append(parts, reply.Body)
+	}
+	g.Body = targets.GreatestRecords(parts, d.route.Records)
+	return g
+}
+
+func (d *delivery) refusal(mayHaveRun bool) Delivered {
+	late := !time.Now().Before(d.deadline)
+	r := &caller.Refusal{Ran: caller.RanNo, Code: caller.CodeNoTarget, RetryAfter: targetRetry, Message: "no target took the request"}
+	switch {
+	case mayHaveRun && late:
+		r = &caller.Refusal{Ran: caller.RanUnknown, Code: caller.CodeDeadline, Message: "no answer in time"}
+	case mayHaveRun:
+		r = &caller.Refusal{Ran: caller.RanUnknown, Code: caller.CodeOutcomeUnknown, Message: "targets failed"}
+	case d.shed:
+		r.Code, r.RetryAfter, r.Message = caller.CodeOverloaded, shedRetry, "all targets are full"
+	}
+	return Delivered{Refusal: r}
+}
