--- a/routing/shares.go
+++ b/routing/shares.go
@@ -14,7 +14,10 @@
 const (
 	// demandWeight is the part of one sample in the mean demand; with shareInterval it follows a change within a
 	// second.
-	demandWeight = 0.3
+	demandWeight = 0.25
+	// demandLag is how many divisions old the own demand is when it is compared with that of others, which took
+	// two rounds of gossip. Were it newer, a surge at all instances would give each too large a part.
+	demandLag = 2
 	// evenPart is the part of a rate that is divided evenly among the instances, whatever the demand, so that one
 	// whose demand begins can admit at once.
 	evenPart = 0.15
@@ -23,6 +26,19 @@
 	// toleratedPart is the part of the stated tolerance that is used. The rest covers demand that moves faster
 	// than it is told.
 	toleratedPart = 0.4
+	// calmPart is the part of its rate below which an organisation's demand counts as calm. Its requests then come
+	// at single instances by chance more often than the parts of the rate allow.
+	calmPart = 0.85
+	// staleDemand is after how long without a beat a member's demand is too old to give others a larger part. Beats
+	// usually come within three rounds of gossip.
+	staleDemand = 1200 * time.Millisecond
+	// calmWindow is the time in which the slack may be used up by a demand that still counts as calm.
+	calmWindow = 5 * time.Second
+	// sparePart is the part of the slack that calm organisations get besides, in each spareTime.
+	sparePart = 0.9
+	// spareTime is the time in which calm organisations may use up the stated slack: the demand of an organisation
+	// that is not calm any more is known everywhere within it.
+	spareTime = time.Second
 )
 
 // divide gives this instance its part of each organisation's rate, in proportion to the demand that the instances
@@ -40,13 +56,14 @@
 	if len(others) == 0 {
 		instances = assumedInstances
 	}
+	silent := len(s.gossip.Heard(now, staleDemand)) < len(others)
 	known := map[string]bool{}
 	for i := range s.routing.Accounts {
 		a := &s.routing.Accounts[i]
 		known[a.Name] = true
 		g := s.gates[a.Name]
 		if g == nil {
-			g = &gateState{gate: caller.NewGate(s.gateLimits(a, 1/float64(instances), instances), now)}
+			g = &gateState{gate: caller.NewGate(s.gateLimits(a, 1/float64(instances), instances, false), now)}
 			s.gates[a.Name] = g
 			s.changed = true
 		}
@@ -56,12 +73,20 @@
 			g.demand += demandWeight * (sample - g.demand)
 		}
 		g.asked = asked
-		total := g.demand
+		own := g.remember()
+		total := own
 		for _, b := range others {
 			total += b.Demand[a.Name]
 		}
-		g.share = share(g.demand, total, instances)
-		if l := s.gateLimits(a, g.share, instances); l != g.limits {
+		next := share(own, total, instances)
+		if silent {
+			// A member that cannot be heard goes on spending its part, and what is known of its demand is old.
+			next = min(next, max(g.agreed, evenPart/float64(instances)))
+		} else {
+			g.agreed = next
+		}
+		g.share = next
+		if l := s.gateLimits(a, g.share, instances, !silent && total <= s.calm(a)); l != g.limits {
 			g.limits = l
 			g.gate.SetLimits(l, now)
 		}
@@ -80,6 +105,19 @@
 	}
 }
 
+// remember notes the demand and returns the one of demandLag divisions ago.
+func (g *gateState) remember() float64 {
+	old := g.history[0]
+	copy(g.history[:], g.history[1:])
+	g.history[demandLag-1] = g.demand
+	return old
+}
+
+// calm returns the demand up to which an organisation counts as calm.
+func (s *State) calm(a *document.Account) float64 {
+	return calmPart*a.Rate + s.id.Bounds.RateSlack*toleratedPart/calmWindow.Seconds()
+}
+
 // share returns this instance's part of a rate.
 func share(own, total float64, instances int) float64 {
 	even := 1 / float64(instances)
@@ -90,13 +128,21 @@
 }
 
 // gateLimits returns the limits of a part of an organisation's rate, with the tolerance of the bounds.
-func (s *State) gateLimits(a *document.Account, part float64, instances int) caller.GateLimits {
+// While the organisation is calm they are wider by this instance's part of the slack.
+func (s *State) gateLimits(a *document.Account, part float64, instances int, calm bool) caller.GateLimits {
 	if a.Rate <= 0 {
 		return caller.GateLimits{}
 	}
 	over := 1 + s.id.Bounds.RateOverage*toleratedPart
-	burst := a.Burst*part*over + s.id.Bounds.RateSlack*toleratedPart/float64(instances)
-	return caller.GateLimits{Limited: true, Rate: round(a.Rate * part * over), Burst: round(max(burst, 1))}
+	slack := s.id.Bounds.RateSlack * toleratedPart / float64(instances)
+	l := caller.GateLimits{Limited: true, Rate: a.Rate * part * over, Burst: a.Burst*part*over + slack}
+	if calm {
+		spare := s.id.Bounds.RateSlack * sparePart / float64(instances)
+		l.Rate += spare / spareTime.Seconds()
+		l.Burst += spare
+	}
+	l.Rate, l.Burst = round(l.Rate), round(max(l.Burst, 1))
+	return l
 }
 
 // round keeps limits from changing with every small change of demand.
--- /dev/null
+++ b/routing/shares_test.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/document"
+)
+
+// rateFleet runs the gates of some instances on a virtual clock, with beats that come late.
+type rateFleet struct {
+	now    time.Time
+	states []*State
+	heard  time.Time
+	cut    func(a, b int) bool
+}
+
+const rateOrganisation = "o"
+
+func newRateFleet(t *testing.T, n int, rate, burst float64, b Bounds) *rateFleet {
+	t.Helper()
+	f := &rateFleet{now: time.Unix(1000, 0), cut: func(int, int) bool { return false }}
+	r := &document.Routing{Version: 1, Accounts: []document.Account{{Organisation: document.Organisation{
+		Name: rateOrganisation, Rate: rate, Burst: burst,
+	}}}}
+	if err := r.Index(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range n {
+		id := string(rune('a' + i))
+		s := NewState(Identity{ID: id, Zone: "z", Address: id, Bounds: b}, rand.New(rand.NewPCG(uint64(i), 1)), f.now)
+		s.Step(StoreRead{Update: Update{Full: true, Upto: 1, Changes: []Change{{Kind: KindRouting, Revision: 1, Routing: r}}}}, f.now)
+		f.states = append(f.states, s)
+	}
+	return f
+}
+
+// advance lets time pass. Beats take half a second, two rounds of gossip.
+func (f *rateFleet) advance(d time.Duration) {
+	f.now = f.now.Add(d)
+	if f.now.Sub(f.heard) >= 500*time.Millisecond {
+		f.heard = f.now
+		for i, s := range f.states {
+			for j, o := range f.states {
+				if i != j && !f.cut(i, j) {
+					beats := o.gossip.Beats(f.now)
+					beats[0].Count += uint64(f.now.UnixMilli())
+					s.gossip.Hear(beats, f.now)
+				}
+			}
+		}
+	}
+	for _, s := range f.states {
+		s.Step(Tick{}, f.now)
+	}
+}
+
+func (f *rateFleet) take(i int) bool {
+	ok, _ := f.states[i].gates[rateOrganisation].gate.Take(f.now)
+	return ok
+}
+
+var rateBounds = Bounds{RateOverage: 0.25, RateSlack: 20, ExtraWindow: 10 * time.Second}
+
+// Guards against requests within an organisation's rate that are refused because they come at single instances by
+// chance: a small organisation at 60% of its rate, spread over nine instances.
+func TestCalmOrganisationIsNotRefused(t *testing.T) {
+	for _, rate := range []float64{2, 5, 20, 60} {
+		f := newRateFleet(t, 9, rate, rate, rateBounds)
+		rng := rand.New(rand.NewPCG(5, 6))
+		for range 200 {
+			f.advance(20 * time.Millisecond)
+		}
+		asked, refused := 0, 0
+		for range 6000 {
+			f.advance(10 * time.Millisecond)
+			if rng.Float64() < 0.6*rate/100 {
+				asked++
+				if !f.take(rng.IntN(9)) {
+					refused++
+				}
+			}
+		}
+		t.Logf("rate %v: %d of %d refused", rate, refused, asked)
+		if float64(refused) > 0.02*float64(asked) {
+			t.Errorf("rate %v: %d of %d refused at 60%% of the rate", rate, refused, asked)
+		}
+	}
+}
+
+// Guards against an organisation at several times its rate that gets more than the tolerated number in some five
+// seconds, also when it surges from calm, and when one instance is cut off meanwhile.
+func TestSurgeStaysWithinTheTolerance(t *testing.T) {
+	const window = 5 * time.Second
+	for _, c := range []struct {
+		name  string
+		rate  float64
+		surge float64
+		cut   bool
+	}{
+		{"small", 3, 8, false}, {"middle", 12, 8, false}, {"large", 41, 8, false}, {"huge", 200, 4, false},
+		{"cut", 41, 8, true}, {"middle, cut", 12, 8, true},
+	} {
+		f := newRateFleet(t, 9, c.rate, c.rate, rateBounds)
+		rng := rand.New(rand.NewPCG(7, 8))
+		var admitted []time.Time
+		start := f.now
+		for f.now.Sub(start) < 24*time.Second {
+			f.advance(5 * time.Millisecond)
+			at := f.now.Sub(start)
+			demand := 0.6 * c.rate
+			if at > 8*time.Second && at < 18*time.Second {
+				demand *= c.surge
+			}
+			if c.cut && at > 7*time.Second {
+				f.cut = func(a, b int) bool { return a == 0 || b == 0 }
+			}
+			for n := demand * 0.005; n > rng.Float64(); n-- {
+				if f.take(rng.IntN(9)) {
+					admitted = append(admitted, f.now)
+				}
+			}
+		}
+		limit := (c.rate*window.Seconds()+c.rate)*(1+rateBounds.RateOverage) + rateBounds.RateSlack
+		most, from := 0, 0
+		for i, at := range admitted {
+			for admitted[from].Before(at.Add(-window)) {
+				from++
+			}
+			most = max(most, i-from+1)
+		}
+		t.Logf("%s: at most %d in %v, limit %.0f", c.name, most, window, limit)
+		if float64(most) > limit {
+			t.Errorf("%s: %d in %v, want at most %.0f", c.name, most, window, limit)
+		}
+	}
+}
+
+// Guards against a tolerance that is used although none is set.
+func TestNoToleranceByDefault(t *testing.T) {
+	f := newRateFleet(t, 4, 40, 20, Bounds{ExtraWindow: time.Second})
+	for range 50 {
+		f.advance(100 * time.Millisecond)
+	}
+	total := 0.0
+	for _, s := range f.states {
+		total += s.gates[rateOrganisation].limits.Rate
+	}
+	if total > 40.1 {
+		t.Errorf("the instances admit %v requests a second together, want 40", total)
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -81,7 +81,11 @@
 	gate   *caller.Gate
 	asked  int64
 	demand float64
-	share  float64
+	// history holds the demand at the last divisions, the oldest first.
+	history [demandLag]float64
+	share   float64
+	// agreed is the share when all members were last heard.
+	agreed float64
 	limits caller.GateLimits
 }
 
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -216,6 +216,9 @@
 	return g.within(now, countedFor)
 }
 
+// Heard returns the other instances that were heard of within a time.
+func (g *Gossip) Heard(now time.Time, limit time.Duration) []Beat { return g.within(now, limit) }
+
 func (g *Gossip) within(now time.Time, limit time.Duration) []Beat {
 	var out []Beat
 	for _, m := range g.members {
