--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -332,6 +332,9 @@
 	unknownLatency = 5 * time.Millisecond
 	// scoreSpread is the random part of a score. It keeps instances from all choosing the same target.
 	scoreSpread = 0.3
+	// faultCost is the time that a shed or failed send costs: its retry, and the budget that the retry takes from
+	// others.
+	faultCost = 200 * time.Millisecond
 	// zoneFactor is the advantage of targets in the own zone.
 	zoneFactor = 0.85
 )
@@ -349,6 +352,7 @@
 	if t.Zone == d.Zone {
 		score *= zoneFactor
 	}
+	score += faultCost.Seconds() * t.Gauge.Faults()
 	if t.Gauge.Avoided(now) {
 		score += avoidedScore
 	}
--- /dev/null
+++ b/targets/dispatch_test.go
@@ -0,0 +1,308 @@
+package targets
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// bench plays dispatches of one instance against targets on a virtual clock.
+type dispatchBench struct {
+	now      time.Time
+	rng      *rand.Rand
+	services map[string][]*Target
+	extras   map[string]*ExtraBudget
+	tail     *Tail
+	// reply says how a send to a target ends, and after what time; a negative time means never.
+	reply func(t *Target, now time.Time) (LegOutcome, time.Duration)
+	plan  DispatchPlan
+	sends map[string]int // by target
+}
+
+func (b *dispatchBench) Candidates(service string) []*Target { return b.services[service] }
+func (b *dispatchBench) Extra(service string) *ExtraBudget   { return b.extras[service] }
+
+func newDispatchBench(services, replicas int) *dispatchBench {
+	b := &dispatchBench{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), services: map[string][]*Target{}, extras: map[string]*ExtraBudget{},
+		tail: NewTail(DefaultPolicy()), sends: map[string]int{},
+	}
+	for i := range services {
+		s := fmt.Sprintf("s%02d", i)
+		for r := range replicas {
+			b.services[s] = append(b.services[s], &Target{ID: fmt.Sprintf("%s-%d", s, r), Service: s, Slots: 2, Limit: 4, Gauge: &Gauge{}})
+		}
+		b.extras[s] = NewExtraBudget(ExtraLimits{Window: 10 * time.Second, Ratio: 0.18, Constant: 6})
+		b.plan.Services = append(b.plan.Services, s)
+	}
+	b.plan.Gather, b.plan.MinCoverage, b.plan.Idempotent, b.plan.Attempts = services > 1, 0.89, true, 2
+	b.plan.Tail, b.plan.MaxHedgeDelay, b.plan.Directory, b.plan.Rand = b.tail, 40*time.Millisecond, b, b.rng
+	return b
+}
+
+type simEnd struct {
+	at       time.Time
+	dispatch int
+	send     Send
+	sent     time.Time
+	outcome  LegOutcome
+	cancel   bool
+}
+
+type simEnds []simEnd
+
+func (e simEnds) Len() int           { return len(e) }
+func (e simEnds) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e simEnds) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEnds) Push(x any)        { *e = append(*e, x.(simEnd)) }
+func (e *simEnds) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type played struct {
+	machine *Dispatch
+	began   time.Time
+	took    time.Duration
+	covered int
+	done    bool
+	open    map[int]Send
+	sentAt  map[int]time.Time
+	wake    time.Time
+}
+
+// play runs n requests, one each gap, and returns how they went.
+func (b *dispatchBench) play(n int, gap, objective, deadline time.Duration) []*played {
+	var all []*played
+	var ends simEnds
+	next := b.now
+	take := func(i int, ready DispatchReady) {
+		p := all[i]
+		for _, attempt := range ready.Cancel {
+			if s, ok := p.open[attempt]; ok {
+				delete(p.open, attempt)
+				s.Target.Gauge.Lost(p.sentAt[attempt], b.now, false)
+				s.Target.Gauge.FinishCancelled(b.now.Sub(p.sentAt[attempt]))
+				b.tail.Observe(b.now.Sub(p.sentAt[attempt]), true)
+			}
+		}
+		for _, s := range ready.Send {
+			p.open[s.Attempt], p.sentAt[s.Attempt] = s, b.now
+			b.sends[s.Target.ID]++
+			s.Target.Gauge.Sent(b.now)
+			if o, d := b.reply(s.Target, b.now); d >= 0 {
+				heap.Push(&ends, simEnd{at: b.now.Add(d), dispatch: i, send: s, sent: b.now, outcome: o})
+			}
+		}
+		p.wake = ready.Wake
+		if ready.Done {
+			p.done, p.took = true, b.now.Sub(p.began)
+			for _, r := range p.machine.Results() {
+				if r.Reply != 0 {
+					p.covered++
+				}
+			}
+		}
+	}
+	for {
+		at, what := time.Time{}, -2
+		if len(all) < n {
+			at, what = next, -1
+		}
+		if len(ends) > 0 && (at.IsZero() || ends[0].at.Before(at)) {
+			at, what = ends[0].at, -3
+		}
+		for i, p := range all {
+			if !p.done && (at.IsZero() || p.wake.Before(at)) {
+				at, what = p.wake, i
+			}
+		}
+		if at.IsZero() {
+			return all
+		}
+		b.now = at
+		switch what {
+		case -1:
+			for _, s := range b.plan.Services {
+				b.extras[s].Request(b.now)
+			}
+			plan := b.plan
+			plan.Deadline, plan.AnswerBy = b.now.Add(deadline), b.now.Add(objective)
+			p := &played{began: b.now, open: map[int]Send{}, sentAt: map[int]time.Time{}}
+			all = append(all, p)
+			machine, ready := NewDispatch(plan, b.now)
+			p.machine = machine
+			take(len(all)-1, ready)
+			next = b.now.Add(time.Duration(b.rng.ExpFloat64() * float64(gap)))
+		case -3:
+			e := heap.Pop(&ends).(simEnd)
+			p := all[e.dispatch]
+			if _, ok := p.open[e.send.Attempt]; !ok {
+				continue
+			}
+			delete(p.open, e.send.Attempt)
+			g := e.send.Target.Gauge
+			g.Fault(e.outcome != LegReplied)
+			if e.outcome == LegReplied {
+				g.Heard(b.now)
+				g.Finish(b.now.Sub(e.sent))
+				b.tail.Observe(b.now.Sub(e.sent), false)
+			} else {
+				g.Heard(b.now)
+				g.Finish(0)
+			}
+			take(e.dispatch, p.machine.Step([]LegEnded{{e.send.Attempt, e.outcome}}, b.now))
+		default:
+			take(what, all[what].machine.Step(nil, b.now))
+		}
+	}
+}
+
+func work(rng *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.6 + 0.8*rng.Float64()))
+}
+
+// inTime returns the part of the requests that were answered with enough parts within the objective.
+func inTime(all []*played, objective time.Duration, parts int) float64 {
+	n := 0
+	for _, p := range all {
+		if p.took <= objective+time.Millisecond && float64(p.covered) >= 0.89*float64(parts) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(all))
+}
+
+// The load pattern "shed across": every second target sheds 60% of its requests for the whole time, with its health
+// good. Guards against a budget of extra sends that is spent on targets known to shed, after which parts are lost.
+func TestTargetsThatShedArePassedOver(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	b.reply = func(x *Target, _ time.Time) (LegOutcome, time.Duration) {
+		if x.ID[len(x.ID)-1] == '0' && b.rng.Float64() < 0.6 {
+			return LegNotRun, 2 * time.Millisecond
+		}
+		return LegReplied, work(b.rng, 15*time.Millisecond)
+	}
+	all := b.play(600, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	if part := inTime(all, 105*time.Millisecond, 20); part < 0.97 {
+		t.Errorf("%.3f of the requests answered in time, want 0.97", part)
+	}
+}
+
+// The load pattern "pauses": each target stands still for 150 ms every 3.6 s. Guards against answers that wait for a
+// paused target while another one has the part.
+func TestPausesAreHedged(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	phase := map[string]time.Duration{}
+	for _, replicas := range b.services {
+		for _, x := range replicas {
+			phase[x.ID] = time.Duration(b.rng.Float64() * float64(3600*time.Millisecond))
+		}
+	}
+	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
+		into := (time.Duration(now.UnixNano()) + phase[x.ID]) % (3600 * time.Millisecond)
+		d := work(b.rng, 15*time.Millisecond)
+		if into < 150*time.Millisecond {
+			d += 150*time.Millisecond - into
+		}
+		return LegReplied, d
+	}
+	all := b.play(600, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	whole := 0
+	for _, p := range all[50:] {
+		if p.covered == 20 && p.took <= 106*time.Millisecond {
+			whole++
+		}
+	}
+	if part := float64(whole) / float64(len(all)-50); part < 0.97 {
+		t.Errorf("%.3f of the requests answered whole and in time, want 0.97", part)
+	}
+}
+
+// The load pattern "dark": one target of each of five services falls silent. Guards against requests that go on
+// waiting for targets which have shown no sign of life.
+func TestSilentTargetsAreAvoided(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
+		if now.Sub(time.Unix(1000, 0)) > 2*time.Second && x.ID[len(x.ID)-1] == '1' && x.Service < "s05" {
+			return LegBroken, -1
+		}
+		return LegReplied, work(b.rng, 15*time.Millisecond)
+	}
+	all := b.play(600, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	if part := inTime(all, 105*time.Millisecond, 20); part < 0.99 {
+		t.Errorf("%.3f of the requests answered in time, want 0.99", part)
+	}
+	silent := 0
+	for id, n := range b.sends {
+		if id[len(id)-1] == '1' && id < "s05" {
+			silent += n
+		}
+	}
+	if silent > 5*150 {
+		t.Errorf("%d sends to silent targets", silent)
+	}
+}
+
+// Guards against a change that is sent again although it may have run, and against one that is not tried elsewhere
+// although it surely did not run.
+func TestChangesAreSentAgainOnlyIfTheyDidNotRun(t *testing.T) {
+	for outcome, want := range map[LegOutcome]int{LegBroken: 1, LegFailed: 1, LegNotRun: 2, LegNotSent: 2} {
+		b := newDispatchBench(1, 3)
+		b.plan.Idempotent, b.plan.Gather = false, false
+		first := true
+		b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) {
+			if first {
+				first = false
+				return outcome, 5 * time.Millisecond
+			}
+			return LegReplied, 400 * time.Millisecond
+		}
+		all := b.play(1, time.Second, 500*time.Millisecond, 3*time.Second)
+		n := 0
+		for _, sends := range b.sends {
+			n += sends
+		}
+		if n != want {
+			t.Errorf("%s: %d sends, want %d", outcome, n, want)
+		}
+		if r := all[0].machine.Results()[0]; r.MayHaveRun != (outcome == LegBroken || outcome == LegFailed || r.Reply != 0) {
+			t.Errorf("%s: result %+v", outcome, r)
+		}
+	}
+}
+
+// Guards against a part that runs at more targets than its route allows.
+func TestAttemptsBoundTheTargetsThatRunAPart(t *testing.T) {
+	b := newDispatchBench(1, 5)
+	b.plan.Gather = false
+	b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) { return LegFailed, 3 * time.Millisecond }
+	b.play(20, 100*time.Millisecond, 100*time.Millisecond, 700*time.Millisecond)
+	b2 := newDispatchBench(1, 5)
+	b2.plan.Gather = false
+	b2.reply = func(*Target, time.Time) (LegOutcome, time.Duration) { return LegBroken, -1 }
+	all := b2.play(1, time.Second, 100*time.Millisecond, 700*time.Millisecond)
+	if ran := len(all[0].machine.parts[0].ran); ran > 2 {
+		t.Errorf("%d targets may have run the request, want at most 2", ran)
+	}
+	var ids []string
+	for id := range b2.sends {
+		ids = append(ids, id)
+	}
+	if slices.Sort(ids); len(ids) > 2 {
+		t.Errorf("sent to %v", ids)
+	}
+}
+
+// Guards against records out of order, lost duplicates and bytes that are no record.
+func TestGreatestRecords(t *testing.T) {
+	record := func(b byte) []byte { return slices.Repeat([]byte{b}, RecordSize) }
+	got := GreatestRecords([][]byte{append(append(record(1), record(9)...), 200, 200), record(9), nil, record(5)}, 3)
+	if want := slices.Concat(record(9), record(9), record(5)); !slices.Equal(got, want) {
+		t.Errorf("records %v", got)
+	}
+}
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -17,6 +17,7 @@
 	waitingFor  atomic.Int64 // when the oldest send without a later sign of life left, in Unix nanoseconds; 0: none
 	reported    atomic.Int64 // requests that the target said it runs or queues
 	reportedAt  atomic.Int64 // in Unix nanoseconds
+	faults      atomic.Int64 // part of the requests that the target shed or failed, in faultUnit, exponentially weighted
 	coldNext    atomic.Int64 // when the next request may go to the cold target, in Unix nanoseconds
 }
 
@@ -73,6 +74,8 @@
 func (g *Gauge) passOver() {
 	old := g.latency.Load()
 	g.latency.CompareAndSwap(old, old-old>>passOverShift)
+	faults := g.faults.Load()
+	g.faults.CompareAndSwap(faults, faults-faults>>passOverShift)
 }
 
 // Outstanding returns the requests under way from this instance.
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -56,6 +56,27 @@
 	return since != 0 && now.UnixNano()-since > int64(g.silenceLimit())
 }
 
+const (
+	faultUnit = 1 << 20
+	// faultRiseShift and faultFallShift are the weights of a request that was shed or failed, 1/4, and of one that
+	// was answered, 1/16: a target that sheds a part of its requests is passed over although the rest succeeds.
+	faultRiseShift = 2
+	faultFallShift = 4
+)
+
+// Fault notes that the target shed or failed a request, or answered it.
+func (g *Gauge) Fault(fault bool) {
+	old := g.faults.Load()
+	next := old - old>>faultFallShift
+	if fault {
+		next = old + (faultUnit-old)>>faultRiseShift
+	}
+	g.faults.CompareAndSwap(old, next)
+}
+
+// Faults returns the part of the requests that the target shed or failed lately, from 0 to 1.
+func (g *Gauge) Faults() float64 { return float64(g.faults.Load()) / faultUnit }
+
 // Report notes the load that the target told.
 func (g *Gauge) Report(runningAndWaiting int, now time.Time) {
 	g.reported.Store(int64(runningAndWaiting))
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -372,10 +372,12 @@
 	switch {
 	case reply.Outcome == targets.LegReplied:
 		g.Heard(now)
+		g.Fault(false)
 		g.Finish(elapsed)
 		d.tail.Observe(elapsed, false)
 	case reply.Outcome == targets.LegFailed || reply.Outcome == targets.LegNotRun:
 		g.Heard(now)
+		g.Fault(true)
 		g.Finish(0)
 	case ctx.Err() != nil:
 		g.Lost(sent, now, false)
@@ -384,6 +386,7 @@
 	case reply.Reason == ReasonNotPermitted:
 		g.Finish(0)
 	default:
+		g.Fault(true)
 		g.Lost(sent, now, true)
 		g.Finish(0)
 	}
