--- /dev/null
+++ b/routing/reach.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"time"
+
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
+)
+
+const (
+	// outsideLimit is after how long without an exchange with another zone this instance may be cut off from it:
+	// several exchanges are due in this time.
+	outsideLimit = 800 * time.Millisecond
+	// outsideBack is how recent an exchange must be to end that.
+	outsideBack = 300 * time.Millisecond
+)
+
+// Reach says which part of the services have a target that is not dark, from 0 to 1.
+func (s *Snapshot) Reach(services []string, now time.Time) float64 {
+	if len(services) == 0 {
+		return 0
+	}
+	n := 0
+	for _, name := range services {
+		for _, t := range s.Candidates(name) {
+			if !t.Gauge.Dark(now) {
+				n++
+				break
+			}
+		}
+	}
+	return float64(n) / float64(len(services))
+}
+
+// heardFrom notes an exchange with a sibling.
+func (s *State) heardFrom(beats []sibling.Beat, now time.Time) {
+	if len(beats) > 0 && beats[0].Zone != s.id.Zone {
+		s.outside = now
+	}
+}
+
+// isolate decides whether this instance reports itself unready because it is cut off from other zones and cannot
+// serve some route from its own: callers are then taken to the zones that can.
+func (s *State) isolate(now time.Time) {
+	silent := now.Sub(s.outside)
+	switch {
+	case s.isolated && silent < outsideBack:
+		s.isolated, s.changed = false, true
+		for _, t := range s.targets {
+			t.target.Gauge.Forgive()
+		}
+		s.note("zones", s.id.Zone, "cut off", "in contact", "exchange")
+	case !s.isolated && silent > outsideLimit && s.othersElsewhere(now) && s.unreachable(now):
+		s.isolated, s.changed = true, true
+		s.note("zones", s.id.Zone, "in contact", "cut off", "no exchange for "+silent.Round(time.Millisecond).String())
+	}
+}
+
+// othersElsewhere reports whether there are instances in other zones as far as is known.
+func (s *State) othersElsewhere(now time.Time) bool {
+	for _, b := range s.gossip.Counted(now) {
+		if b.Zone != s.id.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// unreachable reports whether some route cannot be served.
+func (s *State) unreachable(now time.Time) bool {
+	if s.routing == nil {
+		return false
+	}
+	alive := map[string]bool{}
+	dark := map[string]bool{}
+	for _, t := range s.targets {
+		if t.target.Gauge.Dark(now) {
+			dark[t.target.Service] = true
+		} else {
+			alive[t.target.Service] = true
+		}
+	}
+	for i := range s.routing.Routes {
+		if routeDark(&s.routing.Routes[i], alive, dark) {
+			return true
+		}
+	}
+	return false
+}
+
+func routeDark(r *document.Route, alive, dark map[string]bool) bool {
+	if !r.Gathers() {
+		for _, x := range r.Services {
+			if dark[x.Service] && !alive[x.Service] {
+				return true
+			}
+		}
+		return false
+	}
+	lost := 0
+	for _, name := range r.Shards {
+		if dark[name] && !alive[name] {
+			lost++
+		}
+	}
+	return float64(len(r.Shards)-lost) < r.MinCoverage*float64(len(r.Shards))
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -70,6 +70,8 @@
 	reading   bool // a read is under way
 	readAt    time.Time
 	contact   time.Time // when this instance reached the platform
+	outside   time.Time // of the last exchange with another zone
+	isolated  bool
 	recovered time.Time // when the platform came back after an outage
 	failures  int
 	divided   time.Time
@@ -163,6 +165,7 @@
 	}
 	s.crashes.Tick(now)
 	s.divide(now)
+	s.isolate(now)
 	s.gossip.Self(s.values.have, s.contact, s.demands())
 	for _, address := range s.gossip.Round(now) {
 		ready.Effects = append(ready.Effects, SendExchange{Address: address, Exchange: s.exchangeFor(s.haveOf(address), now)})
@@ -221,6 +224,7 @@
 }
 
 func (s *State) heard(e Heard, now time.Time) {
+	s.heardFrom(e.Exchange.Beats, now)
 	s.gossip.Hear(e.Exchange.Beats, now)
 	s.crashes.Hear(e.Exchange.Notices, now)
 	s.take(e.Exchange.Update, "sibling", now)
@@ -377,7 +381,7 @@
 	out := &Snapshot{
 		Routing: s.routing, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
 		Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
-		Ready: s.routing != nil && !s.leaving,
+		Ready: s.routing != nil && !s.leaving && !s.isolated,
 	}
 	if s.routing == nil {
 		return out
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -117,7 +117,6 @@
 type openSend struct {
 	attempt int
 	target  *Target
-	sent    time.Time
 }
 
 // Dispatch is the state machine of one forwarded request: which target of each service gets it, when a second one
@@ -268,7 +267,7 @@
 	d.attempt++
 	ready.Send = append(ready.Send, Send{Attempt: d.attempt, Part: i, Target: t, Hedge: len(p.open) > 0})
 	d.owner[d.attempt] = i
-	p.open = append(p.open, openSend{attempt: d.attempt, target: t, sent: now})
+	p.open = append(p.open, openSend{attempt: d.attempt, target: t})
 	p.sends++
 	if !slices.Contains(p.ran, t) {
 		p.ran = append(p.ran, t)
@@ -361,13 +360,16 @@
 
 // answered reports whether there is nothing left to wait for.
 func (d *Dispatch) answered(now time.Time, ready *DispatchReady) bool {
-	in, open := 0, 0
+	in, open, hopeful := 0, 0, 0
 	for i := range d.parts {
 		switch p := &d.parts[i]; {
 		case p.winner != 0:
 			in++
 		case !p.done:
 			open++
+			if !d.dark(p, now) {
+				hopeful++
+			}
 		}
 	}
 	if open == 0 {
@@ -382,13 +384,18 @@
 	if !d.Covers(in) {
 		return false
 	}
-	if now.Before(d.AnswerBy) {
+	if hopeful > 0 && now.Before(d.AnswerBy) {
 		ready.wakeAt(d.AnswerBy)
 		return false
 	}
 	return true
 }
 
+// dark reports whether a part is only awaited from targets that have been silent for a while.
+func (d *Dispatch) dark(p *dispatchPart, now time.Time) bool {
+	return len(p.open) > 0 && !slices.ContainsFunc(p.open, func(o openSend) bool { return !o.target.Gauge.Dark(now) })
+}
+
 // Covers reports whether so many parts suffice for an answer.
 func (d *Dispatch) Covers(parts int) bool {
 	return parts > 0 && float64(parts) >= d.MinCoverage*float64(len(d.parts))
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -13,6 +13,7 @@
 	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
 	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
 	silences    atomic.Int64 // sends in a row that ended without a sign of life
+	silentSince atomic.Int64 // when the first of these was sent, in Unix nanoseconds
 	avoidUntil  atomic.Int64 // Unix nanoseconds
 	waitingFor  atomic.Int64 // when the oldest send without a later sign of life left, in Unix nanoseconds; 0: none
 	reported    atomic.Int64 // requests that the target said it runs or queues
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -13,6 +13,9 @@
 	minSilence = 40 * time.Millisecond
 	// reportLife is how long a reported load is used.
 	reportLife = 300 * time.Millisecond
+	// darkAfter is for how long a target must have been silent, at two sends at least, to count as dark: longer than
+	// the pauses that targets make now and then.
+	darkAfter = 300 * time.Millisecond
 )
 
 // Sent notes that a request left for the target.
@@ -38,10 +41,24 @@
 	if !broke && now.Sub(sent) < g.silenceLimit() {
 		return
 	}
+	if g.silences.Load() == 0 {
+		g.silentSince.Store(sent.UnixNano())
+	}
 	n := min(g.silences.Add(1), 8)
 	g.avoidUntil.Store(now.Add(min(minAvoid<<(n-1), maxAvoid)).UnixNano())
 }
 
+// Dark reports whether nothing was heard of the target although it was asked for some time.
+func (g *Gauge) Dark(now time.Time) bool {
+	return g.silences.Load() >= 2 && now.UnixNano()-g.silentSince.Load() > int64(darkAfter)
+}
+
+// Forgive forgets that the target was silent, because what kept it from being heard is over.
+func (g *Gauge) Forgive() {
+	g.silences.Store(0)
+	g.avoidUntil.Store(0)
+}
+
 func (g *Gauge) silenceLimit() time.Duration { return max(silenceFactor*g.Latency(), minSilence) }
 
 // Avoided reports whether other targets should be used at present.
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -120,6 +120,8 @@
 	configureRetry = 300 * time.Millisecond
 	// targetRetry is about the time in which a target comes back or a replacement is known.
 	targetRetry = 250 * time.Millisecond
+	// darkRetry is short, since another instance may reach the targets.
+	darkRetry = 50 * time.Millisecond
 	// shedRetry is about the time in which a full queue of a target empties.
 	shedRetry = 100 * time.Millisecond
 )
@@ -244,6 +246,9 @@
 	for _, s := range services {
 		d.snapshot.Extra(s).Request(now)
 	}
+	if d.hopeless(services, now) {
+		return refuse(caller.Refuse(caller.CodeNoTarget, darkRetry, "too many services have no target that replies"))
+	}
 	d.record.Parts = len(services)
 	d.tail = d.f.tail(d.route.Name)
 	d.cancels, d.replies, d.stamps = map[int]context.CancelFunc{}, map[int]*LegReply{}, map[string]bool{}
@@ -282,6 +287,19 @@
 	return d.answer(machine)
 }
 
+// darkTrial is the part of the requests that are tried although too few services have a target that replies, so that
+// the end of the trouble is noticed.
+const darkTrial = 0.1
+
+// hopeless reports whether a request is refused at once because it most probably cannot be served.
+func (d *delivery) hopeless(services []string, now time.Time) bool {
+	least := 1.0
+	if d.route.Gathers() {
+		least = d.route.MinCoverage
+	}
+	return d.snapshot.Reach(services, now) < least && rand.Float64() >= darkTrial
+}
+
 // legsPerPart bounds the sends of one part; the channel of their ends never blocks.
 const legsPerPart = 16
 
