--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -334,6 +334,9 @@
 	// faultCost is the time that a shed or failed send costs: its retry, and the budget that the retry takes from
 	// others.
 	faultCost = 200 * time.Millisecond
+	// loadWeight is the weight of requests that would wait at the target: the latency seen so far contains the usual
+	// waits.
+	loadWeight = 0.25
 	// zoneFactor is the advantage of targets in the own zone.
 	zoneFactor = 0.85
 )
@@ -345,8 +348,8 @@
 		latency = unknownLatency
 	}
 	score := latency.Seconds() * (1 - scoreSpread/2 + scoreSpread*d.Rand.Float64())
-	if t.Slots > 0 {
-		score *= max(1, float64(t.Gauge.Load(now)+1)/float64(t.Slots))
+	if waiting := t.Gauge.Load(now) + 1 - t.Slots; t.Slots > 0 && waiting > 0 {
+		score *= 1 + loadWeight*float64(waiting)/float64(t.Slots)
 	}
 	if t.Zone == d.Zone {
 		score *= zoneFactor
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -306,3 +306,49 @@
 		t.Errorf("records %v", got)
 	}
 }
+
+// The load pattern "slow": one target of a third of the services takes seven times as long, and queues. Guards
+// against requests that go to slow targets first and use the budget of extra sends up.
+func TestSlowTargetsArePassedOver(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	busy := map[string][]time.Time{} // when each slot is free
+	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
+		d := work(b.rng, 15*time.Millisecond)
+		if x.ID[len(x.ID)-1] == '1' && x.Service < "s07" && now.Sub(time.Unix(1000, 0)) > 3*time.Second {
+			d *= 7
+		}
+		// Other instances take part of the slots of this one.
+		if busy[x.ID] == nil {
+			busy[x.ID] = make([]time.Time, 2)
+		}
+		slot := slices.IndexFunc(busy[x.ID], func(at time.Time) bool { return !at.After(now) })
+		if slot < 0 {
+			slot = 0
+			if busy[x.ID][1].Before(busy[x.ID][0]) {
+				slot = 1
+			}
+		}
+		start := now
+		if busy[x.ID][slot].After(now) {
+			start = busy[x.ID][slot]
+		}
+		busy[x.ID][slot] = start.Add(d)
+		x.Gauge.Report(int(b.rng.Float64()*2.5), now)
+		return LegReplied, start.Add(d).Sub(now)
+	}
+	all := b.play(900, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	late := all[100:]
+	if part := inTime(late, 105*time.Millisecond, 20); part < 0.98 {
+		t.Errorf("%.3f of the requests answered in time, want 0.98", part)
+	}
+	slow, services := 0, 0
+	for id, n := range b.sends {
+		if id[len(id)-1] == '1' && id < "s07" {
+			slow += n
+			services++
+		}
+	}
+	if part := float64(slow) / float64(services*len(all)); part > 0.08 {
+		t.Errorf("%.3f of the requests went to slow targets", part)
+	}
+}
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -63,12 +63,16 @@
 	}
 }
 
+// cancelledFactor is the multiple of the elapsed time that is taken as the latency of a request that was given up.
+// Were it 1, a slow target would look as slow as the time after which it is given up, and not be passed over.
+const cancelledFactor = 2
+
 // FinishCancelled ends a request whose latency is only known to exceed elapsed.
 func (g *Gauge) FinishCancelled(elapsed time.Duration) {
 	if elapsed <= g.Latency() {
 		elapsed = 0
 	}
-	g.Finish(elapsed)
+	g.Finish(cancelledFactor * elapsed)
 }
 
 // passOver notes that another target was preferred.
