--- a/routing/state.go
+++ b/routing/state.go
@@ -338,6 +338,7 @@
 		}
 		switch {
 		case c.Kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
+			s.noteRates(s.routing, c.Routing)
 			s.routing = c.Routing
 			s.divided = time.Time{}
 		case c.Kind == KindTarget && c.Target != nil:
@@ -353,6 +354,29 @@
 	})
 }
 
+// noteRates notes the organisations whose rate or keys change with a routing.
+func (s *State) noteRates(before, after *document.Routing) {
+	text := map[string]string{}
+	describe := func(a document.Account) string {
+		return strconv.FormatFloat(a.Rate, 'g', -1, 64) + "/s, burst " + strconv.FormatFloat(a.Burst, 'g', -1, 64) + ", " +
+			strconv.Itoa(len(a.Keys)) + " keys"
+	}
+	if before != nil {
+		for _, a := range before.Accounts {
+			text[a.Name] = describe(a)
+		}
+	}
+	for _, a := range after.Accounts {
+		if old, now := text[a.Name], describe(a); old != now {
+			s.note("rate", a.Name, old, now, "routing version "+strconv.FormatUint(uint64(after.Version), 10))
+		}
+		delete(text, a.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(text)) {
+		s.note("rate", name, text[name], "removed", "routing version "+strconv.FormatUint(uint64(after.Version), 10))
+	}
+}
+
 // use makes or renews the target of a registration. A new incarnation gets a new gauge.
 func (s *State) use(id string, r *targets.Registration, since time.Time) {
 	old := s.targets[id]
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -252,7 +252,7 @@
 		return
 	}
 	t, _ := d.choose(p, now)
-	if t == nil || t.Gauge.Avoided(now) || !d.Directory.Extra(p.service).TakeHedge(now) {
+	if t == nil || t.Gauge.Dark(now) || !d.Directory.Extra(p.service).TakeHedge(now) {
 		if t != nil {
 			t.Gauge.Finish(0)
 		}
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -148,11 +148,11 @@
 			g := e.send.Target.Gauge
 			g.Fault(e.outcome != LegReplied)
 			if e.outcome == LegReplied {
-				g.Heard(b.now)
+				g.Heard(b.now.Sub(e.sent), b.now)
 				g.Finish(b.now.Sub(e.sent))
 				b.tail.Observe(b.now.Sub(e.sent), false)
 			} else {
-				g.Heard(b.now)
+				g.Heard(0, b.now)
 				g.Finish(0)
 			}
 			take(e.dispatch, p.machine.Step([]LegEnded{{e.send.Attempt, e.outcome}}, b.now))
@@ -248,6 +248,28 @@
 	}
 }
 
+// The load pattern "shard dark": all targets of one shard fall silent. Guards against answers that wait until the
+// objective for a part that will not come.
+func TestAnswersDoNotWaitForADarkShard(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
+		if now.Sub(time.Unix(1000, 0)) > 2*time.Second && x.Service == "s07" {
+			return LegBroken, -1
+		}
+		return LegReplied, work(b.rng, 15*time.Millisecond)
+	}
+	all := b.play(400, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	late := 0
+	for _, p := range all[60:] {
+		if p.took > 60*time.Millisecond {
+			late++
+		}
+	}
+	if part := float64(late) / float64(len(all)-60); part > 0.1 {
+		t.Errorf("%.3f of the requests waited for the dark shard", part)
+	}
+}
+
 // Guards against a change that is sent again although it may have run, and against one that is not tried elsewhere
 // although it surely did not run.
 func TestChangesAreSentAgainOnlyIfTheyDidNotRun(t *testing.T) {
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -12,6 +12,7 @@
 	trip        atomic.Int64 // nanoseconds, shortest connect time seen, slowly rising
 	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
 	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
+	usual       atomic.Int64 // nanoseconds, latency of replies only, exponentially weighted
 	silences    atomic.Int64 // sends in a row that ended without a sign of life
 	silentSince atomic.Int64 // when the first of these was sent, in Unix nanoseconds
 	avoidUntil  atomic.Int64 // Unix nanoseconds
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -8,21 +8,26 @@
 	minAvoid = 200 * time.Millisecond
 	maxAvoid = 1600 * time.Millisecond
 	// silenceFactor is the multiple of a target's usual latency after which no sign of life means trouble.
-	silenceFactor = 4
+	silenceFactor = 6
 	// minSilence is the shortest time that counts as silence; shorter ones are seen at loaded targets too.
-	minSilence = 40 * time.Millisecond
+	minSilence = 60 * time.Millisecond
+	// usualShift is the weight, 1/8, of one reply in a target's usual latency.
+	usualShift = 3
 	// reportLife is how long a reported load is used.
 	reportLife = 300 * time.Millisecond
 	// darkAfter is for how long a target must have been silent, at two sends at least, to count as dark: longer than
 	// the pauses that targets make now and then.
-	darkAfter = 300 * time.Millisecond
+	darkAfter = 700 * time.Millisecond
 )
 
 // Sent notes that a request left for the target.
 func (g *Gauge) Sent(now time.Time) { g.waitingFor.CompareAndSwap(0, now.UnixNano()) }
 
-// Heard notes a sign of life: a reply of any kind.
-func (g *Gauge) Heard(now time.Time) {
+// Heard notes a sign of life: a reply of any kind. elapsed is the latency of a request that the target ran, else 0.
+func (g *Gauge) Heard(elapsed time.Duration, now time.Time) {
+	if old := g.usual.Load(); elapsed > 0 {
+		g.usual.CompareAndSwap(old, old+(int64(elapsed)-old)>>usualShift)
+	}
 	g.silences.Store(0)
 	g.avoidUntil.Store(0)
 	if g.Outstanding() > 1 {
@@ -59,7 +64,9 @@
 	g.avoidUntil.Store(0)
 }
 
-func (g *Gauge) silenceLimit() time.Duration { return max(silenceFactor*g.Latency(), minSilence) }
+func (g *Gauge) silenceLimit() time.Duration {
+	return max(silenceFactor*time.Duration(g.usual.Load()), minSilence)
+}
 
 // Avoided reports whether other targets should be used at present.
 func (g *Gauge) Avoided(now time.Time) bool {
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -389,12 +389,12 @@
 	}
 	switch {
 	case reply.Outcome == targets.LegReplied:
-		g.Heard(now)
+		g.Heard(elapsed, now)
 		g.Fault(false)
 		g.Finish(elapsed)
 		d.tail.Observe(elapsed, false)
 	case reply.Outcome == targets.LegFailed || reply.Outcome == targets.LegNotRun:
-		g.Heard(now)
+		g.Heard(0, now)
 		g.Fault(true)
 		g.Finish(0)
 	case ctx.Err() != nil:
