--- a/routing/shares.go
+++ b/routing/shares.go
@@ -135,7 +135,9 @@
 	}
 	over := 1 + s.id.Bounds.RateOverage*toleratedPart
 	slack := s.id.Bounds.RateSlack * toleratedPart / float64(instances)
-	l := caller.GateLimits{Limited: true, Rate: a.Rate * part * over, Burst: a.Burst*part*over + slack}
+	l := caller.GateLimits{
+		Limited: true, Rate: a.Rate*part*over + slack/calmWindow.Seconds(), Burst: a.Burst*part*over + slack,
+	}
 	if calm {
 		spare := s.id.Bounds.RateSlack * sparePart / float64(instances)
 		l.Rate += spare / spareTime.Seconds()
