--- a/routing/reach.go
+++ b/routing/reach.go
@@ -10,7 +10,7 @@
 const (
 	// outsideLimit is after how long without an exchange with another zone this instance may be cut off from it:
 	// several exchanges are due in this time.
-	outsideLimit = 800 * time.Millisecond
+	outsideLimit = 600 * time.Millisecond
 	// outsideBack is how recent an exchange must be to end that.
 	outsideBack = 300 * time.Millisecond
 )
@@ -52,6 +52,11 @@
 		s.note("zones", s.id.Zone, "cut off", "in contact", "exchange")
 	case !s.isolated && silent > outsideLimit && s.othersElsewhere(now) && s.unreachable(now):
 		s.isolated, s.changed = true, true
+		for _, t := range s.targets {
+			if t.target.Zone != s.id.Zone && t.target.Gauge.Silent(now) {
+				t.target.Gauge.Darken()
+			}
+		}
 		s.note("zones", s.id.Zone, "in contact", "cut off", "no exchange for "+silent.Round(time.Millisecond).String())
 	}
 }
@@ -74,7 +79,7 @@
 	alive := map[string]bool{}
 	dark := map[string]bool{}
 	for _, t := range s.targets {
-		if t.target.Gauge.Dark(now) {
+		if t.target.Gauge.Silent(now) {
 			dark[t.target.Service] = true
 		} else {
 			alive[t.target.Service] = true
@@ -88,6 +93,7 @@
 	return false
 }
 
+// routeDark reports whether too few services of a route have a target that is not silent.
 func routeDark(r *document.Route, alive, dark map[string]bool) bool {
 	if !r.Gathers() {
 		for _, x := range r.Services {
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -381,8 +381,8 @@
 	if !d.Gather {
 		return false
 	}
-	if !d.Covers(in + open) {
-		return true // no answer is possible any more
+	if !d.Covers(in + hopeful) {
+		return true // no answer is to be expected any more
 	}
 	if !d.Covers(in) {
 		return false
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -58,6 +58,18 @@
 	return g.silences.Load() >= 2 && now.UnixNano()-g.silentSince.Load() > int64(darkAfter)
 }
 
+// Silent reports whether the target has given no sign of life for longer than usual since it was last asked.
+func (g *Gauge) Silent(now time.Time) bool {
+	since := g.waitingFor.Load()
+	return g.silences.Load() > 0 || since != 0 && now.UnixNano()-since > int64(g.silenceLimit())
+}
+
+// Darken makes the target count as dark until it is heard or forgiven, because this instance is cut off from it.
+func (g *Gauge) Darken() {
+	g.silentSince.Store(0)
+	g.silences.Store(2)
+}
+
 // Forgive forgets that the target was silent, because what kept it from being heard is over.
 func (g *Gauge) Forgive() {
 	g.silences.Store(0)
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -297,7 +297,9 @@
 	if d.route.Gathers() {
 		least = d.route.MinCoverage
 	}
-	return d.snapshot.Reach(services, now) < least && rand.Float64() >= darkTrial
+	// An instance that is cut off learns of the end from its siblings.
+	trial := d.snapshot.Ready && rand.Float64() < darkTrial
+	return d.snapshot.Reach(services, now) < least && !trial
 }
 
 // legsPerPart bounds the sends of one part; the channel of their ends never blocks.
