--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -53,6 +54,8 @@
 	metrics *metrics.Metrics
 
 	mu        sync.Mutex
+	routes    map[string]*routeMetrics
+	sends     map[sendKey]tally.Counter
 	failures  allowance
 	successes allowance
 	leftOut   int64
@@ -78,7 +81,7 @@
 
 func newRecorder(log zerolog.Logger, m *metrics.Metrics, l LogLimits) *recorder {
 	return &recorder{
-		log: log, metrics: m, failures: allowance{rate: l.Failures, level: l.Failures},
+		log: log, metrics: m, routes: map[string]*routeMetrics{}, sends: map[sendKey]tally.Counter{}, failures: allowance{rate: l.Failures, level: l.Failures},
 		successes: allowance{rate: l.Successes, level: l.Successes},
 	}
 }
@@ -102,21 +105,48 @@
 	}
 }
 
+// routeMetrics are the metrics of one route; tagging a scope takes longer than counting.
+type routeMetrics struct {
+	outcomes       map[string]tally.Counter
+	latency        tally.Histogram
+	parts, missing tally.Counter
+}
+
+// sendKey tells the counters of sends apart.
+type sendKey struct {
+	outcome string
+	hedge   bool
+}
+
 func (r *recorder) count(x *traffic.Record) {
-	route := r.metrics.Scope.Tagged(map[string]string{tagRoute: x.Route})
-	route.Tagged(map[string]string{tagOutcome: x.Outcome}).Counter(metricRequests).Inc(1)
-	route.Histogram(metricLatency, latencyBuckets).RecordDuration(x.Took)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.routes[x.Route]
+	if m == nil {
+		scope := r.metrics.Scope.Tagged(map[string]string{tagRoute: x.Route})
+		m = &routeMetrics{
+			outcomes: map[string]tally.Counter{}, latency: scope.Histogram(metricLatency, latencyBuckets),
+			parts: scope.Counter(metricParts), missing: scope.Counter(metricMissing),
+		}
+		r.routes[x.Route] = m
+	}
+	if m.outcomes[x.Outcome] == nil {
+		tags := map[string]string{tagRoute: x.Route, tagOutcome: x.Outcome}
+		m.outcomes[x.Outcome] = r.metrics.Scope.Tagged(tags).Counter(metricRequests)
+	}
+	m.outcomes[x.Outcome].Inc(1)
+	m.latency.RecordDuration(x.Took)
 	if x.Outcome == traffic.OutcomeOK {
-		route.Counter(metricParts).Inc(int64(x.Covered))
-		route.Counter(metricMissing).Inc(int64(x.Parts - x.Covered))
+		m.parts.Inc(int64(x.Covered))
+		m.missing.Inc(int64(x.Parts - x.Covered))
 	}
 	for i := range x.Legs {
-		l := &x.Legs[i]
-		hedge := "no"
-		if l.Hedge {
-			hedge = "yes"
+		k := sendKey{x.Legs[i].Outcome, x.Legs[i].Hedge}
+		if r.sends[k] == nil {
+			tags := map[string]string{tagOutcome: k.outcome, tagHedge: strconv.FormatBool(k.hedge)}
+			r.sends[k] = r.metrics.Scope.Tagged(tags).Counter(metricSends)
 		}
-		r.metrics.Scope.Tagged(map[string]string{tagOutcome: l.Outcome, tagHedge: hedge}).Counter(metricSends).Inc(1)
+		r.sends[k].Inc(1)
 	}
 }
 
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -338,7 +338,7 @@
 	// waits.
 	loadWeight = 0.25
 	// zoneFactor is the advantage of targets in the own zone.
-	zoneFactor = 0.85
+	zoneFactor = 0.6
 )
 
 // score is the expected time to a reply in seconds.
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -32,10 +32,7 @@
 
 // LegRequest is a request on its way to one target.
 type LegRequest struct {
-	*Request
-	// Organisation is whom the request runs for, empty if nobody.
-	Organisation string
-	Target       *targets.Target
+	Target *targets.Target
 	// Deadline is when the target must stop.
 	Deadline time.Time
 	// Permit is asked right before the request is sent: the process may have been suspended since the decision.
@@ -64,8 +61,15 @@
 // Success reports whether the target answered with success.
 func (r *LegReply) Success() bool { return r.Status >= 200 && r.Status < 300 }
 
-// LegSender sends requests to targets. Send returns when the reply is complete, the request failed or ctx ended.
+// LegSender sends requests to targets.
 type LegSender interface {
+	// Prepare encodes what all sends of a request have in common. organisation is whom it runs for, empty if nobody.
+	Prepare(r *Request, organisation string) PreparedRequest
+}
+
+// PreparedRequest is a request that can be sent to several targets at a time.
+type PreparedRequest interface {
+	// Send returns when the reply is complete, the request failed or ctx ended.
 	Send(ctx context.Context, l LegRequest) LegReply
 }
 
@@ -221,11 +225,12 @@
 	fingerprint  targets.Fingerprint
 	record       *Record
 
-	tail    *targets.Tail
-	ended   chan legEnd
-	cancels map[int]context.CancelFunc
-	replies map[int]*LegReply
-	shed    bool
+	prepared PreparedRequest
+	tail     *targets.Tail
+	ended    chan legEnd
+	cancels  map[int]context.CancelFunc
+	replies  map[int]*LegReply
+	shed     bool
 	// stamps are the signatures of the parts that are in.
 	stamps map[string]bool
 }
@@ -251,6 +256,7 @@
 	}
 	d.record.Parts = len(services)
 	d.tail = d.f.tail(d.route.Name)
+	d.prepared = d.f.sender.Prepare(d.request, d.organisation)
 	d.cancels, d.replies, d.stamps = map[int]context.CancelFunc{}, map[int]*LegReply{}, map[string]bool{}
 	objective := d.route.Objective
 	if objective <= 0 {
@@ -381,9 +387,7 @@
 	g := s.Target.Gauge
 	sent := time.Now()
 	g.Sent(sent)
-	reply := d.f.sender.Send(ctx, LegRequest{
-		Request: d.request, Organisation: d.organisation, Target: s.Target, Deadline: d.deadline, Permit: d.permit(s),
-	})
+	reply := d.prepared.Send(ctx, LegRequest{Target: s.Target, Deadline: d.deadline, Permit: d.permit(s)})
 	now := time.Now()
 	elapsed := now.Sub(sent)
 	if reply.Load >= 0 && reply.Outcome != targets.LegBroken {
