--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -69,8 +71,9 @@
 	out := &siblingpb.GossipMessage{Notices: encodeNotices(e.Notices), Update: &siblingpb.Update{
 		Since: uint64(e.Update.Since), Upto: uint64(e.Update.Upto), Full: e.Update.Full,
 	}}
+	out.Organisations = organisations(e.Beats)
 	for _, b := range e.Beats {
-		out.Beats = append(out.Beats, encodeBeat(b))
+		out.Beats = append(out.Beats, encodeBeat(b, out.Organisations))
 	}
 	if len(e.Update.Changes) == 0 {
 		return out, nil
@@ -83,13 +86,25 @@
 	return out, nil
 }
 
-func encodeBeat(b sibling.Beat) *siblingpb.Beat {
+// organisations returns the names of all organisations that the beats have a demand of. Most beats name the same, so
+// that a list of its own for each would be most of the message.
+func organisations(beats []sibling.Beat) []string {
+	names := map[string]bool{}
+	for _, b := range beats {
+		for name := range b.Demand {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+func encodeBeat(b sibling.Beat, organisations []string) *siblingpb.Beat {
 	out := &siblingpb.Beat{
 		Id: b.ID, Zone: b.Zone, Address: b.Address, Born: b.Born, Count: b.Count, Leaving: b.Leaving,
-		Have: uint64(b.Have), StoreAgeMs: encodeAge(b.StoreAge), Demand: make(map[string]float32, len(b.Demand)),
+		Have: uint64(b.Have), StoreAgeMs: encodeAge(b.StoreAge), Demand: make([]float32, len(organisations)),
 	}
-	for name, demand := range b.Demand {
-		out.Demand[name] = float32(demand)
+	for i, name := range organisations {
+		out.Demand[i] = float32(b.Demand[name])
 	}
 	return out
 }
@@ -107,8 +122,10 @@
 			Leaving: b.GetLeaving(), Have: document.Revision(b.GetHave()), StoreAge: decodeAge(b.StoreAgeMs),
 			Demand: make(map[string]float64, len(b.GetDemand())),
 		}
-		for name, demand := range b.GetDemand() {
-			beat.Demand[name] = float64(demand)
+		for i, demand := range b.GetDemand() {
+			if i < len(m.GetOrganisations()) && demand > 0 {
+				beat.Demand[m.GetOrganisations()[i]] = float64(demand)
+			}
 		}
 		out.Beats = append(out.Beats, beat)
 	}
--- /dev/null
+++ b/sibling/siblinggrpc/gossip_test.go
@@ -0,0 +1,62 @@
+package siblinggrpc
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/targets"
+)
+
+// Guards against beats and changes that arrive as others than were sent.
+func TestExchangeSurvivesTheWire(t *testing.T) {
+	sent := routing.Exchange{
+		Beats: []sibling.Beat{
+			{ID: "a", Zone: "z", Address: "10.0.0.1:1", Born: 7, Count: 9, Have: 12, StoreAge: 20 * time.Millisecond,
+				Demand: map[string]float64{"o": 1.5, "p": 2}},
+			{ID: "b", Zone: "y", Address: "10.0.0.2:1", Leaving: true, StoreAge: sibling.NoContact, Demand: map[string]float64{"q": 0.25}},
+		},
+		Update: routing.Update{Since: 3, Upto: 12, Full: true, Changes: []routing.Change{
+			{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: &targets.Registration{ID: "i-1", Service: "s", Slots: 2, Draining: true}},
+			{Kind: routing.KindZoneOut, Name: "z", Revision: 6, Removed: true},
+			{Kind: routing.KindTarget, Name: "i-2", Revision: 7},
+		}},
+		Notices: targets.Notices{Crashes: []targets.CrashNotice{{Target: "i-1", Suspects: []targets.Fingerprint{{1}}}}},
+	}
+	m, err := encodeExchange(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := proto.Unmarshal(text, m); err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeExchange(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, sent) {
+		t.Errorf("got  %+v\nwant %+v", got, sent)
+	}
+}
+
+// Guards against a routing from a sibling that cannot be used and is half applied.
+func TestExchangeWithUnusableRoutingIsRefused(t *testing.T) {
+	m, err := encodeExchange(routing.Exchange{Update: routing.Update{Upto: 3, Changes: []routing.Change{
+		{Kind: routing.KindRouting, Revision: 3, Routing: &document.Routing{Routes: []document.Route{{Prefix: "x"}}}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeExchange(m); err == nil {
+		t.Error("an unusable routing was taken")
+	}
+}
