--- a/targets/tail.go
+++ b/targets/tail.go
@@ -30,6 +30,7 @@
 type Tail struct {
 	policy   Policy
 	quantile atomic.Int64 // nanoseconds
+	samples  atomic.Int64
 	hedges   budget
 	retries  budget
 }
@@ -42,6 +43,9 @@
 	// quantileStep is the relative change of the estimate for one sample. 0.02 follows a doubled latency within
 	// 37 slow legs.
 	quantileStep = 0.02
+	// firstStep is the step for the first sample; that of the n-th is 1/n of it. The first sample alone is about the
+	// median, far below the quantile.
+	firstStep = 2
 )
 
 // NewTail returns the shared state of one service.
@@ -73,9 +77,10 @@
 	if cancelled && !above {
 		return
 	}
-	step := -(1 - t.policy.HedgeQuantile) * quantileStep
+	width := max(quantileStep, firstStep/float64(t.samples.Add(1)))
+	step := -(1 - t.policy.HedgeQuantile) * width
 	if above {
-		step = t.policy.HedgeQuantile * quantileStep
+		step = t.policy.HedgeQuantile * width
 	}
 	t.quantile.CompareAndSwap(old, max(old+int64(math.Round(float64(old)*step)), 1))
 }
