--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -240,8 +240,12 @@
 	reply   LegReply
 }
 
-// hedgePart divides the objective to get the longest time after which a second target is asked.
-const hedgePart = 3
+// The objective is divided by these to get the longest time after which a second target is asked. A gathered request
+// waits for the slowest of many parts; a single one spreads more, and most of its slow replies are long work.
+const (
+	gatherHedgePart = 3
+	singleHedgePart = 2
+)
 
 func (d *delivery) run(now time.Time) Delivered {
 	services := d.route.Shards
@@ -262,6 +266,10 @@
 	if objective <= 0 {
 		objective = d.deadline.Sub(d.request.Received)
 	}
+	hedgePart := time.Duration(singleHedgePart)
+	if d.route.Gathers() {
+		hedgePart = gatherHedgePart
+	}
 	machine, ready := targets.NewDispatch(targets.DispatchPlan{
 		Services: services, Gather: d.route.Gathers(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
 		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: d.request.Received.Add(objective - d.f.settings.AnswerMargin),
