--- a/routing/state.go
+++ b/routing/state.go
@@ -58,6 +58,7 @@
 	values   *values
 	gossip   *sibling.Gossip
 	crashes  *targets.CrashLog
+	refused  int                               // requests that are refused for crashes
 	blamed   map[targets.Fingerprint]time.Time // when a request was last on a target that broke off
 	recent   targets.Notices
 	recentAt time.Time
@@ -164,6 +165,10 @@
 		s.rebuild(now)
 	}
 	s.crashes.Tick(now)
+	if n := len(s.crashes.Refused()); n != s.refused {
+		s.note("requests refused for crashes", "", strconv.Itoa(s.refused), strconv.Itoa(n), "crashes")
+		s.refused, s.changed = n, true
+	}
 	s.divide(now)
 	s.isolate(now)
 	s.gossip.Self(s.values.have, s.contact, s.demands())
--- /dev/null
+++ b/routing/state_test.go
@@ -0,0 +1,302 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/targets"
+)
+
+type stateTest struct {
+	*testing.T
+	state *State
+	now   time.Time
+	rev   document.Revision
+	reads int
+	// published is the newest snapshot that traffic would see.
+	published *Snapshot
+}
+
+func newStateTest(t *testing.T, b Bounds) *stateTest {
+	now := time.Unix(1000, 0)
+	return &stateTest{T: t, now: now, state: NewState(Identity{ID: "a", Zone: "z", Address: "a:1", Bounds: b}, rand.New(rand.NewPCG(1, 1)), now)}
+}
+
+func (t *stateTest) step(e Event) []Effect {
+	ready := t.state.Step(e, t.now)
+	if ready.Changed {
+		t.published = t.state.Snapshot()
+	}
+	for _, effect := range ready.Effects {
+		if _, ok := effect.(ReadStore); ok {
+			t.reads++
+		}
+	}
+	return ready.Effects
+}
+
+// run lets time pass with ticks.
+func (t *stateTest) run(d time.Duration) {
+	for end := t.now.Add(d); t.now.Before(end); {
+		t.now = t.now.Add(50 * time.Millisecond)
+		t.step(Tick{})
+	}
+}
+
+// read delivers changes from the platform, each with the next revision.
+func (t *stateTest) read(full bool, changes ...Change) {
+	t.Helper()
+	since := t.rev
+	for i := range changes {
+		t.rev++
+		changes[i].Revision = t.rev
+		if r := changes[i].Routing; r != nil {
+			if err := r.Index(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	t.step(StoreRead{Update: Update{Since: since, Upto: t.rev, Full: full, Changes: changes}})
+}
+
+func target(id, service, zone string) Change {
+	return Change{Kind: KindTarget, Name: id, Target: &targets.Registration{ID: id, Service: service, Zone: zone, Address: "10.0.0.1:" + id[1:], Slots: 2}}
+}
+
+func routes(version document.Revision) Change {
+	return Change{Kind: KindRouting, Routing: &document.Routing{
+		Version:  version,
+		Routes:   []document.Route{{Name: fmt.Sprint("r", version), Host: "h", Prefix: "/", Shards: []string{"s", "t"}, MinCoverage: 0.9}},
+		Services: []document.RoutedService{{Name: "s", Connections: 26}, {Name: "t", Connections: 26, ColdRate: 10}},
+	}}
+}
+
+func (t *stateTest) usable(service string) int { return len(t.state.Snapshot().Candidates(service)) }
+
+// Guards against a configuration or a target that goes back to an older value, in whatever order values arrive.
+func TestOlderValuesNeverReplaceNewerOnes(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(9), target("i1", "s", "z"))
+	old := routes(5)
+	old.Revision = 50
+	if err := old.Routing.Index(); err != nil {
+		t.Fatal(err)
+	}
+	x.step(Heard{Exchange: Exchange{Update: Update{Since: 0, Upto: 50, Changes: []Change{old}}}})
+	if v := x.state.Snapshot().Routing.Version; v != 9 {
+		t.Errorf("version %d in force, want 9", v)
+	}
+	draining := target("i1", "s", "z")
+	draining.Target.Draining, draining.Revision = true, 60
+	x.step(Heard{Exchange: Exchange{Update: Update{Since: 50, Upto: 60, Changes: []Change{draining}}}})
+	late := target("i1", "s", "z")
+	late.Revision = 40
+	x.step(Heard{Exchange: Exchange{Update: Update{Since: 0, Upto: 45, Changes: []Change{late}}}})
+	if n := x.usable("s"); n != 0 {
+		t.Errorf("%d usable targets after an old value of a draining one", n)
+	}
+}
+
+// Guards against new work for targets that drain, are gone, are malformed, or lie in a zone out of service.
+func TestTargetsThatGetNoNewWork(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	draining, malformed := target("i2", "s", "z"), Change{Kind: KindTarget, Name: "i3"}
+	draining.Target.Draining = true
+	x.read(true, routes(1), target("i1", "s", "z"), draining, malformed, target("i4", "s", "y"), target("i5", "other", "z"))
+	if n := x.usable("s"); n != 2 {
+		t.Errorf("%d usable, want 2", n)
+	}
+	x.read(false, Change{Kind: KindZoneOut, Name: "y"})
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable with a zone out, want 1", n)
+	}
+	x.read(false, Change{Kind: KindZoneOut, Name: "y", Removed: true}, Change{Kind: KindTarget, Name: "i1", Removed: true})
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable after the zone returned and a target went, want 1", n)
+	}
+}
+
+// Guards against targets that are dropped because their entries lapsed while the platform was away, and against ones
+// that stay although they did not come back in time.
+func TestLapsedEntriesHaveTimeToReturn(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(1), target("i1", "s", "z"), target("i2", "s", "z"))
+	for range 10 {
+		x.run(500 * time.Millisecond)
+		x.step(StoreRead{Err: ErrStore})
+	}
+	x.read(false, Change{Kind: KindTarget, Name: "i1", Removed: true}, Change{Kind: KindTarget, Name: "i2", Removed: true})
+	if n := x.usable("s"); n != 2 {
+		t.Errorf("%d usable right after the platform's return, want 2", n)
+	}
+	x.run(time.Second)
+	x.read(false, target("i1", "s", "z"))
+	x.run(1500 * time.Millisecond)
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable 2.5 s after the platform's return, want the one that is back", n)
+	}
+	x.run(5 * time.Second)
+	x.read(false, Change{Kind: KindTarget, Name: "i1", Removed: true})
+	if n := x.usable("s"); n != 0 {
+		t.Errorf("%d usable after a removal in steady state, want 0", n)
+	}
+}
+
+// Guards against targets that vanished while the history was lost and stay for good.
+func TestFullReadRemovesWhatItDoesNotName(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(1), target("i1", "s", "z"), target("i2", "s", "z"))
+	x.step(StoreRead{Err: ErrHistoryGone})
+	x.run(200 * time.Millisecond)
+	x.rev += 5
+	x.read(true, routes(2), target("i2", "s", "z"))
+	x.run(lapseTime + 100*time.Millisecond)
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable, want 1", n)
+	}
+}
+
+// Guards against a sibling that lacks changes and does not get them, or gets a removal as if it were complete.
+func TestSiblingsGetWhatTheyLack(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(1), target("i1", "s", "z"))
+	have := x.rev
+	x.read(false, Change{Kind: KindTarget, Name: "i1", Removed: true}, target("i2", "s", "z"))
+	reply := make(chan Exchange, 1)
+	x.step(Heard{Exchange: Exchange{Beats: []sibling.Beat{{ID: "b", Zone: "z", Address: "b:1", Have: have, StoreAge: sibling.NoContact}}}, Reply: reply})
+	u := (<-reply).Update
+	if u.Full || u.Since != have || u.Upto != x.rev || len(u.Changes) != 2 {
+		t.Errorf("update %+v", u)
+	}
+	other := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	other.step(Heard{Exchange: Exchange{Update: x.state.values.updateSince(0)}})
+	if n := other.usable("s"); n != 1 || other.state.values.have != x.rev {
+		t.Errorf("a new sibling knows %d targets and is complete to %d", n, other.state.values.have)
+	}
+}
+
+// Guards against a cold target that gets requests from every instance.
+func TestColdTargetHasOneOwner(t *testing.T) {
+	owners := 0
+	for i := range 6 {
+		now := time.Unix(1000, 0)
+		s := NewState(Identity{ID: fmt.Sprint("n", i), Zone: "z", Address: fmt.Sprint("n", i), Bounds: Bounds{ExtraWindow: time.Second}}, rand.New(rand.NewPCG(1, 1)), now)
+		x := &stateTest{T: t, state: s, now: now}
+		for j := range 6 {
+			if i != j {
+				s.gossip.Hear([]sibling.Beat{{ID: fmt.Sprint("n", j), Zone: "z", Address: fmt.Sprint("n", j), Count: 1, StoreAge: sibling.NoContact}}, now)
+			}
+		}
+		cold := target("i1", "t", "z")
+		cold.Target.ColdFor = 2 * time.Second
+		x.read(true, routes(1), cold)
+		c := s.Snapshot().Candidates("t")
+		if len(c) == 1 {
+			owners++
+			if c[0].ColdRate <= 0 || c[0].ColdRate > 10 {
+				t.Errorf("the owner may send %v requests a second, the target tolerates 10", c[0].ColdRate)
+			}
+		}
+		x.now = now.Add(2100 * time.Millisecond)
+		x.step(Tick{})
+		if n := x.usable("t"); n != 1 {
+			t.Errorf("instance %d has %d usable targets after the cold start", i, n)
+		}
+	}
+	if owners != 1 {
+		t.Errorf("%d instances send to the cold target, want 1", owners)
+	}
+}
+
+// Guards against instances that share a target's connections or the constant part of a budget as if they were alone.
+func TestLimitsAreDividedAmongInstances(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second, ExtraRatio: 0.2, ExtraConstant: 60})
+	for i := range 8 {
+		x.state.gossip.Hear([]sibling.Beat{{ID: fmt.Sprint("n", i), Zone: "z", Address: fmt.Sprint("n", i), Count: 1, StoreAge: sibling.NoContact}}, x.now)
+	}
+	x.read(true, routes(1), target("i1", "s", "z"))
+	if l := x.state.Snapshot().Candidates("s")[0].Limit; l*9 > 26 {
+		t.Errorf("nine instances may open %d connections each, the target accepts 26", l)
+	}
+	if l := x.state.extraLimits(x.now.Add(2 * time.Second)); l.Constant*9 > 60 || l.Ratio > 0.2 {
+		t.Errorf("limits %+v at each of nine instances", l)
+	}
+	if l := x.state.extraLimits(x.now.Add(500 * time.Millisecond)); l.Constant != 0 {
+		t.Errorf("an instance that just started spends %v of the constant part, which an earlier run may have spent", l.Constant)
+	}
+}
+
+// The load pattern "zone cut off". Guards against an instance that stays ready although it is cut off and cannot
+// serve, and against one that is unready although only its targets or only its siblings are away.
+func TestUnreadyOnlyWhenCutOffAndUnableToServe(t *testing.T) {
+	for name, c := range map[string]struct{ siblings, targets, want bool }{
+		"all well":      {true, true, true},
+		"targets dark":  {true, false, true},
+		"siblings away": {false, true, true},
+		"cut off":       {false, false, false},
+	} {
+		x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+		x.read(true, routes(1), target("i1", "s", "y"), target("i2", "t", "y"))
+		count := uint64(0)
+		hear := func() {
+			count++
+			x.step(Heard{Exchange: Exchange{Beats: []sibling.Beat{{ID: "b", Zone: "y", Address: "b:1", Count: count, StoreAge: sibling.NoContact}}}})
+		}
+		hear()
+		for range 20 {
+			x.run(50 * time.Millisecond)
+			if c.siblings {
+				hear()
+			}
+			for _, s := range []string{"s", "t"} {
+				for _, g := range x.state.Snapshot().Candidates(s) {
+					if c.targets {
+						g.Gauge.Heard(time.Millisecond, x.now)
+					} else {
+						g.Gauge.Lost(x.now.Add(-time.Second), x.now, false)
+					}
+				}
+			}
+		}
+		if got := x.state.Snapshot().Ready; got != c.want {
+			t.Errorf("%s: ready %v, want %v", name, got, c.want)
+		}
+		hear()
+		x.run(50 * time.Millisecond)
+		if !x.state.Snapshot().Ready {
+			t.Errorf("%s: not ready after contact", name)
+		}
+	}
+}
+
+// Guards against a request that is refused because one of many shards' targets crashed while it ran, and against one
+// that crashes targets again and again.
+func TestQuarantine(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	var changes []Change
+	for i := range 8 {
+		changes = append(changes, target(fmt.Sprint("i", i), "s", "z"))
+	}
+	x.read(true, append(changes, routes(1))...)
+	poison, other := targets.FingerprintOf("r", "poison"), targets.FingerprintOf("r", "other")
+	for i := range 4 { // one gathered request on four targets that crash together
+		x.step(TargetBroke{Target: fmt.Sprint("i", i), Fingerprint: other})
+		x.step(TargetRefused{Target: fmt.Sprint("i", i)})
+	}
+	for i := range 3 {
+		x.run(2 * time.Second)
+		x.step(TargetBroke{Target: fmt.Sprint("i", 4+i), Fingerprint: poison})
+		x.step(TargetRefused{Target: fmt.Sprint("i", 4+i)})
+	}
+	refused := x.published.Refused
+	if _, ok := refused[other]; ok {
+		t.Error("a request is refused that ran on targets which crashed together")
+	}
+	if _, ok := refused[poison]; !ok {
+		t.Error("a request that crashed three targets one after the other is not refused")
+	}
+}
