--- a/cmd/dogwooddrift/edge.go
+++ b/cmd/dogwooddrift/edge.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"dogwooddrift.org/drift/cmd/internal/edge"
@@ -52,9 +51,7 @@
 		defer cancel()
 		out.Close(limit.Done())
 	}()
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(out).With().Timestamp().Logger()
-	n, err := edge.New(path, c, log)
+	n, err := edge.New(path, c, out)
 	if err != nil {
 		return err
 	}
--- a/cmd/driftctl/check.go
+++ b/cmd/driftctl/check.go
@@ -16,6 +16,7 @@
 	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/document/documenthttp"
 	"dogwooddrift.org/drift/operator"
+	"dogwooddrift.org/drift/platform/nodefile"
 )
 
 // platformTimeout bounds one read of the platform.
@@ -60,6 +61,21 @@
 					return err
 				},
 			},
+			{
+				Name: "node", Usage: "check a settings file of the users' platform", ArgsUsage: "FILE",
+				Action: func(_ context.Context, c *cli.Command) error {
+					path, err := fileArgument(c)
+					if err != nil {
+						return err
+					}
+					s, err := nodefile.Load(path)
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Fprintf(c.Root().Writer, "settings are valid: instance %s in zone %s, %d usable seeds\n", s.Instance, s.Zone, len(s.Seeds))
+					return err
+				},
+			},
 		},
 	}
 }
--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -21,6 +21,7 @@
 			checkCommand(),
 			consoleCommand(),
 			dumpCommand(),
+			explainCommand(),
 			demoCommand(),
 			loadCommand(),
 			standinCommand(),
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -93,8 +94,11 @@
 	callers, readiness, peers, operators net.Listener
 }
 
-// New binds the addresses of the settings file at path and returns a node that is ready to run.
-func New(path string, c Config, log zerolog.Logger) (*Node, error) {
+// New binds the addresses of the settings file at path and returns a node that is ready to run. It logs to out, which
+// must not block.
+func New(path string, c Config, out io.Writer) (*Node, error) {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(out).With().Timestamp().Logger()
 	s, err := nodefile.Load(path)
 	if err != nil {
 		return nil, err
@@ -108,7 +112,7 @@
 		path: path, settings: s, config: c, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
 		siblings: siblinggrpc.NewClient(), searcher: searcher.New(dialer.DialContext),
 	}
-	n.recorder = newRecorder(n.log, n.metrics, c.Log)
+	n.recorder = newRecorder(out, n.log, n.metrics, c.Log)
 	n.store = store.New(s.Store, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}, func(err error) {
 		n.log.Warn().Err(err).Msg("platform: value not understood")
 	})
--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"bytes"
+	"io"
 	"strconv"
 	"sync"
 	"time"
@@ -10,6 +12,7 @@
 
 	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/targets"
 	"dogwooddrift.org/drift/traffic"
 )
 
@@ -50,6 +53,7 @@
 
 // recorder logs and counts requests. It is safe for concurrent use.
 type recorder struct {
+	out     io.Writer
 	log     zerolog.Logger
 	metrics *metrics.Metrics
 
@@ -79,9 +83,9 @@
 	return true
 }
 
-func newRecorder(log zerolog.Logger, m *metrics.Metrics, l LogLimits) *recorder {
+func newRecorder(out io.Writer, log zerolog.Logger, m *metrics.Metrics, l LogLimits) *recorder {
 	return &recorder{
-		log: log, metrics: m, routes: map[string]*routeMetrics{}, sends: map[sendKey]tally.Counter{}, failures: allowance{rate: l.Failures, level: l.Failures},
+		out: out, log: log, metrics: m, routes: map[string]*routeMetrics{}, sends: map[sendKey]tally.Counter{}, failures: allowance{rate: l.Failures, level: l.Failures},
 		successes: allowance{rate: l.Successes, level: l.Successes},
 	}
 }
@@ -157,28 +161,35 @@
 	return r.leftOut
 }
 
-// write logs a request: one line for each send that did not simply succeed, and one for the outcome. All lines of a
-// request are one write, so that none is lost alone.
+// write logs a request: a line for its admission, one for each send that did not simply succeed, and one for the
+// outcome. All lines are one write, so that none is lost alone.
 func (r *recorder) write(x *traffic.Record) {
-	legs := zerolog.Arr()
+	lines := &bytes.Buffer{}
+	log := r.log.Output(lines).With().Str("request", x.ID).Logger()
+	if x.Route != "" {
+		log.Info().Str("route", x.Route).Str("organisation", x.Organisation).Uint64("routing_version", uint64(x.Version)).
+			Uint64("store_revision", uint64(x.Revision)).Int64("routing_age_ms", x.RoutingAge.Milliseconds()).
+			Int("parts", x.Parts).Msg("request: matched")
+	}
 	for i := range x.Legs {
 		l := &x.Legs[i]
-		if l.Outcome == "replied" && !l.Hedge && len(x.Legs) > 1 {
+		if l.Outcome == targets.LegReplied.String() && !l.Hedge && x.Parts > 1 {
 			continue
 		}
-		legs.Dict(zerolog.Dict().Int("n", l.Attempt).Str("service", l.Service).Str("target", l.Target).Bool("hedge", l.Hedge).
-			Int64("sent_ms", l.Sent.Milliseconds()).Int64("ended_ms", l.Ended.Milliseconds()).
-			Str("outcome", l.Outcome).Str("reason", l.Reason))
+		log.Info().Int("send", l.Attempt).Str("service", l.Service).Str("target", l.Target).Bool("hedge", l.Hedge).
+			Int64("at_ms", l.Sent.Milliseconds()).Int64("ended_ms", l.Ended.Milliseconds()).
+			Float64("usual_ms", l.Usual.Seconds()*1000).Bool("avoided", l.Avoided).Str("outcome", l.Outcome).
+			Str("reason", l.Reason).Msg("request: sent")
 	}
-	e := r.log.Info()
+	e := log.Info()
 	if x.Outcome != traffic.OutcomeOK {
-		e = r.log.Warn()
+		e = log.Warn()
 	}
-	e.Str("request", x.ID).Str("outcome", x.Outcome).Str("message_detail", x.Message).Str("route", x.Route).
-		Str("organisation", x.Organisation).Uint64("routing_version", uint64(x.Version)).
-		Uint64("store_revision", uint64(x.Revision)).Int64("took_ms", x.Took.Milliseconds()).Int("status", x.Status).
-		Int("parts", x.Parts).Int("covered", x.Covered).Int("sends", len(x.Legs)).
-		Int64("retry_after_ms", x.RetryAfter.Milliseconds()).Array("legs", legs).Msg("request: ended")
+	e.Str("outcome", x.Outcome).Str("reason", x.Message).Int("status", x.Status).Int("parts", x.Parts).Int("covered", x.Covered).
+		Int("sends", len(x.Legs)).Int64("took_ms", x.Took.Milliseconds()).Int64("retry_after_ms", x.RetryAfter.Milliseconds()).
+		Msg("request: ended")
+	// The line writer never fails.
+	_, _ = r.out.Write(lines.Bytes())
 }
 
 func (r *recorder) note(n routing.Note) {
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -191,8 +191,10 @@
 // which are safe for concurrent use.
 type Snapshot struct {
 	// Routing is nil while none is known.
-	Routing  *document.Routing
-	Services map[string]*Service
+	Routing *document.Routing
+	// RoutingSince is when the routing came into force here.
+	RoutingSince time.Time
+	Services     map[string]*Service
 	// Gates admits the requests of organisations, by name.
 	Gates map[string]*caller.Gate
 	// Refused are the requests that crash targets.
--- a/routing/state.go
+++ b/routing/state.go
@@ -63,21 +63,22 @@
 	recent   targets.Notices
 	recentAt time.Time
 
-	routing   *document.Routing
-	targets   map[string]*targetState // by ID
-	budgets   map[string]*targets.ExtraBudget
-	gates     map[string]*gateState
-	leaving   bool
-	reading   bool // a read is under way
-	readAt    time.Time
-	contact   time.Time // when this instance reached the platform
-	outside   time.Time // of the last exchange with another zone
-	isolated  bool
-	recovered time.Time // when the platform came back after an outage
-	failures  int
-	divided   time.Time
-	changed   bool
-	notes     []Effect
+	routing      *document.Routing
+	routingSince time.Time
+	targets      map[string]*targetState // by ID
+	budgets      map[string]*targets.ExtraBudget
+	gates        map[string]*gateState
+	leaving      bool
+	reading      bool // a read is under way
+	readAt       time.Time
+	contact      time.Time // when this instance reached the platform
+	outside      time.Time // of the last exchange with another zone
+	isolated     bool
+	recovered    time.Time // when the platform came back after an outage
+	failures     int
+	divided      time.Time
+	changed      bool
+	notes        []Effect
 }
 
 type gateState struct {
@@ -344,7 +345,7 @@
 		switch {
 		case c.Kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
 			s.noteRates(s.routing, c.Routing)
-			s.routing = c.Routing
+			s.routing, s.routingSince = c.Routing, now
 			s.divided = time.Time{}
 		case c.Kind == KindTarget && c.Target != nil:
 			used[c.Name] = true
@@ -408,7 +409,7 @@
 	now := s.at
 	members := len(s.gossip.Counted(now)) + 1
 	out := &Snapshot{
-		Routing: s.routing, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
+		Routing: s.routing, RoutingSince: s.routingSince, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
 		Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
 		Ready: s.routing != nil && !s.leaving && !s.isolated,
 	}
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -147,7 +147,7 @@
 	if s.Routing == nil {
 		return refuse(caller.Refuse(caller.CodeNotConfigured, configureRetry, "no routing is known yet"))
 	}
-	record.Version, record.Revision = s.Routing.Version, s.Revision
+	record.Version, record.Revision, record.RoutingAge = s.Routing.Version, s.Revision, now.Sub(s.RoutingSince)
 	route := s.Routing.Match(r.Host, r.Path)
 	if route == nil {
 		return refuse(caller.Refuse(caller.CodeUnknownService, 0, "no route for this host and path"))
--- a/traffic/record.go
+++ b/traffic/record.go
@@ -20,6 +20,8 @@
 	Organisation string
 	// Version is that of the routing, Revision that of the platform's values in use.
 	Version, Revision document.Revision
+	// RoutingAge is how long ago the routing came into force at this instance.
+	RoutingAge time.Duration
 	// Parts is how many parts the answer has when it is complete, Covered how many were in.
 	Parts, Covered int
 	// Outcome is "ok", "failed" for a failure of a target that was passed on, "left" if the caller left, or the code
@@ -35,12 +37,15 @@
 
 // LegRecord is one send of a request. Times count from the arrival of the request.
 type LegRecord struct {
-	Attempt  int
-	Service  string
-	Target   string
-	Hedge    bool
-	Sent     time.Duration
-	Ended    time.Duration
+	Attempt int
+	Service string
+	Target  string
+	Hedge   bool
+	Sent    time.Duration
+	Ended   time.Duration
+	// Usual is the latency that the target was expected to have, Avoided that others would have been preferred.
+	Usual    time.Duration
+	Avoided  bool
 	Outcome  string
 	Reason   string
 	finished bool
@@ -59,6 +64,7 @@
 func (r *Record) send(s targets.Send, now time.Time) {
 	r.Legs = append(r.Legs, LegRecord{
 		Attempt: s.Attempt, Service: s.Target.Service, Target: s.Target.ID, Hedge: s.Hedge, Sent: now.Sub(r.Received),
+		Usual: s.Target.Gauge.Latency(), Avoided: s.Target.Gauge.Avoided(now),
 	})
 }
 
