--- a/routing/shares.go
+++ b/routing/shares.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
 )
 
 func isHistoryGone(err error) bool { return errors.Is(err, ErrHistoryGone) }
@@ -58,7 +60,7 @@
 	if len(others) == 0 {
 		instances = assumedInstances
 	}
-	silent := len(s.gossip.Heard(now, staleDemand)) < len(others)
+	heard := s.gossip.Heard(now, staleDemand)
 	known := map[string]bool{}
 	for i := range s.routing.Accounts {
 		a := &s.routing.Accounts[i]
@@ -76,19 +78,16 @@
 		}
 		g.asked = asked
 		own := g.remember()
+		free := g.free(others, heard, own, a.Name, instances)
 		total := own
-		for _, b := range others {
+		for _, b := range heard {
 			total += b.Demand[a.Name]
 		}
-		next := share(own, total, instances)
-		if silent {
-			// A member that cannot be heard goes on spending its part, and what is known of its demand is old.
-			next = min(next, max(g.agreed, evenPart/float64(instances)))
-		} else {
-			g.agreed = next
+		g.share = min(free, 1) * share(own, total, len(heard)+1)
+		if len(others) == 0 {
+			g.share = 1 / float64(instances)
 		}
-		g.share = next
-		if l := s.gateLimits(a, g.share, instances, !silent && total <= s.calm(a)); l != g.limits {
+		if l := s.gateLimits(a, g.share, instances, total <= free*s.calm(a)); l != g.limits {
 			g.limits = l
 			g.gate.SetLimits(l, now)
 		}
@@ -107,6 +106,29 @@
 	}
 }
 
+// free returns the part of the rate that the members which are heard divide among them. The others, which may be cut
+// off and go on spending, keep the parts that all agreed on when they were last heard.
+func (g *gateState) free(others, heard []sibling.Beat, own float64, organisation string, instances int) float64 {
+	if len(heard) == len(others) {
+		total := own
+		for _, b := range others {
+			total += b.Demand[organisation]
+		}
+		g.agreed = make(map[string]float64, len(others))
+		for _, b := range others {
+			g.agreed[b.ID] = share(b.Demand[organisation], total, instances)
+		}
+		return 1
+	}
+	free := 1.0
+	for _, b := range others {
+		if !slices.ContainsFunc(heard, func(h sibling.Beat) bool { return h.ID == b.ID }) {
+			free -= g.agreed[b.ID]
+		}
+	}
+	return max(free, 0)
+}
+
 // remember notes the demand and returns the one of demandLag divisions ago.
 func (g *gateState) remember() float64 {
 	old := g.history[0]
--- a/routing/shares_test.go
+++ b/routing/shares_test.go
@@ -89,6 +89,44 @@
 	}
 }
 
+// The load pattern "zone cut off, its callers move". Guards against requests within the rate that are refused because
+// the parts of the remaining instances stay as they were while two of nine cannot be heard.
+func TestRemainingInstancesShareTheRateAnew(t *testing.T) {
+	for _, rate := range []float64{5, 20, 60} {
+		f := newRateFleet(t, 9, rate, rate, rateBounds)
+		rng := rand.New(rand.NewPCG(5, 6))
+		asked, refused := 0, 0
+		start := f.now
+		for f.now.Sub(start) < 20*time.Second {
+			f.advance(10 * time.Millisecond)
+			at := f.now.Sub(start)
+			instance := rng.IntN(9)
+			if at > 8*time.Second {
+				f.cut = func(a, b int) bool { return (a < 2) != (b < 2) }
+			}
+			if at > 10*time.Second {
+				instance = 2 + rng.IntN(3) // the callers of the cut zone come to one other zone
+				if rng.Float64() < 0.6 {
+					instance = 5 + rng.IntN(4)
+				}
+			}
+			if rng.Float64() < 0.6*rate/100 {
+				ok := f.take(instance)
+				if at > 11*time.Second {
+					asked++
+					if !ok {
+						refused++
+					}
+				}
+			}
+		}
+		t.Logf("rate %v: %d of %d refused", rate, refused, asked)
+		if float64(refused) > 0.05*float64(asked) {
+			t.Errorf("rate %v: %d of %d refused at 60%% of the rate", rate, refused, asked)
+		}
+	}
+}
+
 // Guards against an organisation at several times its rate that gets more than the tolerated number in some five
 // seconds, also when it surges from calm, and when one instance is cut off meanwhile.
 func TestSurgeStaysWithinTheTolerance(t *testing.T) {
--- a/routing/state.go
+++ b/routing/state.go
@@ -88,8 +88,8 @@
 	// history holds the demand at the last divisions, the oldest first.
 	history [demandLag]float64
 	share   float64
-	// agreed is the share when all members were last heard.
-	agreed float64
+	// agreed is the part of each other member when all were last heard.
+	agreed map[string]float64
 	limits caller.GateLimits
 }
 
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -250,13 +250,14 @@
 
 // The load pattern "shard dark": all targets of one shard fall silent. Guards against answers that wait until the
 // objective for a part that will not come.
+// The targets take so long that a request is given up before one of them counts as silent by itself.
 func TestAnswersDoNotWaitForADarkShard(t *testing.T) {
 	b := newDispatchBench(20, 2)
 	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
 		if now.Sub(time.Unix(1000, 0)) > 2*time.Second && x.Service == "s07" {
 			return LegBroken, -1
 		}
-		return LegReplied, work(b.rng, 15*time.Millisecond)
+		return LegReplied, work(b.rng, 25*time.Millisecond)
 	}
 	all := b.play(400, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
 	late := 0
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -13,6 +13,7 @@
 	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
 	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
 	usual       atomic.Int64 // nanoseconds, latency of replies only, exponentially weighted
+	unheard     atomic.Int64 // nanoseconds that lost sends waited since the last sign of life, together
 	silences    atomic.Int64 // sends in a row that ended without a sign of life
 	silentSince atomic.Int64 // when the first of these was sent, in Unix nanoseconds
 	avoidUntil  atomic.Int64 // Unix nanoseconds
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -28,6 +28,7 @@
 	if old := g.usual.Load(); elapsed > 0 {
 		g.usual.CompareAndSwap(old, old+(int64(elapsed)-old)>>usualShift)
 	}
+	g.unheard.Store(0)
 	g.silences.Store(0)
 	g.avoidUntil.Store(0)
 	if g.Outstanding() > 1 {
@@ -38,13 +39,17 @@
 }
 
 // Lost notes that a request which left at sent ended without a reply. The target is avoided for a while if it was
-// silent for longer than usual, or broke the connection.
+// silent for longer than usual, or broke the connection. The waits of several requests add up, since each may be given
+// up sooner than that; short ones, ended by a hedge, show a slow target at most.
 func (g *Gauge) Lost(sent, now time.Time, broke bool) {
 	if g.Outstanding() <= 1 {
 		g.waitingFor.Store(0)
 	}
-	if !broke && now.Sub(sent) < g.silenceLimit() {
-		return
+	if !broke {
+		waited := now.Sub(sent)
+		if waited < minSilence || time.Duration(g.unheard.Add(int64(waited))) < g.silenceLimit() {
+			return
+		}
 	}
 	if g.silences.Load() == 0 {
 		g.silentSince.Store(sent.UnixNano())
