--- a/routing/state.go
+++ b/routing/state.go
@@ -495,19 +495,26 @@
 }
 
 const (
-	// extraPart is the part of the fleet's extra sends that is spent, since instances count windows apart.
-	extraPart = 0.9
+	// extraPart is the part of the fleet's extra sends that is spent. The rest covers windows that instances count
+	// apart, and restartPart.
+	extraPart = 0.75
+	// restartPart is the part of the constant extra sends that instances may spend in the first window after their
+	// start, in place of extraPart, since an earlier run may have spent that. Two restarts of all in a window fit.
+	restartPart = 0.45
 	// joiners is added to the number of instances among which constant parts are divided, for those that this
 	// instance has not heard of yet.
 	joiners = 1
 )
 
 func (s *State) extraLimits(now time.Time) targets.ExtraLimits {
-	l := targets.ExtraLimits{Window: s.id.Bounds.ExtraWindow, Ratio: s.id.Bounds.ExtraRatio * extraPart}
-	if now.Sub(s.started) >= s.id.Bounds.ExtraWindow {
-		l.Constant = s.id.Bounds.ExtraConstant * extraPart / float64(len(s.gossip.Counted(now))+1+joiners)
+	part, instances := extraPart, len(s.gossip.Counted(now))+1+joiners
+	if now.Sub(s.started) < s.id.Bounds.ExtraWindow {
+		part, instances = restartPart, max(instances, assumedInstances)
+	}
+	return targets.ExtraLimits{
+		Window: s.id.Bounds.ExtraWindow, Ratio: s.id.Bounds.ExtraRatio * extraPart,
+		Constant: s.id.Bounds.ExtraConstant * part / float64(instances),
 	}
-	return l
 }
 
 func (s *State) dump(now time.Time) Dump {
