--- /dev/null
+++ b/cmd/internal/edge/docs_test.go
@@ -0,0 +1,23 @@
+package edge
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// Guards against a metric that the operators' page does not describe.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{
+		metricRequests, metricLatency, metricParts, metricMissing, metricSends, metricLeftOut, metricDropped, metricMembers,
+		metricRevision, metricVersion, metricUsable, metricAsked, metricRefused, metricLoopDrops,
+	} {
+		if !strings.Contains(string(page), "| `"+name+"` |") {
+			t.Errorf("metrics.md does not describe %q", name)
+		}
+	}
+}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +20,7 @@
 	"google.golang.org/grpc"
 
 	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/cmd/internal/linelog"
 	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"dogwooddrift.org/drift/control/loop"
 	"dogwooddrift.org/drift/platform/front"
@@ -84,6 +84,7 @@
 	path     string
 	settings nodefile.Settings
 	config   Config
+	out      *linelog.Writer
 	log      zerolog.Logger
 	loop     *siblinggrpc.RoutingLoop
 	siblings *siblinggrpc.Client
@@ -96,9 +97,8 @@
 	callers, readiness, peers, operators net.Listener
 }
 
-// New binds the addresses of the settings file at path and returns a node that is ready to run. It logs to out, which
-// must not block.
-func New(path string, c Config, out io.Writer) (*Node, error) {
+// New binds the addresses of the settings file at path and returns a node that is ready to run. It logs to out.
+func New(path string, c Config, out *linelog.Writer) (*Node, error) {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(out).With().Timestamp().Logger()
 	s, err := nodefile.Load(path)
@@ -111,7 +111,7 @@
 	now := time.Now()
 	dialer := &net.Dialer{}
 	n := &Node{
-		path: path, settings: s, config: c, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
+		path: path, settings: s, config: c, out: out, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
 		siblings: siblinggrpc.NewClient(), searcher: searcher.New(dialer.DialContext),
 	}
 	n.recorder = newRecorder(out, n.log, n.metrics, c.Log)
@@ -301,6 +301,7 @@
 func (n *Node) sample() {
 	scope, s := n.metrics.Scope, n.loop.Snapshot()
 	scope.Gauge(metricLeftOut).Update(float64(n.recorder.LeftOut()))
+	scope.Gauge(metricDropped).Update(float64(n.out.Dropped()))
 	scope.Gauge(metricLoopDrops).Update(float64(n.loop.Dropped()))
 	scope.Gauge(metricMembers).Update(float64(s.Members))
 	scope.Gauge(metricRevision).Update(float64(s.Revision))
--- a/document/routing.go
+++ b/document/routing.go
@@ -60,6 +60,12 @@
 	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
 }
 
+// AllowsRegion reports whether targets of a region may run requests of the route for an organisation, nil if nobody.
+func (r *Route) AllowsRegion(a *Account, region string) bool {
+	allowed := func(regions []string) bool { return len(regions) == 0 || slices.Contains(regions, region) }
+	return allowed(r.Regions) && (a == nil || allowed(a.Regions))
+}
+
 // Pick returns the service for a request. at is a number from 0 to 1; numbers spread evenly give each service its
 // weight. It returns "" for routes with shards or without weight.
 func (r *Route) Pick(at float64) string {
@@ -85,6 +91,8 @@
 	Organisation
 	// Priority replaces that of the route if it is set.
 	Priority *int `json:"priority,omitempty"`
+	// Regions are the regions whose targets may run the organisation's requests, all if empty.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // RoutedService is a service that routes name.
--- a/document/routing_test.go
+++ b/document/routing_test.go
@@ -68,3 +68,16 @@
 		}
 	}
 }
+
+// Guards against requests that leave the regions of their route or organisation.
+func TestRegionsOfRouteAndOrganisationBothBind(t *testing.T) {
+	route, account := Route{Regions: []string{"a", "b"}}, &Account{Regions: []string{"b", "c"}}
+	for region, want := range map[string][2]bool{"a": {true, false}, "b": {true, true}, "c": {false, false}} {
+		if got := [2]bool{route.AllowsRegion(nil, region), route.AllowsRegion(account, region)}; got != want {
+			t.Errorf("region %s: %v, want %v", region, got, want)
+		}
+	}
+	if !(&Route{}).AllowsRegion(nil, "x") {
+		t.Error("a route without regions is confined")
+	}
+}
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -197,6 +197,8 @@
 	Services     map[string]*Service
 	// Gates admits the requests of organisations, by name.
 	Gates map[string]*caller.Gate
+	// Regions maps zones to regions.
+	Regions map[string]string
 	// Refused are the requests that crash targets.
 	Refused map[targets.Fingerprint]time.Time
 	// Revision is that of the platform's values, StoreContact when this instance or a sibling of its zone is known
--- a/routing/state.go
+++ b/routing/state.go
@@ -410,7 +410,7 @@
 	members := len(s.gossip.Counted(now)) + 1
 	out := &Snapshot{
 		Routing: s.routing, RoutingSince: s.routingSince, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
-		Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
+		Regions: s.id.Regions, Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
 		Ready: s.routing != nil && !s.leaving && !s.isolated,
 	}
 	if s.routing == nil {
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -181,7 +181,7 @@
 		}
 	}
 	d := &delivery{
-		f: f, ctx: ctx, request: r, route: route, organisation: organisation, snapshot: s, deadline: deadline,
+		f: f, ctx: ctx, request: r, route: route, account: account, organisation: organisation, snapshot: s, deadline: deadline,
 		fingerprint: fingerprint, record: record,
 	}
 	return d.run(now)
@@ -220,6 +220,7 @@
 	ctx          context.Context
 	request      *Request
 	route        *document.Route
+	account      *document.Account
 	organisation string
 	snapshot     *routing.Snapshot
 	deadline     time.Time
@@ -274,7 +275,7 @@
 	machine, ready := targets.NewDispatch(targets.DispatchPlan{
 		Services: services, Gather: d.route.Gathers(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
 		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: d.request.Received.Add(objective - d.request.Transit - d.f.settings.AnswerMargin),
-		Tail: d.tail, MaxHedgeDelay: objective / hedgePart, Directory: newest{d.f.loop}, Zone: d.f.settings.Zone,
+		Tail: d.tail, MaxHedgeDelay: objective / hedgePart, Directory: newest{loop: d.f.loop, route: d.route, account: d.account}, Zone: d.f.settings.Zone,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
 	d.ended = make(chan legEnd, len(services)*legsPerPart)
@@ -320,12 +321,23 @@
 // legsPerPart bounds the sends of one part; the channel of their ends never blocks.
 const legsPerPart = 16
 
-// newest is the directory that always reads the newest snapshot.
-type newest struct{ loop RoutingLoop }
+// newest is the directory of a request that always reads the newest snapshot.
+type newest struct {
+	loop    RoutingLoop
+	route   *document.Route
+	account *document.Account
+}
 
-// Candidates returns the targets that may get new requests of the service.
+// Candidates returns the targets that may get the request at the service.
 func (n newest) Candidates(service string) []*targets.Target {
-	return n.loop.Snapshot().Candidates(service)
+	s := n.loop.Snapshot()
+	all := s.Candidates(service)
+	if len(n.route.Regions) == 0 && (n.account == nil || len(n.account.Regions) == 0) {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(t *targets.Target) bool {
+		return !n.route.AllowsRegion(n.account, s.Regions[t.Zone])
+	})
 }
 
 // Extra returns the budget of extra sends of the service.
