--- a/targets/extra.go
+++ b/targets/extra.go
@@ -27,7 +27,8 @@
 type ExtraBudget struct {
 	mu     sync.Mutex
 	limits ExtraLimits
-	slot   int64 // the newest slot, counted from the zero time
+	origin time.Time // of the first use
+	slot   int64     // the newest slot, counted from origin
 	// requests and extras count the last window in slots; one slot more, so that the part of the oldest slot that
 	// still lies in the window counts.
 	requests, extras [extraSlots + 1]int
@@ -77,10 +78,13 @@
 
 // at moves the window to now and returns the index of the newest slot.
 func (b *ExtraBudget) at(now time.Time) int {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
 	width := max(b.limits.Window/extraSlots, time.Millisecond)
-	slot := now.UnixNano() / int64(width)
+	slot := max(int64(now.Sub(b.origin)/width), b.slot)
 	n := int64(len(b.extras))
-	if slot-b.slot >= n || slot < b.slot-n {
+	if slot-b.slot >= n {
 		b.requests, b.extras = [extraSlots + 1]int{}, [extraSlots + 1]int{}
 		b.slot = slot
 	}
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -10,20 +10,27 @@
 	outstanding atomic.Int64
 	latency     atomic.Int64 // nanoseconds, exponentially weighted
 	trip        atomic.Int64 // nanoseconds, shortest connect time seen, slowly rising
-	answered    atomic.Int64 // when the latest of the answered requests was sent, in Unix nanoseconds
-	replaced    atomic.Int64 // when connections were last replaced, in Unix nanoseconds
+	answered    atomic.Int64 // when the latest of the answered requests was sent, as an instant
+	replaced    atomic.Int64 // when connections were last replaced, as an instant
 	usual       atomic.Int64 // nanoseconds, latency of replies only, exponentially weighted
 	unheard     atomic.Int64 // nanoseconds that lost sends waited since the last sign of life, together
 	silences    atomic.Int64 // sends in a row that ended without a sign of life
-	silentSince atomic.Int64 // when the first of these was sent, in Unix nanoseconds
+	silentSince atomic.Int64 // when the first of these was sent, as an instant
 	avoidUntil  atomic.Int64 // Unix nanoseconds
-	waitingFor  atomic.Int64 // when the oldest send without a later sign of life left, in Unix nanoseconds; 0: none
+	waitingFor  atomic.Int64 // when the oldest send without a later sign of life left, as an instant; 0: none
 	reported    atomic.Int64 // requests that the target said it runs or queues
-	reportedAt  atomic.Int64 // in Unix nanoseconds
+	reportedAt  atomic.Int64 // as an instant
 	faults      atomic.Int64 // part of the requests that the target shed or failed, in faultUnit, exponentially weighted
-	coldNext    atomic.Int64 // when the next request may go to the cold target, in Unix nanoseconds
+	coldNext    atomic.Int64 // when the next request may go to the cold target, as an instant
 }
 
+// origin is what instants count from; only their differences matter.
+var origin = time.Now()
+
+// instant turns a time into a number above 0 for atomics. It keeps to the monotonic reading, so that a step of the
+// time of day moves nothing.
+func instant(t time.Time) int64 { return int64(t.Sub(origin)) + 1<<62 }
+
 const (
 	// A sample above the estimate counts 1/2 and one below it 1/8, so that a target that becomes slow is
 	// avoided after a few legs.
@@ -125,7 +132,7 @@
 func (g *Gauge) Answered(started time.Time) {
 	for {
 		old := g.answered.Load()
-		if old >= started.UnixNano() || g.answered.CompareAndSwap(old, started.UnixNano()) {
+		if old >= instant(started) || g.answered.CompareAndSwap(old, instant(started)) {
 			return
 		}
 	}
@@ -135,10 +142,10 @@
 // others, one that was sent later on another connection was answered, and no connection to the target was replaced
 // shortly before.
 func (g *Gauge) ReplaceSilent(started, now time.Time) bool {
-	return now.Sub(started) >= stallFactor*g.Latency() && g.answered.Load() > started.UnixNano() && g.mayReplace(now)
+	return now.Sub(started) >= stallFactor*g.Latency() && g.answered.Load() > instant(started) && g.mayReplace(now)
 }
 
 func (g *Gauge) mayReplace(now time.Time) bool {
 	old := g.replaced.Load()
-	return now.UnixNano()-old >= int64(replaceInterval) && g.replaced.CompareAndSwap(old, now.UnixNano())
+	return instant(now)-old >= int64(replaceInterval) && g.replaced.CompareAndSwap(old, instant(now))
 }
--- a/targets/silence.go
+++ b/targets/silence.go
@@ -21,7 +21,7 @@
 )
 
 // Sent notes that a request left for the target.
-func (g *Gauge) Sent(now time.Time) { g.waitingFor.CompareAndSwap(0, now.UnixNano()) }
+func (g *Gauge) Sent(now time.Time) { g.waitingFor.CompareAndSwap(0, instant(now)) }
 
 // Heard notes a sign of life: a reply of any kind. elapsed is the latency of a request that the target ran, else 0.
 func (g *Gauge) Heard(elapsed time.Duration, now time.Time) {
@@ -32,7 +32,7 @@
 	g.silences.Store(0)
 	g.avoidUntil.Store(0)
 	if g.Outstanding() > 1 {
-		g.waitingFor.Store(now.UnixNano())
+		g.waitingFor.Store(instant(now))
 		return
 	}
 	g.waitingFor.Store(0)
@@ -52,21 +52,21 @@
 		}
 	}
 	if g.silences.Load() == 0 {
-		g.silentSince.Store(sent.UnixNano())
+		g.silentSince.Store(instant(sent))
 	}
 	n := min(g.silences.Add(1), 8)
-	g.avoidUntil.Store(now.Add(min(minAvoid<<(n-1), maxAvoid)).UnixNano())
+	g.avoidUntil.Store(instant(now.Add(min(minAvoid<<(n-1), maxAvoid))))
 }
 
 // Dark reports whether nothing was heard of the target although it was asked for some time.
 func (g *Gauge) Dark(now time.Time) bool {
-	return g.silences.Load() >= 2 && now.UnixNano()-g.silentSince.Load() > int64(darkAfter)
+	return g.silences.Load() >= 2 && instant(now)-g.silentSince.Load() > int64(darkAfter)
 }
 
 // Silent reports whether the target has given no sign of life for longer than usual since it was last asked.
 func (g *Gauge) Silent(now time.Time) bool {
 	since := g.waitingFor.Load()
-	return g.silences.Load() > 0 || since != 0 && now.UnixNano()-since > int64(g.silenceLimit())
+	return g.silences.Load() > 0 || since != 0 && instant(now)-since > int64(g.silenceLimit())
 }
 
 // Darken makes the target count as dark until it is heard or forgiven, because this instance is cut off from it.
@@ -87,14 +87,14 @@
 
 // Avoided reports whether other targets should be used at present.
 func (g *Gauge) Avoided(now time.Time) bool {
-	if now.UnixNano() < g.avoidUntil.Load() {
+	if instant(now) < g.avoidUntil.Load() {
 		return true
 	}
 	if g.silences.Load() > 0 && g.Outstanding() > 0 {
 		return true // one request at a time tries it again
 	}
 	since := g.waitingFor.Load()
-	return since != 0 && now.UnixNano()-since > int64(g.silenceLimit())
+	return since != 0 && instant(now)-since > int64(g.silenceLimit())
 }
 
 const (
@@ -121,13 +121,13 @@
 // Report notes the load that the target told.
 func (g *Gauge) Report(runningAndWaiting int, now time.Time) {
 	g.reported.Store(int64(runningAndWaiting))
-	g.reportedAt.Store(now.UnixNano())
+	g.reportedAt.Store(instant(now))
 }
 
 // Load returns the requests at the target as far as this instance knows.
 func (g *Gauge) Load(now time.Time) int {
 	own := g.Outstanding()
-	if now.UnixNano()-g.reportedAt.Load() > int64(reportLife) {
+	if instant(now)-g.reportedAt.Load() > int64(reportLife) {
 		return own
 	}
 	return max(own, int(g.reported.Load()))
@@ -140,10 +140,10 @@
 	}
 	for {
 		next := g.coldNext.Load()
-		if now.UnixNano() < next {
+		if instant(now) < next {
 			return false
 		}
-		if g.coldNext.CompareAndSwap(next, now.UnixNano()+int64(float64(time.Second)/rate)) {
+		if g.coldNext.CompareAndSwap(next, instant(now)+int64(float64(time.Second)/rate)) {
 			return true
 		}
 	}
