--- a/routing/reach.go
+++ b/routing/reach.go
@@ -11,6 +11,9 @@
 	// outsideLimit is after how long without an exchange with another zone this instance may be cut off from it:
 	// several exchanges are due in this time.
 	outsideLimit = 600 * time.Millisecond
+	// outsideQuiet is after how long without one an exchange with another zone is made on purpose, so that chance alone
+	// does not look like a cut.
+	outsideQuiet = 250 * time.Millisecond
 	// outsideBack is how recent an exchange must be to end that.
 	outsideBack = 300 * time.Millisecond
 )
--- a/routing/state.go
+++ b/routing/state.go
@@ -173,7 +173,7 @@
 	s.divide(now)
 	s.isolate(now)
 	s.gossip.Self(s.values.have, s.contact, s.demands())
-	for _, address := range s.gossip.Round(now) {
+	for _, address := range s.gossip.Round(now, now.Sub(s.outside) > outsideQuiet) {
 		ready.Effects = append(ready.Effects, SendExchange{Address: address, Exchange: s.exchangeFor(s.haveOf(address), now)})
 	}
 	if !s.reading && !now.Before(s.readAt) && (s.values.have == 0 || s.gossip.Reads(now, readerLimit)) {
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -92,8 +92,8 @@
 // Next returns when the next round is due.
 func (g *Gossip) Next() time.Time { return g.next }
 
-// Round returns the addresses to exchange with now, none before the round is due.
-func (g *Gossip) Round(now time.Time) []string {
+// Round returns the addresses to exchange with now, none before the round is due. outside asks for one in another zone.
+func (g *Gossip) Round(now time.Time, outside bool) []string {
 	if now.Before(g.next) {
 		return nil
 	}
@@ -115,6 +115,9 @@
 	if len(live) > 0 {
 		add(live[g.rng.IntN(len(live))].Address)
 	}
+	if far := slices.DeleteFunc(slices.Clone(live), func(b Beat) bool { return b.Zone == g.self.Zone }); outside && len(far) > 0 {
+		add(far[g.rng.IntN(len(far))].Address)
+	}
 	if len(live) < lonely {
 		for _, s := range g.seeds {
 			add(s)
--- a/sibling/gossip_test.go
+++ b/sibling/gossip_test.go
@@ -36,7 +36,7 @@
 func (f *gossipFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
 		for address, g := range f.nodes {
-			for _, to := range g.Round(f.now) {
+			for _, to := range g.Round(f.now, false) {
 				f.sent++
 				other := f.nodes[to]
 				if other == nil || f.cut(address, to) {
