--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -200,7 +200,7 @@
 	case LegBroken:
 		p.mayRun = true
 	case LegNotRun, LegNotSent:
-		p.ran = slices.DeleteFunc(p.ran, func(t *Target) bool { return t == target })
+		p.ran = slices.DeleteFunc(p.ran, target.same)
 	}
 	p.retries++
 	if !d.Idempotent && p.mayRun {
@@ -269,7 +269,7 @@
 	d.owner[d.attempt] = i
 	p.open = append(p.open, openSend{attempt: d.attempt, target: t})
 	p.sends++
-	if !slices.Contains(p.ran, t) {
+	if !slices.ContainsFunc(p.ran, t.same) {
 		p.ran = append(p.ran, t)
 	}
 	p.hedgeAt = now.Add(d.hedgeDelay())
@@ -288,14 +288,14 @@
 // open there.
 func (d *Dispatch) choose(p *dispatchPart, now time.Time) (best *Target, busy bool) {
 	candidates := d.Directory.Candidates(p.service)
-	fresh := len(p.ran) < d.Attempts && slices.ContainsFunc(candidates, func(t *Target) bool { return !slices.Contains(p.ran, t) })
+	fresh := len(p.ran) < d.Attempts && slices.ContainsFunc(candidates, func(t *Target) bool { return !slices.ContainsFunc(p.ran, t.same) })
 	type ranked struct {
 		target *Target
 		score  float64
 	}
 	order := make([]ranked, 0, len(candidates))
 	for _, t := range candidates {
-		if slices.Contains(p.ran, t) == fresh || slices.ContainsFunc(p.open, func(o openSend) bool { return o.target == t }) {
+		if slices.ContainsFunc(p.ran, t.same) == fresh || slices.ContainsFunc(p.open, func(o openSend) bool { return t.same(o.target) }) {
 			continue
 		}
 		order = append(order, ranked{t, d.score(t, now)})
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -321,6 +321,36 @@
 	}
 }
 
+// renewed gives new values for the same targets at each call, as a directory does that follows the newest view.
+type renewed struct{ *dispatchBench }
+
+func (r renewed) Candidates(service string) []*Target {
+	var out []*Target
+	for _, t := range r.services[service] {
+		copied := *t
+		out = append(out, &copied)
+	}
+	return out
+}
+
+// Guards against a target that is taken for another one because a newer view has come: a part hedged to the target
+// that is late already, or run at more targets than allowed.
+func TestTargetsAreTheSameInNewerViews(t *testing.T) {
+	b := newDispatchBench(1, 5)
+	b.plan.Gather = false
+	b.plan.Directory = renewed{b}
+	b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) { return LegBroken, -1 }
+	b.play(1, time.Second, 100*time.Millisecond, 700*time.Millisecond)
+	if len(b.sends) != 2 {
+		t.Errorf("sent to %v, want two targets", b.sends)
+	}
+	for id, n := range b.sends {
+		if n > 1 {
+			t.Errorf("%d sends to %s", n, id)
+		}
+	}
+}
+
 // Guards against records out of order, lost duplicates and bytes that are no record.
 func TestGreatestRecords(t *testing.T) {
 	record := func(b byte) []byte { return slices.Repeat([]byte{b}, RecordSize) }
--- a/targets/view.go
+++ b/targets/view.go
@@ -26,6 +26,9 @@
 	Ramping bool
 }
 
+// same reports whether o is the same target, perhaps of another view.
+func (t *Target) same(o *Target) bool { return t.ID == o.ID }
+
 // ShardView lists the usable replicas of one shard in one snapshot.
 type ShardView struct {
 	Shard    Shard
