--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -39,8 +39,10 @@
 	// firstInterval is the same while the instance looks for siblings, at most for joinTime after its start.
 	firstInterval = 100 * time.Millisecond
 	joinTime      = 2 * time.Second
-	// silentAfter is after how long without a newer beat a member counts as gone: eight rounds.
+	// silentAfter is after how long without a newer beat a member counts as gone: eight rounds. In a fleet of more than
+	// some 30 a message holds only a part of the beats, and silentEach more is needed for each member.
 	silentAfter = 2 * time.Second
+	silentEach  = 60 * time.Millisecond
 	// countedFor is how long a silent member still counts where a limit is divided among members, since it may be
 	// cut off and go on spending its part.
 	countedFor = 20 * time.Second
@@ -138,6 +140,11 @@
 	return GossipInterval
 }
 
+// silence returns after how long without a newer beat a member counts as gone.
+func (g *Gossip) silence() time.Duration {
+	return max(silentAfter, time.Duration(len(g.members))*silentEach)
+}
+
 // silent returns the addresses of silent members, and of seeds that are not those of live members.
 func (g *Gossip) silent(now time.Time) []string {
 	var out []string
@@ -145,7 +152,7 @@
 	for _, id := range slices.Sorted(maps.Keys(g.members)) {
 		m := g.members[id]
 		known[m.Address] = true
-		if now.Sub(m.heard) >= silentAfter {
+		if now.Sub(m.heard) >= g.silence() {
 			out = append(out, m.Address)
 		}
 	}
@@ -182,7 +189,8 @@
 	}
 }
 
-// Beats returns what to send in an exchange: the own beat and the freshest of the others.
+// Beats returns what to send in an exchange: the own beat and, of the others, half of the message the freshest ones, by
+// which news spread fast, and half any, so that no member goes unheard.
 func (g *Gossip) Beats(now time.Time) []Beat {
 	own := g.self
 	own.StoreAge = ageOf(g.store, now)
@@ -190,10 +198,13 @@
 	slices.SortFunc(fresh, func(a, b *member) int {
 		return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.ID, b.ID))
 	})
+	if rest := fresh[min(len(fresh), maxBeats/2):]; len(fresh) >= maxBeats {
+		g.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	}
 	out := []Beat{own}
 	for _, m := range fresh[:min(len(fresh), maxBeats-1)] {
-		if now.Sub(m.heard) >= silentAfter {
-			break
+		if now.Sub(m.heard) >= g.silence() {
+			continue
 		}
 		b := m.Beat
 		b.StoreAge = ageOf(m.store, now)
@@ -211,7 +222,7 @@
 
 // Live returns the other instances that were heard of lately and do not stop, by ID.
 func (g *Gossip) Live(now time.Time) []Beat {
-	return g.within(now, silentAfter)
+	return g.within(now, g.silence())
 }
 
 // Counted returns the other instances among which, with this one, limits of the fleet are divided.
@@ -219,8 +230,10 @@
 	return g.within(now, countedFor)
 }
 
-// Heard returns the other instances that were heard of within a time.
-func (g *Gossip) Heard(now time.Time, limit time.Duration) []Beat { return g.within(now, limit) }
+// Heard returns the other instances that were heard of within a time, longer in a large fleet.
+func (g *Gossip) Heard(now time.Time, limit time.Duration) []Beat {
+	return g.within(now, time.Duration(float64(limit)*float64(g.silence())/float64(silentAfter)))
+}
 
 func (g *Gossip) within(now time.Time, limit time.Duration) []Beat {
 	var out []Beat
--- a/sibling/gossip_test.go
+++ b/sibling/gossip_test.go
@@ -157,6 +157,15 @@
 		f.run(3 * time.Second)
 		perSecond := float64(f.sent) / 3 / float64(n)
 		t.Logf("%d instances: %.1f exchanges and %.0f beats a second", n, perSecond, float64(f.beats)/3/float64(n))
+		known, all := 0, 0
+		for _, g := range f.nodes {
+			known += len(g.Live(f.now))
+			all += n - 1
+		}
+		t.Logf("%d instances: %.3f of the others count as live", n, float64(known)/float64(all))
+		if n <= 86 && float64(known) < 0.99*float64(all) {
+			t.Errorf("%d instances: only %d of %d pairs know each other", n, known, all)
+		}
 		if perSecond > 12 {
 			t.Errorf("%d instances: %.1f exchanges a second", n, perSecond)
 		}
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -101,10 +101,12 @@
 func encodeBeat(b sibling.Beat, organisations []string) *siblingpb.Beat {
 	out := &siblingpb.Beat{
 		Id: b.ID, Zone: b.Zone, Address: b.Address, Born: b.Born, Count: b.Count, Leaving: b.Leaving,
-		Have: uint64(b.Have), StoreAgeMs: encodeAge(b.StoreAge), Demand: make([]float32, len(organisations)),
+		Have: uint64(b.Have), StoreAgeMs: encodeAge(b.StoreAge),
 	}
 	for i, name := range organisations {
-		out.Demand[i] = float32(b.Demand[name])
+		if demand := b.Demand[name]; demand > 0 {
+			out.DemandOf, out.Demand = append(out.DemandOf, uint32(i)), append(out.Demand, float32(demand))
+		}
 	}
 	return out
 }
@@ -122,9 +124,9 @@
 			Leaving: b.GetLeaving(), Have: document.Revision(b.GetHave()), StoreAge: decodeAge(b.StoreAgeMs),
 			Demand: make(map[string]float64, len(b.GetDemand())),
 		}
-		for i, demand := range b.GetDemand() {
-			if i < len(m.GetOrganisations()) && demand > 0 {
-				beat.Demand[m.GetOrganisations()[i]] = float64(demand)
+		for i, of := range b.GetDemandOf() {
+			if int(of) < len(m.GetOrganisations()) && i < len(b.GetDemand()) {
+				beat.Demand[m.GetOrganisations()[of]] = float64(b.GetDemand()[i])
 			}
 		}
 		out.Beats = append(out.Beats, beat)
