--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -127,6 +127,9 @@
 	targetRetry = 250 * time.Millisecond
 	// darkRetry is short, since another instance may reach the targets.
 	darkRetry = 50 * time.Millisecond
+	// cutOffRetry gives the balancer of an instance that is cut off time to take callers elsewhere; sooner they would
+	// come to an instance of the same zone.
+	cutOffRetry = time.Second
 	// shedRetry is about the time in which a full queue of a target empties.
 	shedRetry = 100 * time.Millisecond
 )
@@ -258,7 +261,11 @@
 		d.snapshot.Extra(s).Request(now)
 	}
 	if d.hopeless(services, now) {
-		return refuse(caller.Refuse(caller.CodeNoTarget, darkRetry, "too many services have no target that replies"))
+		retry := darkRetry
+		if !d.snapshot.Ready {
+			retry = cutOffRetry
+		}
+		return refuse(caller.Refuse(caller.CodeNoTarget, retry, "too many services have no target that replies"))
 	}
 	d.record.Parts = len(services)
 	d.tail = d.f.tail(d.route.Name)
