--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -112,6 +112,7 @@
 	sender   LegSender
 	log      Recorder
 	tails    sync.Map // *targets.Tail by name of the route
+	late     lateness
 }
 
 // NewForwarder returns a forwarder that reports each request to log.
@@ -279,9 +280,10 @@
 	if d.route.Gathers() {
 		hedgePart = gatherHedgePart
 	}
+	answerBy := d.request.Received.Add(objective - d.request.Transit - d.f.settings.AnswerMargin - d.f.late.margin(objective))
 	machine, ready := targets.NewDispatch(targets.DispatchPlan{
 		Services: services, Gather: d.route.Gathers(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
-		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: d.request.Received.Add(objective - d.request.Transit - d.f.settings.AnswerMargin),
+		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: answerBy,
 		Tail: d.tail, MaxHedgeDelay: objective / hedgePart, Directory: newest{loop: d.f.loop, route: d.route, account: d.account}, Zone: d.f.settings.Zone,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
@@ -289,6 +291,7 @@
 	defer d.cancelAll()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	byTimer := false
 	for !ready.Done {
 		for _, attempt := range ready.Cancel {
 			d.cancel(attempt)
@@ -305,9 +308,15 @@
 		case <-d.ctx.Done():
 			return refuse(&caller.Refusal{Code: caller.CodeOutcomeUnknown, Ran: caller.RanUnknown, Message: "the caller left"})
 		}
+		byTimer = len(ended) == 0
 		ready = machine.Step(ended, time.Now())
 	}
-	return d.answer(machine)
+	answer := d.answer(machine)
+	if now := time.Now(); byTimer && answer.Gathered != nil && now.After(answerBy) {
+		// Nothing but the time made the answer leave, so that what it is late by is this instance's doing.
+		d.f.late.observe(now.Sub(answerBy))
+	}
+	return answer
 }
 
 // darkTrial is the part of the requests that are tried although too few services have a target that replies, so that
