--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -49,7 +49,6 @@
 	send     Send
 	sent     time.Time
 	outcome  LegOutcome
-	cancel   bool
 }
 
 type simEnds []simEnd
