--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -338,9 +338,8 @@
 }
 
 func (x *executor) read(e routing.ReadStore) {
-	start := time.Now()
 	update, err := x.node.store.Read(x.ctx, e)
-	x.post(routing.StoreRead{Update: update, Err: err, Took: time.Since(start)})
+	x.post(routing.StoreRead{Update: update, Err: err})
 }
 
 func (x *executor) exchange(e routing.SendExchange) {
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -72,8 +72,6 @@
 	// RateOverage and RateSlack are the part and the number by which organisations may exceed their rates in a
 	// window; zero is strict. They cover the time until a moved demand is known everywhere.
 	RateOverage, RateSlack float64
-	// ColdOverage and ColdSlack are the same for the rate of a cold target.
-	ColdOverage, ColdSlack float64
 }
 
 // Identity is what a State starts from.
@@ -98,8 +96,6 @@
 	StoreRead struct {
 		Update Update
 		Err    error
-		// Took is how long the platform took to answer, without the time that it was asked to wait.
-		Took time.Duration
 	}
 	// Heard carries what a sibling told. Reply, if not nil, gets the answer and has room for it.
 	Heard struct {
--- a/routing/state.go
+++ b/routing/state.go
@@ -55,6 +55,12 @@
 	at      time.Time // of the last Step
 	members int       // of the last division
 
+	// live holds the addresses of the siblings that were live when they were last looked at, by ID.
+	live   map[string]string
+	looked time.Time
+	// unreached holds the last error of exchanges with siblings, by address.
+	unreached map[string]error
+
 	values   *values
 	gossip   *sibling.Gossip
 	crashes  *targets.CrashLog
@@ -99,7 +105,7 @@
 	return &State{
 		id: id, rng: rng, started: now, at: now, values: newValues(), gossip: sibling.NewGossip(self, id.Seeds, rng, now),
 		crashes: targets.NewCrashLog(), targets: map[string]*targetState{}, budgets: map[string]*targets.ExtraBudget{},
-		gates: map[string]*gateState{}, blamed: map[targets.Fingerprint]time.Time{},
+		gates: map[string]*gateState{}, blamed: map[targets.Fingerprint]time.Time{}, unreached: map[string]error{},
 	}
 }
 
@@ -116,6 +122,8 @@
 	case Heard:
 		s.heard(e, now)
 	case ExchangeFailed:
+		// A sibling that cannot be reached is noted when nobody else has heard of it either.
+		s.unreached[e.Address] = e.Err
 	case TargetBroke:
 		s.broke(e, now)
 	case TargetRefused:
@@ -147,6 +155,33 @@
 	return ready
 }
 
+// noteMembers notes the siblings that were heard of for the first time or again, and those that fell silent.
+func (s *State) noteMembers(now time.Time) {
+	if now.Sub(s.looked) < tickInterval {
+		return
+	}
+	s.looked = now
+	live := map[string]string{}
+	for _, b := range s.gossip.Live(now) {
+		live[b.ID] = b.Address
+		if _, known := s.live[b.ID]; !known {
+			s.note("member", b.ID, "unknown or silent", "live", "gossip")
+			delete(s.unreached, b.Address)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.live)) {
+		if _, still := live[id]; still {
+			continue
+		}
+		source := "gossip"
+		if err := s.unreached[s.live[id]]; err != nil {
+			source = err.Error()
+		}
+		s.note("member", id, "live", "silent or leaving", source)
+	}
+	s.live = live
+}
+
 // oneCrash is the time within which broken connections of one request count as one: the targets of all shards run a
 // gathered request at the same time, and some may crash together for another reason.
 const oneCrash = time.Second
@@ -170,6 +205,7 @@
 		s.note("requests refused for crashes", "", strconv.Itoa(s.refused), strconv.Itoa(n), "crashes")
 		s.refused, s.changed = n, true
 	}
+	s.noteMembers(now)
 	s.divide(now)
 	s.isolate(now)
 	s.gossip.Self(s.values.have, s.contact, s.demands())
@@ -232,6 +268,9 @@
 func (s *State) heard(e Heard, now time.Time) {
 	s.heardFrom(e.Exchange.Beats, now)
 	s.gossip.Hear(e.Exchange.Beats, now)
+	for _, b := range e.Exchange.Beats[:min(1, len(e.Exchange.Beats))] {
+		delete(s.unreached, b.Address)
+	}
 	s.crashes.Hear(e.Exchange.Notices, now)
 	s.take(e.Exchange.Update, "sibling", now)
 	if e.Reply != nil {
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,6 +180,29 @@
 	}
 }
 
+// Guards against a sibling that comes or goes without a line in the log.
+func TestMembersAreNoted(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(1))
+	var notes []string
+	collect := func(effects []Effect) {
+		for _, e := range effects {
+			if n, ok := e.(Note); ok && n.Subject == "member" {
+				notes = append(notes, n.Name+" "+n.New)
+			}
+		}
+	}
+	collect(x.step(Heard{Exchange: Exchange{Beats: []sibling.Beat{{ID: "b", Zone: "z", Address: "b:1", Count: 1, StoreAge: sibling.NoContact}}}}))
+	for range 60 {
+		x.now = x.now.Add(50 * time.Millisecond)
+		collect(x.step(Tick{}))
+		collect(x.step(ExchangeFailed{Address: "b:1", Err: sibling.ErrNoReply}))
+	}
+	if want := []string{"b live", "b silent or leaving"}; !slices.Equal(notes, want) {
+		t.Errorf("notes %q, want %q", notes, want)
+	}
+}
+
 // Guards against a cold target that gets requests from every instance.
 func TestColdTargetHasOneOwner(t *testing.T) {
 	owners := 0
