--- a/routing/values.go
+++ b/routing/values.go
@@ -92,7 +92,7 @@
 	return Change{}, false
 }
 
-// since returns what a sibling that is complete to have lacks.
+// updateSince returns what a sibling that is complete to have lacks.
 func (v *values) updateSince(have document.Revision) Update {
 	u := Update{Since: have, Upto: v.have, Full: have < v.floor || have == 0}
 	if have >= v.have {
--- a/targets/errors.go
+++ b/targets/errors.go
@@ -5,7 +5,7 @@
 	"fmt"
 )
 
-// The errors of this layer. targethttp turns those of the transport into them.
+// The errors of this layer. targetshttp turns those of the transport into them.
 var (
 	// ErrShed means that the target refused the request and did not run it.
 	ErrShed = errors.New("target shed the request")
--- a/targets/target.go
+++ b/targets/target.go
@@ -1,7 +1,7 @@
 // Package targets holds the decisions about targets, the instances that run requests: which of them are usable,
 // which snapshot and replicas a query is planned on, when a leg is retried, and what a true answer contains.
 //
-// The package does no I/O and reads no clock; targethttp talks to targets.
+// The package does no I/O and reads no clock; targetshttp talks to targets.
 package targets
 
 // Snapshot numbers a version of a service's index. Higher is newer.
--- a/targets/targetshttp/client.go
+++ b/targets/targetshttp/client.go
@@ -103,7 +103,7 @@
 }
 
 // Search sends one leg. It returns the headers of the reply, if one came. Its error wraps one of the errors of
-// package target.
+// package targets.
 func (c *Client) Search(ctx context.Context, s Search) (targets.Reply, http.Header, error) {
 	req, err := c.request(ctx, s.Leg.Target.Address, SearchPath, s.Body)
 	if err != nil {
@@ -223,7 +223,7 @@
 	return req, nil
 }
 
-// do sends the request and turns transport errors and statuses into the errors of package target.
+// do sends the request and turns transport errors and statuses into the errors of package targets.
 func (c *Client) do(req *http.Request) (http.Header, []byte, error) {
 	// Once the request has a connection, another goroutine of net/http writes to it. That it ends before Do returns
 	// is not documented, so a request with a connection counts as sent. net/http takes another connection only if
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -83,7 +83,7 @@
 	Body       []byte
 }
 
-// Answer to a forwarded request: exactly one field is set.
+// Delivered is the answer to a forwarded request. Exactly one field is set.
 type Delivered struct {
 	Reply    *LegReply
 	Gathered *Gathered
