--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -285,16 +286,9 @@
 	n.log.Info().Str("cause", cause).Strs("seeds", s.Seeds).Msg("edge: settings reloaded")
 }
 
+// equalSettings reports whether the settings that take effect without a restart are the same.
 func equalSettings(a, b nodefile.Settings) bool {
-	if len(a.Seeds) != len(b.Seeds) || a.Bounds != b.Bounds || a.Grace != b.Grace {
-		return false
-	}
-	for i := range a.Seeds {
-		if a.Seeds[i] != b.Seeds[i] {
-			return false
-		}
-	}
-	return true
+	return a.Bounds == b.Bounds && a.Grace == b.Grace && slices.Equal(a.Seeds, b.Seeds)
 }
 
 // sample sets the gauges that show the control state.
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -197,12 +197,9 @@
 	Regions map[string]string
 	// Refused are the requests that crash targets.
 	Refused map[targets.Fingerprint]time.Time
-	// Revision is that of the platform's values, StoreContact when this instance or a sibling of its zone is known
-	// to have reached the platform.
-	Revision     document.Revision
-	StoreContact time.Time
-	Members      int
-	Leaving      bool
+	// Revision is that of the platform's values.
+	Revision document.Revision
+	Members  int
 	// Ready says that requests can be served.
 	Ready bool
 }
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"errors"
 	"math"
 	"slices"
 	"time"
@@ -11,8 +10,6 @@
 	"dogwooddrift.org/drift/sibling"
 )
 
-func isHistoryGone(err error) bool { return errors.Is(err, ErrHistoryGone) }
-
 const (
 	// demandWeight is the part of one sample in the mean demand; with shareInterval it follows a change within a
 	// second.
@@ -98,8 +95,9 @@
 			s.changed = true
 		}
 	}
+	limits := s.extraLimits(now)
 	for _, b := range s.budgets {
-		b.SetLimits(s.extraLimits(now))
+		b.SetLimits(limits)
 	}
 	if instances != s.members {
 		s.members, s.changed = instances, true
--- a/routing/state.go
+++ b/routing/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -42,7 +43,9 @@
 )
 
 type targetState struct {
-	target      *targets.Target
+	target *targets.Target
+	// draining targets finish what they have and get nothing new.
+	draining    bool
 	misdirected time.Time // until
 	coldUntil   time.Time
 }
@@ -313,7 +316,7 @@
 
 // readFailed notes a failed read. The marker -1 makes the next read a full one.
 func (s *State) readFailed(err error, now time.Time) {
-	if isHistoryGone(err) {
+	if errors.Is(err, ErrHistoryGone) {
 		s.failures = -1
 		s.readAt = now
 		s.note("platform", "", "history", "read all again", err.Error())
@@ -429,7 +432,7 @@
 		ID: id, Service: r.Service, Zone: r.Zone, Address: r.Address, Incarnation: r.Incarnation, Slots: r.Slots,
 		Gauge: &targets.Gauge{},
 	}
-	next := &targetState{target: t}
+	next := &targetState{target: t, draining: r.Draining}
 	if r.ColdFor > 0 {
 		next.coldUntil = since.Add(r.ColdFor)
 	}
@@ -449,7 +452,7 @@
 	members := len(s.gossip.Counted(now)) + 1
 	out := &Snapshot{
 		Routing: s.routing, RoutingSince: s.routingSince, Services: map[string]*Service{}, Gates: map[string]*caller.Gate{},
-		Regions: s.id.Regions, Refused: s.crashes.Refused(), Revision: s.values.have, StoreContact: s.contact, Members: members, Leaving: s.leaving,
+		Regions: s.id.Regions, Refused: s.crashes.Refused(), Revision: s.values.have, Members: members,
 		Ready: s.routing != nil && !s.leaving && !s.isolated,
 	}
 	if s.routing == nil {
@@ -460,11 +463,10 @@
 		out.Services[v.Name] = &Service{Name: v.Name, Extra: s.budget(v.Name, now)}
 	}
 	zonesOut := s.zonesOut(now)
-	draining := s.draining()
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[id]
 		v := out.Services[t.target.Service]
-		if v == nil || draining[id] || zonesOut[t.target.Zone] || now.Before(t.misdirected) {
+		if v == nil || t.draining || zonesOut[t.target.Zone] || now.Before(t.misdirected) {
 			continue
 		}
 		service := s.routing.Service(v.Name)
@@ -514,16 +516,6 @@
 	return out
 }
 
-func (s *State) draining() map[string]bool {
-	out := map[string]bool{}
-	for _, e := range s.values.entries {
-		if e.Kind == KindTarget && (e.Target != nil && e.Target.Draining || e.last.Target != nil && e.last.Target.Draining) {
-			out[e.Name] = true
-		}
-	}
-	return out
-}
-
 func (s *State) budget(service string, now time.Time) *targets.ExtraBudget {
 	b := s.budgets[service]
 	if b == nil {
