Spend from the fuller stock of tokens, and pull from all zones above the zone's rate

Cause: at rate 10 and burst 20 an instance spent pulled tokens first, so that its own stock stood at its cap and accrued nothing, and it asked other zones only after its own had run dry, while theirs stood at their caps. A trace of the accounts showed 0.5 to 1 token a second lost that way while one bucket for the fleet held 8 to 12 more. Change: traffic takes from the larger of the two stocks; an instance whose demand exceeds its zone's part of the rate pulls from all zones.

--- a/caller/pool.go
+++ b/caller/pool.go
@@ -56,20 +56,40 @@
 }
 
 // TakeAgain is like Take for a request that has called Take before: its demand is counted already.
+//
+// It takes from the larger of the two stocks. A full stock accrues nothing: its owner's, if own tokens lie unused, or
+// the givers', which count pulled tokens until they are spent.
 func (p *TokenPool) TakeAgain(clock func() time.Time) bool {
+	own := p.own.Load()
+	var pulled []*Lot
 	if lots := p.pulled.Load(); lots != nil {
-		for _, l := range *lots {
-			if l.take(clock) {
-				p.spent.Add(1)
-				return true
-			}
-		}
+		pulled = *lots
 	}
-	if l := p.own.Load(); l != nil && l.take(clock) {
-		p.spent.Add(1)
+	ownFirst := own != nil && own.tokens.Load() > total(pulled)
+	if ownFirst && p.spend(own, clock) {
 		return true
 	}
-	return false
+	for _, l := range pulled {
+		if p.spend(l, clock) {
+			return true
+		}
+	}
+	return !ownFirst && own != nil && p.spend(own, clock)
+}
+
+func total(lots []*Lot) (n int64) {
+	for _, l := range lots {
+		n += l.tokens.Load()
+	}
+	return n
+}
+
+func (p *TokenPool) spend(l *Lot, clock func() time.Time) bool {
+	if !l.take(clock) {
+		return false
+	}
+	p.spent.Add(1)
+	return true
 }
 
 // maxWaiting bounds the requests of an organisation that wait for a token, so that one far above its rate does not
--- a/caller/pool_test.go
+++ b/caller/pool_test.go
@@ -85,3 +85,28 @@
 		t.Fatalf("%d pulled and %d own unspent after one spend, want 0 and 1", lot.Unspent(), p.Unspent())
 	}
 }
+
+// Guards against requests that use up one stock while the other is full: a full stock accrues nothing.
+func TestPoolSpendsFromTheLargerStock(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	for _, c := range []struct{ own, pulled, spend, wantOwn, wantPulled int64 }{
+		{own: 5, pulled: 2, spend: 3, wantOwn: 2, wantPulled: 2},
+		{own: 2, pulled: 5, spend: 3, wantOwn: 2, wantPulled: 2},
+		{own: 4, pulled: 0, spend: 4, wantOwn: 0, wantPulled: 0},
+		{own: 0, pulled: 3, spend: 3, wantOwn: 0, wantPulled: 0},
+		{own: 3, pulled: 3, spend: 6, wantOwn: 0, wantPulled: 0},
+	} {
+		p := &TokenPool{}
+		p.Deposit(c.own, NewExpiry(now.Add(time.Second)))
+		p.DepositPulled(c.pulled, now.Add(time.Second), now)
+		for range c.spend {
+			if !p.Take(clock) {
+				t.Errorf("%+v: no token although some are left", c)
+			}
+		}
+		if own, pulled := p.Unspent(), p.Pulled(now); own != c.wantOwn || pulled != c.wantPulled {
+			t.Errorf("%+v: left %d own and %d pulled", c, own, pulled)
+		}
+	}
+}
--- a/sibling/shares_pull.go
+++ b/sibling/shares_pull.go
@@ -57,7 +57,8 @@
 }
 
 // pull asks other holders for what the expected demand needs beyond the stock: those of this zone first, and
-// those of the other zones too for wideRounds after a round that brought less than half of what was asked for. All
+// those of the other zones too for wideRounds after a round that brought less than half of what was asked for, and
+// while the demand here exceeds the zone's part of the rate: the others' stocks would be full and accrue nothing. All
 // organisations share one message to a sibling. An organisation without demand causes none.
 func (s *Shares) pull() []ShareEffect {
 	wants := map[string]*SendPull{}
@@ -69,7 +70,7 @@
 		}
 		if a.wide > 0 {
 			a.wide--
-		} else if a.granted < a.asked/2 {
+		} else if a.granted < a.asked/2 || a.demand > a.rate*s.fraction.inForce {
 			a.wide = wideRounds
 		}
 		urgent := a.urgent
