Try cancelled changes until one reaches its target

Cause: TestCancelledChangeIsNotCalledUnsent failed once beside a busy machine with "no cancelled change reached the target, so the test shows nothing": of its 500 tries the scheduler let the cancellation win each time. The assertion about changes that did reach the target was not violated. Change: tries go on beyond 500, up to 50,000, until one change reached the target; all assertions stay.

--- a/targets/targetshttp/change_test.go
+++ b/targets/targetshttp/change_test.go
@@ -118,8 +118,16 @@
 			mu.Unlock()
 		}
 	})
+	reached := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(received) > 0
+	}
+	// Whether the cancellation or the write comes first depends on the scheduler, so that more tries may be needed
+	// until some change reached the target.
+	const tries, maxTries = 500, 50_000
 	unsent := map[string]bool{}
-	for i := range 500 {
+	for i := 0; i < tries || i < maxTries && !reached(); i++ {
 		ctx, cancel := context.WithCancel(t.Context())
 		transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
