Keep to targets of the own zone in a large fleet

Change: an unknown target is expected to take as long as the fastest known one of its service; estimates fade by time; the advantage of the own zone is larger. The first hedge of a route waits for the whole delay as later ones do.

--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -96,8 +96,6 @@
 	notRunSends = 3
 	// minHedgeDelay keeps hedges from firing at every request when latencies are tiny.
 	minHedgeDelay = 5 * time.Millisecond
-	// firstHedgeDivisor divides the longest hedge delay while no latency is known.
-	firstHedgeDivisor = 2
 )
 
 type dispatchPart struct {
@@ -280,7 +278,7 @@
 	if q := d.Tail.Quantile(); q > 0 {
 		return min(max(q, minHedgeDelay), d.MaxHedgeDelay)
 	}
-	return d.MaxHedgeDelay / firstHedgeDivisor
+	return d.MaxHedgeDelay
 }
 
 // choose reserves a place at the target that is expected to reply first, and reports whether all that may be asked
@@ -294,11 +292,12 @@
 		score  float64
 	}
 	order := make([]ranked, 0, len(candidates))
+	unknown := leastLatency(candidates)
 	for _, t := range candidates {
 		if slices.ContainsFunc(p.ran, t.same) == fresh || slices.ContainsFunc(p.open, func(o openSend) bool { return t.same(o.target) }) {
 			continue
 		}
-		order = append(order, ranked{t, d.score(t, now)})
+		order = append(order, ranked{t, d.score(t, unknown, now)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		switch {
@@ -315,8 +314,9 @@
 				r.target.Gauge.Finish(0)
 				continue
 			}
+			r.target.Gauge.chosen(now)
 			for _, passed := range order[n+1:] {
-				passed.target.Gauge.passOver()
+				passed.target.Gauge.fade(now)
 			}
 			return r.target, false
 		}
@@ -327,7 +327,7 @@
 const (
 	// avoidedScore is added for targets that are avoided, in seconds: more than any latency.
 	avoidedScore = 10.0
-	// unknownLatency stands for the latency of a target that was not asked yet, so that it is tried soon.
+	// unknownLatency stands for the latency of a target that was not asked yet while none of the service is known.
 	unknownLatency = 5 * time.Millisecond
 	// scoreSpread is the random part of a score. It keeps instances from all choosing the same target.
 	scoreSpread = 0.3
@@ -338,14 +338,29 @@
 	// waits.
 	loadWeight = 0.25
 	// zoneFactor is the advantage of targets in the own zone.
-	zoneFactor = 0.6
+	zoneFactor = 0.35
 )
 
-// score is the expected time to a reply in seconds.
-func (d *Dispatch) score(t *Target, now time.Time) float64 {
+// leastLatency returns what a target that was not asked yet is expected to take: as long as the fastest known one, so
+// that it is tried soon, but not from another zone while one of the own is known.
+func leastLatency(candidates []*Target) time.Duration {
+	least := time.Duration(0)
+	for _, t := range candidates {
+		if l := t.Gauge.Latency(); l > 0 && (least == 0 || l < least) {
+			least = l
+		}
+	}
+	if least == 0 {
+		return unknownLatency
+	}
+	return least
+}
+
+// score is the expected time to a reply in seconds, where unknown is that of a target that was not asked yet.
+func (d *Dispatch) score(t *Target, unknown time.Duration, now time.Time) float64 {
 	latency := t.Gauge.Latency()
 	if latency == 0 {
-		latency = unknownLatency
+		latency = unknown
 	}
 	score := latency.Seconds() * (1 - scoreSpread/2 + scoreSpread*d.Rand.Float64())
 	if waiting := t.Gauge.Load(now) + 1 - t.Slots; t.Slots > 0 && waiting > 0 {
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -404,3 +404,45 @@
 		t.Errorf("%.3f of the requests went to slow targets", part)
 	}
 }
+
+// Guards against requests that leave the zone of one instance among many: such an instance asks each target seldom, so
+// that targets which it has not asked yet must not look better than the known one of its own zone.
+func TestSparseRequestsStayInTheZone(t *testing.T) {
+	const parts, requests = 90, 40
+	b := newDispatchBench(parts, 3)
+	b.plan.Zone = "z0"
+	for _, replicas := range b.services {
+		for i, r := range replicas {
+			r.Zone, r.Limit = fmt.Sprint("z", i), 1
+		}
+	}
+	b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) { return LegReplied, work(b.rng, 15*time.Millisecond) }
+	b.play(requests, 2*time.Second, 120*time.Millisecond, 800*time.Millisecond)
+	own, all := 0, 0
+	for id, n := range b.sends {
+		all += n
+		if id[len(id)-1] == '0' {
+			own += n
+		}
+	}
+	if float64(own) < 0.9*float64(all) {
+		t.Errorf("%d of %d sends stayed in the zone, want 90%%", own, all)
+	}
+}
+
+// Guards against a target that was slow once and is passed over for good by an instance that sees few requests.
+func TestEstimatesFadeByTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, every := range []time.Duration{100 * time.Millisecond, 2 * time.Second} {
+		slow := &Gauge{}
+		slow.outstanding.Store(1)
+		slow.Finish(100 * time.Millisecond)
+		slow.chosen(now)
+		for at := every; at <= 20*time.Second; at += every {
+			slow.fade(now.Add(at))
+		}
+		if l := slow.Latency(); l > 20*time.Millisecond || l <= 0 {
+			t.Errorf("ranked each %v: %v after 20 s, want below a fifth of 100 ms", every, l)
+		}
+	}
+}
--- a/targets/gauge.go
+++ b/targets/gauge.go
@@ -22,6 +22,7 @@
 	reportedAt  atomic.Int64 // as an instant
 	faults      atomic.Int64 // part of the requests that the target shed or failed, in faultUnit, exponentially weighted
 	coldNext    atomic.Int64 // when the next request may go to the cold target, as an instant
+	rankedAt    atomic.Int64 // when the target was last chosen or passed over, as an instant
 }
 
 // origin is what instants count from; only their differences matter.
@@ -40,6 +41,10 @@
 	// that was slow once gets no legs, hence no samples, and never recovers.
 	passOverShift = 6
 	tripRiseShift = 3
+	// fadeTime is the time constant with which the estimate of a target falls while others are preferred. It does not
+	// depend on how often this instance asks, since one of many sees few requests for each target. It is the time of
+	// 64 requests at today's size.
+	fadeTime = 9 * time.Second
 )
 
 // TryStart counts a request as outstanding unless limit requests are outstanding already.
@@ -88,8 +93,22 @@
 func (g *Gauge) passOver() {
 	old := g.latency.Load()
 	g.latency.CompareAndSwap(old, old-old>>passOverShift)
+}
+
+// chosen notes that the target was preferred to others.
+func (g *Gauge) chosen(now time.Time) { g.rankedAt.Store(instant(now)) }
+
+// fade lowers the estimates of a target to which another was preferred, by the time since it was last ranked.
+func (g *Gauge) fade(now time.Time) {
+	at := g.rankedAt.Swap(instant(now))
+	if at == 0 {
+		return
+	}
+	part := min(max(float64(instant(now)-at)/float64(fadeTime), 0), 1)
+	latency := g.latency.Load()
+	g.latency.CompareAndSwap(latency, latency-int64(float64(latency)*part))
 	faults := g.faults.Load()
-	g.faults.CompareAndSwap(faults, faults-faults>>passOverShift)
+	g.faults.CompareAndSwap(faults, faults-int64(float64(faults)*part))
 }
 
 // Outstanding returns the requests under way from this instance.
