Send values to siblings only in replies, and let the first in rank read at the start

Change: requests carry no values; a reply carries what the asking instance lacks by its own word. One sibling is asked at a time, of the own zone first, and one that is ahead is asked at once. At the start the first in rank of a zone reads and the others wait 0.25 s for it, 2.5 s when the whole fleet starts for the first time.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -122,7 +122,7 @@
 	})
 	state := routing.NewState(routing.Identity{
 		ID: s.Instance, Zone: s.Zone, Address: s.Siblings, Regions: s.Regions, Seeds: s.Seeds, Bounds: s.Bounds,
-		Born: uint64(now.UnixMilli()),
+		Born: uint64(now.UnixMilli()), FirstStart: s.FirstStart,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	n.loop = loop.New[routing.Event, routing.Effect, routing.Snapshot](state)
 	forwarder := traffic.NewForwarder(traffic.ForwarderSettings{
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -57,11 +57,15 @@
 	Changes []Change
 }
 
-// Exchange is what two instances tell each other.
+// Exchange is what two instances tell each other. The values that a sibling lacks are in replies only, since a request
+// would have to guess what it has.
 type Exchange struct {
+	// Beats starts with that of the sender.
 	Beats   []sibling.Beat
 	Update  Update
 	Notices targets.Notices
+	// NoValues says that the sender gets values from another sibling and wants none in the reply.
+	NoValues bool
 }
 
 // Bounds are the limits that hold for all instances together, and the times within which changes must take effect.
@@ -83,6 +87,8 @@
 	Bounds  Bounds
 	// Born orders the runs of the instance.
 	Born uint64
+	// FirstStart says that the whole fleet starts for the first time, some seconds before its callers come.
+	FirstStart bool
 }
 
 // Event is an input of Step.
--- a/routing/state.go
+++ b/routing/state.go
@@ -85,6 +85,8 @@
 	isolated     bool
 	recovered    time.Time // when the platform came back after an outage
 	failures     int
+	pulling      time.Time // until when a sibling that was asked for values is awaited
+	pull         string    // address of a sibling that is ahead and is asked next
 	divided      time.Time
 	changed      bool
 	notes        []Effect
@@ -125,6 +127,7 @@
 	case Heard:
 		s.heard(e, now)
 	case ExchangeFailed:
+		s.pulling = time.Time{}
 		// A sibling that cannot be reached is noted when nobody else has heard of it either.
 		s.unreached[e.Address] = e.Err
 	case TargetBroke:
@@ -213,9 +216,13 @@
 	s.isolate(now)
 	s.gossip.Self(s.values.have, s.contact, s.demands())
 	for _, address := range s.gossip.Round(now, now.Sub(s.outside) > outsideQuiet) {
-		ready.Effects = append(ready.Effects, SendExchange{Address: address, Exchange: s.exchangeFor(s.haveOf(address), now)})
+		s.exchange(address, s.asks(address, now), now, ready)
 	}
-	if !s.reading && !now.Before(s.readAt) && (s.values.have == 0 || s.gossip.Reads(now, readerLimit)) {
+	if s.pull != "" {
+		s.exchange(s.pull, s.asks(s.pull, now), now, ready)
+		s.pull = ""
+	}
+	if !s.reading && !now.Before(s.readAt) && s.reads(now) {
 		s.reading = true
 		read := ReadStore{After: s.values.have, Wait: storeWait, Full: s.values.have == 0 || s.failures < 0}
 		ready.Effects = append(ready.Effects, read)
@@ -240,25 +247,74 @@
 	return ended
 }
 
-// haveOf returns the revision that the instance at an address said that it has. An instance that has said nothing
-// gets no values unasked, since its reply will say what it lacks.
-func (s *State) haveOf(address string) document.Revision {
-	for _, b := range s.gossip.Live(s.at) {
-		if b.Address == address {
-			return b.Have
+// reads reports whether this instance reads the platform. One that has no values yet leaves that to the first in rank
+// of its zone for a while, and gets them from a sibling: each read has a price, and all start at the same time.
+func (s *State) reads(now time.Time) bool {
+	if s.values.have != 0 {
+		return s.gossip.Reads(now, readerLimit)
+	}
+	alone, patience := aloneTime, joinPatience
+	if s.id.FirstStart {
+		alone, patience = firstAloneTime, firstJoinPatience
+	}
+	waited := now.Sub(s.started)
+	if s.gossip.Alone(now) {
+		return waited >= alone
+	}
+	return s.gossip.First(now) || waited >= patience
+}
+
+const (
+	// aloneTime is how long an instance without values waits for a first sibling: some round trips.
+	aloneTime = 50 * time.Millisecond
+	// joinPatience is how long it waits for values of siblings: two rounds of gossip.
+	joinPatience = 250 * time.Millisecond
+	// firstAloneTime and firstJoinPatience are the same when the whole fleet starts for the first time: instances start
+	// within 0.3 s of each other, and callers come some seconds later.
+	firstAloneTime    = 800 * time.Millisecond
+	firstJoinPatience = 2500 * time.Millisecond
+	// pullTime is after how long a sibling that was asked for values is not awaited any more.
+	pullTime = 400 * time.Millisecond
+)
+
+// asks decides whether a sibling is asked for the values that this instance lacks. One is asked at a time, of the own
+// zone first, since the values would arrive several times otherwise.
+func (s *State) asks(address string, now time.Time) bool {
+	if now.Before(s.pulling) {
+		return false
+	}
+	newest, near := document.Revision(0), document.Revision(0)
+	other := false
+	for _, b := range s.gossip.Live(now) {
+		newest = max(newest, b.Have)
+		if b.Zone == s.id.Zone {
+			near = max(near, b.Have)
 		}
+		other = other || b.Address == address && b.Zone != s.id.Zone
+	}
+	if other && near >= newest && s.values.have != 0 {
+		return false
 	}
-	return s.values.have
+	if newest > s.values.have {
+		s.pulling = now.Add(pullTime)
+	}
+	return true
 }
 
-func (s *State) exchangeFor(have document.Revision, now time.Time) Exchange {
+func (s *State) exchange(address string, asks bool, now time.Time, ready *Ready) {
+	x := s.exchangeFor(now)
+	x.NoValues = !asks
+	ready.Effects = append(ready.Effects, SendExchange{Address: address, Exchange: x})
+}
+
+func (s *State) exchangeFor(now time.Time) Exchange {
 	if now.Sub(s.recentAt) >= sibling.GossipInterval {
 		n := s.crashes.Recent(now)
 		// A crash is told in a few rounds, so that it reaches all instances although each round reaches two.
 		s.recent = targets.Notices{Crashes: append(lastCrashes(s.recent.Crashes), n.Crashes...), Quarantined: n.Quarantined}
 		s.recentAt = now
 	}
-	return Exchange{Beats: s.gossip.Beats(now), Update: s.values.updateSince(have), Notices: s.recent}
+	return Exchange{Beats: s.gossip.Beats(now), Notices: s.recent}
 }
 
 // maxCrashNotices bounds the crash notices in a message.
@@ -276,13 +332,21 @@
 	}
 	s.crashes.Hear(e.Exchange.Notices, now)
 	s.take(e.Exchange.Update, "sibling", now)
-	if e.Reply != nil {
-		have := document.Revision(0)
-		if len(e.Exchange.Beats) > 0 {
-			have = e.Exchange.Beats[0].Have
+	if e.Reply == nil {
+		s.pulling = time.Time{}
+		return
+	}
+	reply := s.exchangeFor(now)
+	if len(e.Exchange.Beats) > 0 {
+		from := e.Exchange.Beats[0]
+		if !e.Exchange.NoValues {
+			reply.Update = s.values.updateSince(from.Have)
+		}
+		if from.Have > s.values.have && !now.Before(s.pulling) {
+			s.pull = from.Address
 		}
-		e.Reply <- s.exchangeFor(have, now)
 	}
+	e.Reply <- reply
 }
 
 func (s *State) storeRead(e StoreRead, now time.Time) {
@@ -528,7 +592,7 @@
 const (
 	// extraPart is the part of the fleet's extra sends that is spent. The rest covers windows that instances count
 	// apart, and restartPart.
-	extraPart = 0.75
+	extraPart = 0.8
 	// restartPart is the part of the constant extra sends that instances may spend in the first window after their
 	// start, in place of extraPart, since an earlier run may have spent that. Two restarts of all in a window fit.
 	restartPart = 0.45
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -331,3 +331,84 @@
 		t.Error("a request that crashed three targets one after the other is not refused")
 	}
 }
+
+// exchanges returns the messages to siblings among effects.
+func exchanges(effects []Effect) (out []SendExchange) {
+	for _, e := range effects {
+		if x, ok := e.(SendExchange); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func beatOf(id, zone string, count uint64, have document.Revision) sibling.Beat {
+	return sibling.Beat{ID: id, Zone: zone, Address: id + ":1", Count: count, Have: have, StoreAge: sibling.NoContact}
+}
+
+// Guards against values that are sent unasked, or asked from several siblings at a time: in a fleet that starts each
+// instance would get all of them many times over.
+func TestValuesAreAskedFromOneSiblingAtATime(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	effects := x.step(Heard{Exchange: Exchange{Beats: []sibling.Beat{beatOf("b", "z", 1, 50), beatOf("c", "z", 1, 50), beatOf("d", "y", 1, 50)}}})
+	asked := 0
+	for range 4 {
+		for _, e := range exchanges(effects) {
+			if len(e.Exchange.Update.Changes) != 0 {
+				t.Error("a request carries values")
+			}
+			if !e.Exchange.NoValues {
+				asked++
+			}
+		}
+		x.now = x.now.Add(90 * time.Millisecond)
+		effects = x.step(Tick{})
+	}
+	if asked != 1 {
+		t.Errorf("%d siblings were asked within %v, want 1", asked, pullTime)
+	}
+	x.run(2 * pullTime)
+	if x.state.pulling.Before(x.now) {
+		t.Error("no other sibling is asked after the first has not answered")
+	}
+}
+
+// Guards against an instance that waits for its turn although a sibling that has newer values talks to it.
+func TestSiblingThatIsAheadIsAskedAtOnce(t *testing.T) {
+	x := newStateTest(t, Bounds{ExtraWindow: time.Second})
+	x.read(true, routes(1))
+	x.run(time.Second)
+	reply := make(chan Exchange, 1)
+	effects := exchanges(x.step(Heard{Exchange: Exchange{Beats: []sibling.Beat{beatOf("b", "y", 1, x.rev+1)}}, Reply: reply}))
+	if len(effects) != 1 || effects[0].Address != "b:1" || effects[0].Exchange.NoValues {
+		t.Errorf("messages %+v, want one to b that asks for values", effects)
+	}
+}
+
+// Guards against reads of the platform by every instance of a fleet that starts.
+func TestFirstInRankReadsThePlatformAtTheStart(t *testing.T) {
+	const instances = 9
+	reads, first := 0, 0
+	for i := range instances {
+		now := time.Unix(1000, 0)
+		id := fmt.Sprint("n", i)
+		s := NewState(Identity{ID: id, Zone: "z", Address: id + ":1", Bounds: Bounds{ExtraWindow: time.Second}, FirstStart: true}, rand.New(rand.NewPCG(1, 1)), now)
+		x := &stateTest{T: t, state: s, now: now}
+		for count := range uint64(23) {
+			for j := range instances {
+				if j != i {
+					s.gossip.Hear([]sibling.Beat{beatOf(fmt.Sprint("n", j), "z", count+1, 0)}, x.now)
+				}
+			}
+			x.run(100 * time.Millisecond)
+		}
+		if x.reads > 0 {
+			first++
+		}
+		x.run(400 * time.Millisecond)
+		reads += min(x.reads, 1)
+	}
+	if first != 1 || reads != instances {
+		t.Errorf("%d instances read at once, want 1; %d did without values, want all %d", first, reads, instances)
+	}
+}
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -36,7 +36,7 @@
 	// GossipInterval is the time between the exchanges of an instance. Nine instances learn of a change in three
 	// to four rounds.
 	GossipInterval = 250 * time.Millisecond
-	// firstInterval is the same while the instance looks for siblings, at most for joinTime after its start.
+	// firstInterval is the same while the instance looks for siblings and values, at most for joinTime after its start.
 	firstInterval = 100 * time.Millisecond
 	joinTime      = 2 * time.Second
 	// silentAfter is after how long without a newer beat a member counts as gone: eight rounds. In a fleet of more than
@@ -134,7 +134,7 @@
 }
 
 func (g *Gossip) interval(live int, now time.Time) time.Duration {
-	if live < lonely && now.Sub(g.started) < joinTime {
+	if (live < lonely || g.self.Have == 0) && now.Sub(g.started) < joinTime {
 		return firstInterval
 	}
 	return GossipInterval
@@ -260,6 +260,15 @@
 	return true
 }
 
+// Alone reports whether no other instance is known to live.
+func (g *Gossip) Alone(now time.Time) bool { return len(g.Live(now)) == 0 }
+
+// First reports whether this instance ranks first as reader of its zone among those that live.
+func (g *Gossip) First(now time.Time) bool {
+	mine := rendezvous(readerKey, g.self.ID)
+	return !slices.ContainsFunc(g.Live(now), func(b Beat) bool { return b.Zone == g.self.Zone && rendezvous(readerKey, b.ID) > mine })
+}
+
 // readerKey is what the instances of a zone are ranked by as readers of the platform.
 const readerKey = "reader"
 
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -68,7 +68,7 @@
 }
 
 func encodeExchange(e routing.Exchange) (*siblingpb.GossipMessage, error) {
-	out := &siblingpb.GossipMessage{Notices: encodeNotices(e.Notices), Update: &siblingpb.Update{
+	out := &siblingpb.GossipMessage{NoValues: e.NoValues, Notices: encodeNotices(e.Notices), Update: &siblingpb.Update{
 		Since: uint64(e.Update.Since), Upto: uint64(e.Update.Upto), Full: e.Update.Full,
 	}}
 	out.Organisations = organisations(e.Beats)
@@ -115,7 +115,7 @@
 // instance believe that it is complete.
 func decodeExchange(m *siblingpb.GossipMessage) (routing.Exchange, error) {
 	u := m.GetUpdate()
-	out := routing.Exchange{Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
+	out := routing.Exchange{NoValues: m.GetNoValues(), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
 		Since: document.Revision(u.GetSince()), Upto: document.Revision(u.GetUpto()), Full: u.GetFull(),
 	}}
 	for _, b := range m.GetBeats() {
