Hedge only what is late beyond the instance's own lag

The log of gathers showed that sending took 25 to 80 ms there, so that the hedge delay of a third of the objective passed before the replies were read; a third of the sends were hedges or cancelled, each on a new connection. Later, requests waited 150 to 400 ms for four parts with no hedge: an allowance of 2.5 extra sends, less the reserve, left one hedge per service in 10 s.

--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -416,7 +416,9 @@
 			r.Zone, r.Limit = fmt.Sprint("z", i), 1
 		}
 	}
-	b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) { return LegReplied, work(b.rng, 15*time.Millisecond) }
+	b.reply = func(*Target, time.Time) (LegOutcome, time.Duration) {
+		return LegReplied, work(b.rng, 15*time.Millisecond)
+	}
 	b.play(requests, 2*time.Second, 120*time.Millisecond, 800*time.Millisecond)
 	own, all := 0, 0
 	for id, n := range b.sends {
--- a/targets/extra.go
+++ b/targets/extra.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -69,7 +70,8 @@
 		}
 	}
 	allowance := b.limits.Ratio*float64(requests) + b.limits.Constant
-	if float64(extras)+1 > allowance*(1-reserve) {
+	// Rounded to whole sends: an instance of many has an allowance of two or three.
+	if float64(extras)+1 > min(allowance, math.Round(allowance*(1-reserve))) {
 		return false
 	}
 	b.extras[i]++
--- a/targets/extra_test.go
+++ b/targets/extra_test.go
@@ -69,3 +69,24 @@
 		t.Errorf("%d hedges, then no retry", hedges)
 	}
 }
+
+// Guards against an instance of many whose small allowance leaves it one hedge where two fit.
+func TestSmallAllowancesAreRounded(t *testing.T) {
+	for allowance, want := range map[float64]int{1.2: 1, 2.7: 2, 3.4: 2, 10: 7} {
+		b := NewExtraBudget(ExtraLimits{Window: 10 * time.Second, Constant: allowance})
+		now := time.Unix(1000, 0)
+		hedges := 0
+		for b.TakeHedge(now) {
+			hedges++
+		}
+		if hedges != want {
+			t.Errorf("an allowance of %v gives %d hedges, want %d", allowance, hedges, want)
+		}
+		for b.TakeRetry(now) {
+			hedges++
+		}
+		if float64(hedges) > allowance {
+			t.Errorf("%d extra sends with an allowance of %v", hedges, allowance)
+		}
+	}
+}
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
@@ -111,7 +112,7 @@
 	loop     RoutingLoop
 	sender   LegSender
 	log      Recorder
-	tails    sync.Map // *targets.Tail by name of the route
+	routes   sync.Map // *pace by name of the route
 	late     lateness
 }
 
@@ -209,12 +210,36 @@
 	return nil, caller.Refuse(caller.CodeUnauthenticated, 0, "the key is not valid")
 }
 
-func (f *Forwarder) tail(route string) *targets.Tail {
-	if t, ok := f.tails.Load(route); ok {
-		return t.(*targets.Tail)
+// pace is what the requests of one route showed about latencies.
+type pace struct {
+	tail *targets.Tail
+	// lag is how long after it was decided a send left, in nanoseconds, exponentially weighted.
+	lag atomic.Int64
+}
+
+const (
+	// lagShift is the weight, 1/16, of one send in the mean lag.
+	lagShift = 4
+	// lagFactor turns the mean lag of sends into the time that this instance itself may add to a reply: the last send
+	// leaves after twice the mean.
+	lagFactor = 2
+)
+
+// sent notes how long after it was decided a send left.
+func (p *pace) sent(lag time.Duration) {
+	old := p.lag.Load()
+	p.lag.CompareAndSwap(old, old+(int64(lag)-old)>>lagShift)
+}
+
+// own is the time that this instance itself may add to a reply. A target is not late before.
+func (p *pace) own() time.Duration { return lagFactor * time.Duration(p.lag.Load()) }
+
+func (f *Forwarder) pace(route string) *pace {
+	if p, ok := f.routes.Load(route); ok {
+		return p.(*pace)
 	}
-	t, _ := f.tails.LoadOrStore(route, targets.NewTail(targets.DefaultPolicy()))
-	return t.(*targets.Tail)
+	p, _ := f.routes.LoadOrStore(route, &pace{tail: targets.NewTail(targets.DefaultPolicy())})
+	return p.(*pace)
 }
 
 // delivery is one request under way. It belongs to the request's goroutine; its legs run on goroutines of their own
@@ -232,7 +257,7 @@
 	record       *Record
 
 	prepared PreparedRequest
-	tail     *targets.Tail
+	pace     *pace
 	ended    chan legEnd
 	cancels  map[int]context.CancelFunc
 	replies  map[int]*LegReply
@@ -269,7 +294,7 @@
 		return refuse(caller.Refuse(caller.CodeNoTarget, retry, "too many services have no target that replies"))
 	}
 	d.record.Parts = len(services)
-	d.tail = d.f.tail(d.route.Name)
+	d.pace = d.f.pace(d.route.Name)
 	d.prepared = d.f.sender.Prepare(d.request, d.organisation)
 	d.cancels, d.replies, d.stamps = map[int]context.CancelFunc{}, map[int]*LegReply{}, map[string]bool{}
 	objective := d.route.Objective
@@ -284,7 +309,7 @@
 	machine, ready := targets.NewDispatch(targets.DispatchPlan{
 		Services: services, Gather: d.route.Gathers(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
 		Attempts: d.route.Attempts, Deadline: d.deadline, AnswerBy: answerBy,
-		Tail: d.tail, MaxHedgeDelay: objective / hedgePart, Directory: newest{loop: d.f.loop, route: d.route, account: d.account}, Zone: d.f.settings.Zone,
+		Tail: d.pace.tail, MaxHedgeDelay: objective/hedgePart + d.pace.own(), Directory: newest{loop: d.f.loop, route: d.route, account: d.account}, Zone: d.f.settings.Zone,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
 	d.ended = make(chan legEnd, len(services)*legsPerPart)
@@ -415,14 +440,16 @@
 func (d *delivery) send(s targets.Send) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.cancels[s.Attempt] = cancel
-	d.record.send(s, time.Now())
-	go d.leg(ctx, s)
+	now := time.Now()
+	d.record.send(s, now)
+	go d.leg(ctx, s, now)
 }
 
 // leg runs one send and reports what it showed about the target.
-func (d *delivery) leg(ctx context.Context, s targets.Send) {
+func (d *delivery) leg(ctx context.Context, s targets.Send, decided time.Time) {
 	g := s.Target.Gauge
 	sent := time.Now()
+	d.pace.sent(sent.Sub(decided))
 	g.Sent(sent)
 	reply := d.prepared.Send(ctx, LegRequest{Target: s.Target, Deadline: d.deadline, Permit: d.permit(s)})
 	now := time.Now()
@@ -435,7 +462,7 @@
 		g.Heard(elapsed, now)
 		g.Fault(false)
 		g.Finish(elapsed)
-		d.tail.Observe(elapsed, false)
+		d.pace.tail.Observe(elapsed, false)
 	case reply.Outcome == targets.LegFailed || reply.Outcome == targets.LegNotRun:
 		g.Heard(0, now)
 		g.Fault(true)
@@ -443,7 +470,7 @@
 	case ctx.Err() != nil:
 		g.Lost(sent, now, false)
 		g.FinishCancelled(elapsed)
-		d.tail.Observe(elapsed, true)
+		d.pace.tail.Observe(elapsed, true)
 	case reply.Reason == ReasonNotPermitted:
 		g.Finish(0)
 	default:
