--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -70,6 +70,10 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is above the idle times that operators allow callers.
 	idleTimeout = 2 * time.Minute
+	// collectorPercent is how much the heap grows between two runs of the collector, in percent. At 100, the default, the
+	// collector took a fifth of the processor time of an instance that gathers 90 parts; above 200 memory costs more than
+	// it brings.
+	collectorPercent = 200
 	// memoryPart is the part of the memory limit at which the collector works harder.
 	memoryPart = 0.7
 	// housekeeping is the time between two looks at idle connections, metrics and the settings file.
@@ -107,11 +111,14 @@
 	if err != nil {
 		return nil, err
 	}
+	debug.SetGCPercent(collectorPercent)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
 	}
 	now := time.Now()
-	dialer := &net.Dialer{}
+	// Each request has a deadline and idle connections are closed soon, so that probes would find nothing; setting them up
+	// takes four system calls a connection.
+	dialer := &net.Dialer{KeepAlive: -1}
 	n := &Node{
 		path: path, settings: s, config: c, out: out, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
 		siblings: siblinggrpc.NewClient(), searcher: searcher.New(dialer.DialContext),
