Add a fault soak of real processes

`driftctl soak` runs instances as processes behind proxies on loopback and injects faults from a seed that overlap: links to callers, siblings, the platform and targets that are cut, frozen, frozen one way or delayed; processes that are killed, stopped, paused and started again; faults of targets. Callers keep their connections and check coverage, results and outcomes of changes while it runs; afterwards each instance must serve again and no target may have seen a key. The checks of the load tool are exported for it.

--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -23,6 +23,7 @@
 			dumpCommand(),
 			explainCommand(),
 			demoCommand(),
+			soakCommand(),
 			loadCommand(),
 			standinCommand(),
 		},
--- /dev/null
+++ b/cmd/driftctl/soak.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/cmd/internal/soak"
+)
+
+// errBrokenPromise makes the exit status tell a soak with findings.
+var errBrokenPromise = errors.New("a promise was broken")
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run instances as processes, inject random faults from outside and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "command", Value: "bin/dogwooddrift", Usage: "program of an instance"},
+			&cli.Uint64Flag{Name: "seed", Value: uint64(time.Now().UnixNano() % 1e6), Usage: "seed of the first schedule of faults"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
+			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "how long faults are injected with each seed"},
+			&cli.IntFlag{Name: "instances", Value: 4, Usage: "number of processes"},
+			&cli.StringFlag{Name: "dir", Usage: "where settings and logs are kept; by default a new temporary folder"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			dir := c.String("dir")
+			if dir == "" {
+				var err error
+				if dir, err = os.MkdirTemp("", "soak"); err != nil {
+					return err
+				}
+			}
+			broken := 0
+			for n := range c.Int("seeds") {
+				seed := c.Uint64("seed") + uint64(n)
+				findings, err := soakOnce(ctx, c, seed, filepath.Join(dir, strconv.FormatUint(seed, 10)))
+				if err != nil {
+					return err
+				}
+				broken += len(findings)
+			}
+			if broken > 0 {
+				return errBrokenPromise
+			}
+			return ctx.Err()
+		},
+	}
+}
+
+func soakOnce(ctx context.Context, c *cli.Command, seed uint64, dir string) ([]string, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	out := c.Root().Writer
+	findings, err := soak.Run(ctx, soak.Options{
+		Seed: seed, For: c.Duration("for"), Instances: c.Int("instances"), Command: c.String("command"), Dir: dir,
+		Report: func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(out, "seed %d: %d findings, logs in %s\n", seed, len(findings), dir)
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(out, "  ", f)
+	}
+	return findings, nil
+}
--- a/cmd/internal/deploy/network.go
+++ b/cmd/internal/deploy/network.go
@@ -19,6 +19,9 @@
 	// LinkFrozen holds all bytes and all new connections back until the link is open again, as a network does
 	// that loses every packet.
 	LinkFrozen LinkState = "frozen"
+	// LinkFrozenOut and LinkFrozenBack hold back only what goes to the side that listens, or what comes from it.
+	LinkFrozenOut  LinkState = "frozen_out"
+	LinkFrozenBack LinkState = "frozen_back"
 )
 
 // ErrCut means that the link between two zones is cut.
@@ -62,16 +65,22 @@
 	return l.state, l.delay, l.changed
 }
 
-// open waits while the link is frozen. It returns ErrCut when the link is cut.
-func (l *Link) open(ctx context.Context) error {
+// SetDelay changes the one-way delay.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// open waits while the link is frozen for one of its directions. It returns ErrCut when the link is cut.
+func (l *Link) open(ctx context.Context, direction LinkState) error {
 	for {
 		state, _, changed := l.look()
-		switch state {
-		case LinkOpen:
-			return nil
-		case LinkCut:
+		switch {
+		case state == LinkCut:
 			return ErrCut
-		case LinkFrozen:
+		case state != LinkFrozen && state != direction:
+			return nil
 		}
 		select {
 		case <-changed:
@@ -122,7 +131,7 @@
 }
 
 func (f *Forwarder) forward(near *net.TCPConn) {
-	if f.link.open(f.ctx) != nil {
+	if f.link.open(f.ctx, LinkFrozenOut) != nil {
 		reset(near)
 		return
 	}
@@ -138,8 +147,8 @@
 	f.link.mu.Unlock()
 	stop := context.AfterFunc(ctx, p.close)
 	var directions sync.WaitGroup
-	directions.Go(func() { f.pump(ctx, p, p.near, p.far) })
-	directions.Go(func() { f.pump(ctx, p, p.far, p.near) })
+	directions.Go(func() { f.pump(ctx, p, p.near, p.far, LinkFrozenOut) })
+	directions.Go(func() { f.pump(ctx, p, p.far, p.near, LinkFrozenBack) })
 	directions.Wait()
 	stop()
 	p.close()
@@ -181,7 +190,7 @@
 }
 
 // pump passes bytes on, each after the link's delay and while the link is open.
-func (f *Forwarder) pump(ctx context.Context, p *pair, from, to *net.TCPConn) {
+func (f *Forwarder) pump(ctx context.Context, p *pair, from, to *net.TCPConn, direction LinkState) {
 	chunks := make(chan chunk, chunksInFlight)
 	go func() {
 		defer close(chunks)
@@ -202,7 +211,7 @@
 		}
 	}()
 	for c := range chunks {
-		if !sleepUntil(ctx, c.due) || f.link.open(ctx) != nil {
+		if !sleepUntil(ctx, c.due) || f.link.open(ctx, direction) != nil {
 			p.close()
 			return
 		}
@@ -282,7 +291,7 @@
 			return nil, err
 		}
 		if link != nil {
-			if err := link.open(ctx); err != nil {
+			if err := link.open(ctx, LinkFrozenOut); err != nil {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 			}
 		}
--- a/cmd/internal/load/load_test.go
+++ b/cmd/internal/load/load_test.go
@@ -143,8 +143,8 @@
 // Guards against each kind of untruthful answer that the tool must find.
 func TestUntruthfulAnswer(t *testing.T) {
 	manifest := []targets.Shard{"s0", "s1"}
-	answer := func(change func(r *response)) []string {
-		r := &response{Snapshot: 4}
+	answer := func(change func(r *Response)) []string {
+		r := &Response{Snapshot: 4}
 		r.Coverage.Answered, r.Coverage.Total = 1, 2
 		r.Results = append(r.Results, struct {
 			Shard  targets.Shard `json:"shard"`
@@ -155,27 +155,27 @@
 			Reason string        `json:"reason"`
 		}{"s1", "deadline"})
 		change(r)
-		return untruthfulAnswer("q", r, manifest)
+		return UntruthfulAnswer("q", r, manifest)
 	}
 	for name, c := range map[string]struct {
-		change func(r *response)
+		change func(r *Response)
 		wrong  bool
 	}{
-		"true":              {func(*response) {}, false},
-		"false coverage":    {func(r *response) { r.Coverage.Answered = 2 }, true},
-		"wrong snapshot":    {func(r *response) { r.Results[0].Result = standin.Result("s0", 3, "q") }, true},
-		"foreign result":    {func(r *response) { r.Results[0].Result = standin.Result("s0", 4, "other") }, true},
-		"wrong shard":       {func(r *response) { r.Coverage.Missing[0].Shard = "s9" }, true},
-		"shard twice":       {func(r *response) { r.Coverage.Missing[0].Shard = "s0" }, true},
-		"missing unnamed":   {func(r *response) { r.Coverage.Missing = nil }, true},
-		"without a reason":  {func(r *response) { r.Coverage.Missing[0].Reason = "" }, true},
-		"total of the past": {func(r *response) { r.Coverage.Total = 3 }, true},
+		"true":              {func(*Response) {}, false},
+		"false coverage":    {func(r *Response) { r.Coverage.Answered = 2 }, true},
+		"wrong snapshot":    {func(r *Response) { r.Results[0].Result = standin.Result("s0", 3, "q") }, true},
+		"foreign result":    {func(r *Response) { r.Results[0].Result = standin.Result("s0", 4, "other") }, true},
+		"wrong shard":       {func(r *Response) { r.Coverage.Missing[0].Shard = "s9" }, true},
+		"shard twice":       {func(r *Response) { r.Coverage.Missing[0].Shard = "s0" }, true},
+		"missing unnamed":   {func(r *Response) { r.Coverage.Missing = nil }, true},
+		"without a reason":  {func(r *Response) { r.Coverage.Missing[0].Reason = "" }, true},
+		"total of the past": {func(r *Response) { r.Coverage.Total = 3 }, true},
 	} {
 		if wrong := answer(c.change); (len(wrong) > 0) != c.wrong {
 			t.Errorf("%s: findings %v", name, wrong)
 		}
 	}
-	if wrong := untruthfulAnswer("q", &response{Snapshot: 9}, nil); len(wrong) == 0 {
+	if wrong := UntruthfulAnswer("q", &Response{Snapshot: 9}, nil); len(wrong) == 0 {
 		t.Error("a snapshot that does not exist was not found")
 	}
 }
@@ -183,20 +183,20 @@
 // Guards against changes whose outcome contradicts what ran.
 func TestUntruthfulChange(t *testing.T) {
 	for _, c := range []struct {
-		result changeResult
+		result ChangeResult
 		runs   int
 		wrong  bool
 	}{
-		{changeResult{sent: 1, answered: 1}, 1, false},
-		{changeResult{sent: 1, answered: 1}, 0, true},
-		{changeResult{sent: 1, answered: 1}, 2, true},
-		{changeResult{sent: 1, notRun: 1}, 1, true},
-		{changeResult{sent: 1, notRun: 1}, 0, false},
-		{changeResult{sent: 2, notRun: 1, answered: 1}, 1, false},
-		{changeResult{sent: 2, notRun: 1}, 1, false}, // the other sending has an unknown outcome
-		{changeResult{sent: 2, notRun: 2}, 1, true},
+		{ChangeResult{Sent: 1, Answered: 1}, 1, false},
+		{ChangeResult{Sent: 1, Answered: 1}, 0, true},
+		{ChangeResult{Sent: 1, Answered: 1}, 2, true},
+		{ChangeResult{Sent: 1, NotRun: 1}, 1, true},
+		{ChangeResult{Sent: 1, NotRun: 1}, 0, false},
+		{ChangeResult{Sent: 2, NotRun: 1, Answered: 1}, 1, false},
+		{ChangeResult{Sent: 2, NotRun: 1}, 1, false}, // the other sending has an unknown outcome
+		{ChangeResult{Sent: 2, NotRun: 2}, 1, true},
 	} {
-		if wrong := untruthfulChange("k", c.result, c.runs); (len(wrong) > 0) != c.wrong {
+		if wrong := UntruthfulChange("k", c.result, c.runs); (len(wrong) > 0) != c.wrong {
 			t.Errorf("%+v with %d runs: findings %v", c.result, c.runs, wrong)
 		}
 	}
--- a/cmd/internal/load/report.go
+++ b/cmd/internal/load/report.go
@@ -430,23 +430,23 @@
 // changes compares what callers learned of their changes with what ran.
 func (r *run) changes(report *Report) {
 	runs := r.deployment.Fleet.Changes()
-	results := map[string]changeResult{}
+	results := map[string]ChangeResult{}
 	for _, o := range slices.Concat(r.outcomes, r.crashes) {
 		if o.text == "" || r.x.service(o.service).Shards > 0 {
 			continue
 		}
 		k := standin.ChangeKey(r.x.Organisations[o.organisation].Name, o.text)
 		c := results[k]
-		c.sent++
+		c.Sent++
 		if o.ok() {
-			c.answered++
+			c.Answered++
 		} else if o.ran == "no" {
-			c.notRun++
+			c.NotRun++
 		}
 		results[k] = c
 	}
 	for _, k := range slices.Sorted(maps.Keys(results)) {
-		report.Untruthful = append(report.Untruthful, untruthfulChange(k, results[k], runs[k])...)
+		report.Untruthful = append(report.Untruthful, UntruthfulChange(k, results[k], runs[k])...)
 	}
 }
 
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -242,7 +242,7 @@
 }
 
 // exchange sends the request and decodes the response.
-func (r *run) exchange(ctx context.Context, entry deploy.Entry, organisation string, a arrival, out *outcome) (*response, error) {
+func (r *run) exchange(ctx context.Context, entry deploy.Entry, organisation string, a arrival, out *outcome) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.x.Timeout+callerMargin)
 	defer cancel()
 	path, field := "/query", "query"
@@ -276,7 +276,7 @@
 		out.status = 0
 		return nil, err
 	}
-	decoded := &response{}
+	decoded := &Response{}
 	if err := json.Unmarshal(body, decoded); err != nil {
 		out.status = 0
 		return nil, err
@@ -285,7 +285,7 @@
 }
 
 // judge checks an answer and fills in the outcome.
-func (r *run) judge(out *outcome, body *response) {
+func (r *run) judge(out *outcome, body *Response) {
 	out.code, out.ran = body.Code, body.Ran
 	if !out.ok() {
 		return
@@ -303,7 +303,7 @@
 		}
 		out.missing[m.Reason]++
 	}
-	out.wrong = untruthfulAnswer(out.text, body, r.deployment.Fleet.Shards(out.service, body.Snapshot))
+	out.wrong = UntruthfulAnswer(out.text, body, r.deployment.Fleet.Shards(out.service, body.Snapshot))
 }
 
 // step is one change of the deployment at a time of the schedule.
--- a/cmd/internal/load/truth.go
+++ b/cmd/internal/load/truth.go
@@ -8,8 +8,8 @@
 	"dogwooddrift.org/drift/targets"
 )
 
-// response is the body of an answer or a refusal.
-type response struct {
+// Response is the body of an answer or a refusal.
+type Response struct {
 	Code      string           `json:"code"`
 	Ran       string           `json:"ran"`
 	RequestID string           `json:"request_id"`
@@ -29,9 +29,9 @@
 	Outcome string `json:"outcome"`
 }
 
-// untruthfulAnswer compares an answer to a query with the manifest of its snapshot, and each result with what a
+// UntruthfulAnswer compares an answer to a query with the manifest of its snapshot, and each result with what a
 // target replies to this query. It returns what is wrong.
-func untruthfulAnswer(text string, r *response, manifest []targets.Shard) []string {
+func UntruthfulAnswer(text string, r *Response, manifest []targets.Shard) []string {
 	var wrong []string
 	if manifest == nil {
 		return []string{fmt.Sprintf("snapshot %d does not exist", r.Snapshot)}
@@ -60,25 +60,25 @@
 	return wrong
 }
 
-// changeResult is what a caller learned of a change, over all its sendings.
-type changeResult struct {
-	answered int // 200
-	notRun   int // refused with "ran: no"
-	sent     int
+// ChangeResult is what a caller learned of a change, over all its sendings.
+type ChangeResult struct {
+	Answered int // 200
+	NotRun   int // refused with "ran: no"
+	Sent     int
 }
 
-// untruthfulChange compares what the caller learned of a change with how often it ran.
-func untruthfulChange(key string, r changeResult, runs int) []string {
+// UntruthfulChange compares what the caller learned of a change with how often it ran.
+func UntruthfulChange(key string, r ChangeResult, runs int) []string {
 	var wrong []string
 	if runs > 1 {
 		wrong = append(wrong, fmt.Sprintf("change %s ran %d times", key, runs))
 	}
 	// A duplicate is refused with "ran: no" for its own sending; only when all sendings are said not to have
 	// run, the change as a whole is.
-	if r.notRun == r.sent && runs > 0 {
+	if r.NotRun == r.Sent && runs > 0 {
 		wrong = append(wrong, fmt.Sprintf("change %s was refused as not run, but ran %d times", key, runs))
 	}
-	if r.answered > 0 && runs == 0 {
+	if r.Answered > 0 && runs == 0 {
 		wrong = append(wrong, fmt.Sprintf("change %s was answered, but did not run", key))
 	}
 	return wrong
