Pause longer between reads of the store in a larger fleet

Change: the pause grows by 5 ms a member: 0.3 s at 9 instances, 0.7 s at 86, where changes have 5 s to be in force.

--- a/routing/state.go
+++ b/routing/state.go
@@ -25,8 +25,10 @@
 	// storeWait is how long a read may wait for changes. A silent platform is noticed after this time and a reply
 	// limit; the platform prices each read.
 	storeWait = 2 * time.Second
-	// readPause is the time between two reads, which gathers changes that come in quick succession.
-	readPause = 250 * time.Millisecond
+	// readPause and, for each member, readPauseEach are the time between two reads, which gathers changes that come in
+	// quick succession: a larger fleet has more targets, and is given more time until changes are in force.
+	readPause     = 250 * time.Millisecond
+	readPauseEach = 5 * time.Millisecond
 	// retryRead is the time before a failed read is repeated.
 	retryRead = 300 * time.Millisecond
 	// readerLimit is how long ago the reader of a zone may have reached the platform before another one reads too:
@@ -362,7 +364,7 @@
 		s.recovered = now
 	}
 	s.failures, s.contact = 0, now
-	s.readAt = now.Add(readPause)
+	s.readAt = now.Add(readPause + time.Duration(s.members)*readPauseEach)
 	if now.Sub(s.recovered) < lapseNotice {
 		markLapsed(e.Update.Changes)
 	}
