--- a/traffic/change.go
+++ b/traffic/change.go
@@ -28,9 +28,11 @@
 }
 
 const (
-	// moveLimit is how long a change waits for its instances to agree on its home and witness. A planned stop or
-	// a start takes some milliseconds; a failed instance stays listed for seconds, which no caller waits for.
+	// moveLimit is how long a change waits for its instances to agree on its home and witness, or, of a caller that
+	// waits longer, a part of its time, 1/moveParts. A planned stop or a start takes some milliseconds, and above a
+	// second on a machine that is short of processor time; a failed instance stays listed for seconds.
 	moveLimit    = time.Second
+	moveParts    = 4
 	moveFirst    = 5 * time.Millisecond
 	moveMaxPause = 100 * time.Millisecond
 )
@@ -60,7 +62,7 @@
 		RequestID: record.ID, Organisation: a.organisation.Name, Service: c.Service,
 		IdempotencyKey: c.IdempotencyKey, KeyDigest: a.digest, Body: []byte(c.Text),
 	}
-	limit := time.Now().Add(moveLimit)
+	limit := time.Now().Add(max(moveLimit, time.Until(c.Deadline)/moveParts))
 	for pause := moveFirst; ; pause = min(2*pause, moveMaxPause) {
 		reply, refusal := t.atHome(ctx, machine, request, c.Deadline, record)
 		if refusal != nil {
--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -256,3 +256,20 @@
 		t.Fatalf("refusal is %v without a second token, want %s", refusal, caller.CodeRateLimited)
 	}
 }
+
+// Guards against changes that are refused although their caller waits longer than their home needs to start or stop on
+// a busy machine.
+func TestChangeOfAPatientCallerWaitsForItsHome(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	key := f.keyFor("a", "b")
+	back := time.Now().Add(moveLimit + 300*time.Millisecond)
+	f.cut = func(string) (before, after bool) { return time.Now().Before(back), false }
+	if _, refusal := f.change("c", key, moveParts*moveLimit/2); refusal == nil || refusal.Code != caller.CodeHomeUnreachable {
+		t.Errorf("the change of an impatient caller: %v", refusal)
+	}
+	back = time.Now().Add(moveLimit + 300*time.Millisecond)
+	outcome, refusal := f.change("c", f.keyFor("a", "c"), 10*time.Second)
+	if refusal != nil || outcome == nil {
+		t.Errorf("the change of a patient caller: %v", refusal)
+	}
+}
