--- a/cmd/dogwooddrift/restart_test.go
+++ b/cmd/dogwooddrift/restart_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/cmd/internal/soak"
 	"dogwooddrift.org/drift/cmd/internal/standin"
 	"dogwooddrift.org/drift/document"
 )
@@ -48,23 +48,6 @@
 	process  *exec.Cmd
 }
 
-// freePorts returns ports below the range from which the kernel takes those of outgoing connections, so that none
-// is taken while its instance restarts.
-func freePorts(t *testing.T, n int) []int {
-	var out []int
-	for port := 20000 + os.Getpid()%1000*10; len(out) < n; port++ {
-		if port > 32000 {
-			t.Fatal("no free port")
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			out = append(out, port)
-		}
-	}
-	return out
-}
-
 func (i *instance) start(t *testing.T) {
 	i.process = exec.Command(os.Args[0], "--settings", i.settings)
 	i.process.Env = append(os.Environ(), mainVariable+"=1")
@@ -124,8 +107,11 @@
 		Isolation: document.Isolation{KeyedLimit: 60}, ChangeWindow: 600,
 	}
 	list := &document.InstanceList{Revision: 1, Instances: fleet.Instances}
-	ports := freePorts(t, 3*instanceCount)
-	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", ports[n]) }
+	addresses, err := soak.FreeAddresses(3 * instanceCount)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := func(n int) string { return addresses[n] }
 	platformServer := standin.NewPlatform()
 	server := httptest.NewServer(platformServer)
 	t.Cleanup(server.CloseClientConnections)
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -59,6 +60,7 @@
 	instances []*instance
 	links     []namedLink
 	closers   []func()
+	own       []string // addresses of the instances themselves
 
 	mu       sync.Mutex
 	findings []string
@@ -152,6 +154,9 @@
 	platform := standin.NewPlatform()
 	s.platform = httptest.NewServer(platform)
 	s.closers = append(s.closers, s.platform.CloseClientConnections)
+	if s.own, err = FreeAddresses(3 * s.Instances); err != nil {
+		return err
+	}
 	for n := range s.Instances {
 		i, entry, err := s.newInstance(n, zones[n%len(zones)])
 		if err != nil {
@@ -174,19 +179,35 @@
 	return nil
 }
 
+// The ports of instances lie below the range from which the kernel takes those of outgoing connections, so that none is
+// taken while its instance restarts. Processes that run at the same time begin at different ones.
+const (
+	firstPort    = 20000
+	lastPort     = 32000
+	processPorts = 1000
+	portsApart   = 10
+)
+
+// FreeAddresses returns addresses on loopback that nobody listens on.
+func FreeAddresses(n int) ([]string, error) {
+	var out []string
+	for port := firstPort + os.Getpid()%processPorts*portsApart; len(out) < n; port++ {
+		if port > lastPort {
+			return nil, fmt.Errorf("only %d of %d ports are free", len(out), n)
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			out = append(out, address)
+		}
+	}
+	return out, nil
+}
+
 // newInstance writes the settings of an instance and returns its entry in the platform's list.
 func (s *soak) newInstance(n int, zone string) (*instance, document.Instance, error) {
 	id := fmt.Sprintf("entry-%d", n)
-	var own [3]string // addresses for callers, siblings and operators
-	for k := range own {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, document.Instance{}, err
-		}
-		own[k] = l.Addr().String()
-		s.closers = append(s.closers, func() { _ = l.Close() })
-		_ = l.Close()
-	}
+	own := s.own[3*n : 3*n+3] // for callers, siblings and operators
 	callers, err := s.forward(id+" callers", own[0])
 	if err != nil {
 		return nil, document.Instance{}, err
