Note the end of each send without a search

The list of sends was searched for each end, and again for each send when a request ended: some 18,000 comparisons for a request of 135 parts. Attempts are counted in the order of their sends, so that the place is known.

--- a/traffic/record.go
+++ b/traffic/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
@@ -93,14 +94,19 @@
 
 // close notes how a send ended. One that has ended before stays as it is.
 func (r *Record) close(attempt int, outcome, reason string, now time.Time) {
-	for i := range r.Legs {
-		if l := &r.Legs[i]; l.Attempt == attempt && !l.finished {
-			l.Ended, l.Outcome, l.Reason, l.finished = now.Sub(r.Received), outcome, reason, true
-			return
-		}
+	i := attempt - 1 // attempts are mostly counted from 1 in the order of their sends
+	if i < 0 || i >= len(r.Legs) || r.Legs[i].Attempt != attempt {
+		i = slices.IndexFunc(r.Legs, func(l LegRecord) bool { return l.Attempt == attempt })
+	}
+	if i >= 0 && !r.Legs[i].finished {
+		r.Legs[i].finish(outcome, reason, now.Sub(r.Received))
 	}
 }
 
+func (l *LegRecord) finish(outcome, reason string, at time.Duration) {
+	l.Ended, l.Outcome, l.Reason, l.finished = at, outcome, reason, true
+}
+
 func (r *Record) finish(d Delivered, left bool, now time.Time) {
 	r.settle(d.Refusal, left, now)
 	if d.Reply != nil && !left {
@@ -115,7 +121,9 @@
 func (r *Record) settle(refusal *caller.Refusal, left bool, now time.Time) {
 	r.Took = now.Sub(r.Received)
 	for i := range r.Legs {
-		r.close(r.Legs[i].Attempt, outcomeCancelled, "", now)
+		if l := &r.Legs[i]; !l.finished {
+			l.finish(outcomeCancelled, "", r.Took)
+		}
 	}
 	switch {
 	case left:
--- a/traffic/record_test.go
+++ b/traffic/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -73,3 +74,23 @@
 		t.Errorf("the record shows the key: %q", r.Message)
 	}
 }
+
+// Guards against ends of sends that are noted at the wrong one, or that change what was noted before.
+func TestEndsOfSendsAreNotedOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := &Record{Received: start, Legs: []LegRecord{{Attempt: 1}, {Attempt: 2}, {Attempt: 7}}}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	r.close(2, "replied", "", at(10))
+	r.close(7, "broken", "connection lost", at(20))
+	r.close(2, "broken", "again", at(30))
+	r.close(5, "replied", "", at(30))
+	r.settle(nil, false, at(40))
+	want := []LegRecord{
+		{Attempt: 1, Outcome: outcomeCancelled, Ended: 40 * time.Millisecond, finished: true},
+		{Attempt: 2, Outcome: "replied", Ended: 10 * time.Millisecond, finished: true},
+		{Attempt: 7, Outcome: "broken", Reason: "connection lost", Ended: 20 * time.Millisecond, finished: true},
+	}
+	if !slices.Equal(r.Legs, want) {
+		t.Errorf("sends %+v, want %+v", r.Legs, want)
+	}
+}
