--- a/caller/callerhttp/refusal.go
+++ b/caller/callerhttp/refusal.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -59,9 +58,14 @@
 // StatusCode returns the HTTP status of the response.
 func (b *body) StatusCode() int { return b.status }
 
+// formatter renders refusals and tells of requests that cannot be decoded.
+type formatter struct {
+	malformed func(id string, r *caller.Refusal)
+}
+
 // format renders refusals, and turns errors of goa itself into the same shape. The status of a refusal is set by
 // the generated encoder.
-func format(_ context.Context, err error) goahttp.Statuser {
+func (f *formatter) format(ctx context.Context, err error) goahttp.Statuser {
 	var refused *querytier.RefusalBody
 	if errors.As(err, &refused) {
 		return &body{Code: refused.Code, Ran: refused.Ran, Message: refused.Message, RetryAfterMs: refused.RetryAfterMs}
@@ -73,15 +77,16 @@
 		out.Code, out.status = string(caller.CodeNotConfigured), http.StatusServiceUnavailable
 	case errors.As(err, &decoded) && decoded.Fault:
 		out.Code, out.Ran, out.status = string(caller.CodeInternal), string(caller.RanUnknown), http.StatusInternalServerError
+	default:
+		f.malformed(requestID(ctx), caller.Refuse(caller.CodeBadRequest, 0, "%s", out.Message))
 	}
 	return out
 }
 
-func writeTooLarge(w http.ResponseWriter, size int64) {
+func (f *formatter) writeTooLarge(w http.ResponseWriter, r *http.Request) {
+	refusal := caller.Refuse(caller.CodeBadRequest, 0, "the body has %d bytes, at most %d are allowed", r.ContentLength, maxBodyBytes)
+	f.malformed(requestID(r.Context()), refusal)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusRequestEntityTooLarge)
-	_ = json.NewEncoder(w).Encode(&body{
-		Code: string(caller.CodeBadRequest), Ran: string(caller.RanNo),
-		Message: fmt.Sprintf("the body has %d bytes, at most %d are allowed", size, maxBodyBytes),
-	})
+	_ = json.NewEncoder(w).Encode(&body{Code: string(refusal.Code), Ran: string(refusal.Ran), Message: refusal.Message})
 }
--- a/caller/callerhttp/server.go
+++ b/caller/callerhttp/server.go
@@ -32,12 +32,24 @@
 	Leaving() bool
 }
 
+// Option changes how NewHandler builds a handler.
+type Option func(*formatter)
+
+// OnMalformed has refused told of requests that cannot be decoded, which the tier does not see.
+func OnMalformed(refused func(id string, r *caller.Refusal)) Option {
+	return func(f *formatter) { f.malformed = refused }
+}
+
 // NewHandler returns the HTTP handler for callers.
-func NewHandler(tier Tier) http.Handler {
+func NewHandler(tier Tier, options ...Option) http.Handler {
+	f := &formatter{malformed: func(string, *caller.Refusal) {}}
+	for _, o := range options {
+		o(f)
+	}
 	mux := goahttp.NewMuxer()
 	endpoints := querytier.NewEndpoints(&service{tier: tier})
-	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, format))
-	return closeOnLeave(identify(limitBody(mux)), tier.Leaving)
+	server.Mount(mux, server.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, f.format))
+	return closeOnLeave(identify(f.limitBody(mux)), tier.Leaving)
 }
 
 // HeaderRequestID names a request in its response, also if it was refused. Logs use the same name.
@@ -61,11 +73,11 @@
 }
 
 // limitBody refuses a request that announces too large a body, and cuts off one that turns out too large.
-func limitBody(next http.Handler) http.Handler {
+func (f *formatter) limitBody(next http.Handler) http.Handler {
 	limited := http.MaxBytesHandler(next, maxBodyBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength > maxBodyBytes {
-			writeTooLarge(w, r.ContentLength)
+			f.writeTooLarge(w, r)
 			return
 		}
 		limited.ServeHTTP(w, r)
--- a/caller/callerhttp/server_test.go
+++ b/caller/callerhttp/server_test.go
@@ -122,7 +122,16 @@
 	if tier.ids[0] == tier.ids[1] {
 		t.Error("two requests have the same ID")
 	}
-	if status, header, _ := post(handler, `{`); status != http.StatusBadRequest || header.Get(HeaderRequestID) == "" {
-		t.Errorf("a malformed request got status %d and ID %q", status, header.Get(HeaderRequestID))
+}
+
+// Guards against requests that are refused before the tier sees them and leave no trace.
+func TestMalformedRequestsAreTold(t *testing.T) {
+	told := map[string]caller.Code{}
+	handler := NewHandler(refusingTier{}, OnMalformed(func(id string, r *caller.Refusal) { told[id] = r.Code }))
+	for _, body := range []string{`{`, `{}`, strings.Repeat("x", maxBodyBytes+1)} {
+		status, header, _ := post(handler, body)
+		if id := header.Get(HeaderRequestID); status < 400 || id == "" || told[id] != caller.CodeBadRequest {
+			t.Errorf("a body of %d bytes got status %d and ID %q, told as %q", len(body), status, id, told[id])
+		}
 	}
 }
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/caller/callerhttp"
 	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"dogwooddrift.org/drift/cmd/internal/requestlog"
@@ -164,7 +165,7 @@
 	work, stopWork := context.WithCancel(abort)
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.Scope}), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: callerhttp.NewHandler(metered{n.tier, n.metrics.Scope}, callerhttp.OnMalformed(n.malformed)), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer()
 	siblinggrpc.Register(peers, n.loop, n.receiver)
@@ -201,6 +202,11 @@
 	return err
 }
 
+// malformed logs a request that the tier does not see.
+func (n *Node) malformed(id string, r *caller.Refusal) {
+	n.requests.Record(&traffic.Record{ID: id, Outcome: string(r.Code), Message: r.Message})
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
