Send requests that may show that silent targets are back; soak edge too

Its log had requests of four parts that ended at once with "targets failed" and no send: when too many parts had only silent targets left, a request was given up in its first step and its sends were dropped, trial requests too. Nothing was sent, so nothing was heard, for good. The dropped sends also counted as "may have run": 502 where nothing had run. Change: a part counts as hopeless only after its send has been out for the time after which its target counts as silent; sends that have not left do not count. The soak has two systems behind one interface; platformtest.Target has faults.

--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -26,6 +26,7 @@
 	edgeKey      = "edge-key"
 	edgeCount    = 3
 	edgeRestarts = 9
+	edgeShards   = 4
 	// edgeNotice is how long an instance serves on after SIGTERM; the callers of the test look at readiness each
 	// edgeLook, twice a notice.
 	edgeNotice = 400 * time.Millisecond
@@ -55,7 +56,7 @@
 }
 
 func (e *edgeProcess) look() {
-	response, err := http.Get("http://" + e.readiness + "/api/readyz")
+	response, err := http.Get("http://" + e.readiness + platformtest.ReadyPath)
 	if err != nil {
 		e.ready.Store(false)
 		return
@@ -74,7 +75,8 @@
 	for _, service := range append([]string{"one"}, shards...) {
 		for r := range 2 {
 			x := &platformtest.Target{ID: fmt.Sprintf("i-%s-%d", service, r), Service: service, Zone: "z", Work: 5 * time.Millisecond}
-			x.Start(store)
+			x.Start()
+			x.Register(store, x.Address())
 			t.Cleanup(x.Close)
 			all = append(all, x)
 		}
@@ -205,8 +207,11 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %s", response.StatusCode, body)
 	}
-	if in, missing := platformtest.Parts(response.Header); method == http.MethodGet && (in != 4 || missing != 0) {
-		return fmt.Errorf("%d parts, %d missing", in, missing)
+	if method == http.MethodGet {
+		parts, wrong := platformtest.CheckGathered(response.Header, body, attempt, edgeShards, 2)
+		if parts != edgeShards {
+			return fmt.Errorf("%d parts of %d %s", parts, edgeShards, wrong)
+		}
 	}
 	return nil
 }
--- a/cmd/driftctl/soak.go
+++ b/cmd/driftctl/soak.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
 			&cli.DurationFlag{Name: "for", Value: 20 * time.Second, Usage: "how long faults are injected with each seed"},
 			&cli.IntFlag{Name: "instances", Value: 4, Usage: "number of processes"},
+			&cli.BoolFlag{Name: "edge", Usage: "run dogwooddrift edge before stand-ins of the users' platform"},
 			&cli.StringFlag{Name: "dir", Usage: "where settings and logs are kept; by default a new temporary folder"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -61,6 +62,7 @@
 	out := c.Root().Writer
 	findings, err := soak.Run(ctx, soak.Options{
 		Seed: seed, For: c.Duration("for"), Instances: c.Int("instances"), Command: c.String("command"), Dir: dir,
+		Edge:   c.Bool("edge"),
 		Report: func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) },
 	})
 	if err != nil {
--- /dev/null
+++ b/cmd/internal/soak/edge.go
@@ -0,0 +1,193 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"dogwooddrift.org/drift/platform/nodefile"
+	"dogwooddrift.org/drift/platform/platformtest"
+)
+
+// edgeSystem is `dogwooddrift edge` before stand-ins of the users' platform. A change there is a request that may run
+// once; each sending is an attempt of its own.
+type edgeSystem struct {
+	targets []*platformtest.Target
+
+	mu       sync.Mutex
+	attempts map[string]int // status of each sending of a change, 0 if there was no answer
+}
+
+const (
+	edgeHost     = "shop.example"
+	edgeShards   = 4
+	edgeReplicas = 2
+	edgeRecords  = 2
+	edgeNotice   = 300 * time.Millisecond
+	edgeWork     = 5 * time.Millisecond
+)
+
+func (e *edgeSystem) deploy(s *soak) error {
+	e.attempts = map[string]int{}
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	s.closers = append(s.closers, server.CloseClientConnections)
+	var shards []string
+	for n := range edgeShards {
+		shards = append(shards, fmt.Sprint("s", n))
+	}
+	for n, service := range append([]string{"one"}, shards...) {
+		for r := range edgeReplicas {
+			t := &platformtest.Target{ID: fmt.Sprintf("i-%s-%d", service, r), Service: service, Zone: zones[(n+r)%len(zones)], Work: edgeWork}
+			t.Start()
+			s.closers = append(s.closers, t.Close)
+			address, err := s.forward("target "+t.ID, t.Address())
+			if err != nil {
+				return err
+			}
+			t.Register(store, address)
+			e.targets = append(e.targets, t)
+		}
+	}
+	store.Put("op/config", platformtest.Configuration(1, edgeHost, key, shards, "one"))
+	var seeds []string
+	for n := range s.Instances {
+		if err := e.addInstance(s, n, server.Listener.Addr().String(), &seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addInstance writes the settings of an instance. The seeds are the proxies of the first three; beats name the addresses
+// that instances bind, so that only the first contact of siblings meets the proxies.
+func (e *edgeSystem) addInstance(s *soak, n int, storeAddress string, seeds *[]string) error {
+	id := fmt.Sprintf("edge-%d", n)
+	own := s.own[3*n : 3*n+3] // for callers, readiness and siblings
+	callers, err := s.forward(id+" callers", own[0])
+	if err != nil {
+		return err
+	}
+	siblings, err := s.forward(id+" siblings", own[2])
+	if err != nil {
+		return err
+	}
+	store, err := s.forward(id+" store", storeAddress)
+	if err != nil {
+		return err
+	}
+	if len(*seeds) < 3 {
+		*seeds = append(*seeds, siblings)
+	}
+	file := filepath.Join(s.Dir, id+".toml")
+	text := platformtest.NodeFile(platformtest.Node{
+		Name: id, Zone: zones[n%len(zones)], Callers: own[0], Readiness: own[1], Siblings: own[2], Store: store, Seeds: *seeds,
+	})
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	s.instances = append(s.instances, &instance{
+		soak: s, id: id, log: file + ".log", args: []string{"edge", "--metrics-port", "0", "--notice", edgeNotice.String()},
+		env: []string{nodefile.PathVariable + "=" + file}, callers: callers, direct: own[0], readyURL: "http://" + own[1] + platformtest.ReadyPath,
+	})
+	return nil
+}
+
+func (e *edgeSystem) fault(s *soak) fault {
+	t := e.targets[s.rng.IntN(len(e.targets))]
+	kinds := []platformtest.Faults{{Slow: 300 * time.Millisecond}, {Shed: 0.5}, {Fail: 0.3}, {Break: 0.2}, {Foreign: 0.2}}
+	f := kinds[s.rng.IntN(len(kinds))]
+	return fault{
+		name: fmt.Sprintf("target %s %+v", t.ID, f), begin: func() { t.SetFaults(f) }, end: func() { t.SetFaults(platformtest.Faults{}) },
+	}
+}
+
+func (e *edgeSystem) healTargets() {
+	for _, t := range e.targets {
+		t.SetFaults(platformtest.Faults{})
+	}
+}
+
+func (e *edgeSystem) keysSeen() map[string]int {
+	out := map[string]int{}
+	for _, t := range e.targets {
+		out[t.ID] = t.KeysSeen()
+	}
+	return out
+}
+
+// send returns the status of the response, 0 if there was none.
+func (e *edgeSystem) send(c *callers, to *instance, method, path, attempt string) (int, http.Header, []byte) {
+	r, err := platformtest.CallerRequest(method, to.callers, edgeHost, path, attempt, key, callerTimeout, "text")
+	if err != nil {
+		c.soak.find("%v", err)
+		return 0, nil, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
+	defer cancel()
+	response, err := c.client.Do(r.WithContext(ctx))
+	if err != nil {
+		c.count("no response")
+		return 0, nil, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.count("response cut off")
+		return 0, nil, nil
+	}
+	c.count(fmt.Sprint("status ", response.StatusCode))
+	return response.StatusCode, response.Header, body
+}
+
+func (e *edgeSystem) query(c *callers, to *instance, name string) bool {
+	status, header, body := e.send(c, to, http.MethodGet, "/many/x", name)
+	if status != http.StatusOK {
+		return false
+	}
+	if _, wrong := platformtest.CheckGathered(header, body, name, edgeShards, edgeRecords); wrong != "" {
+		c.soak.find("query %s at %s: %s", name, to.id, wrong)
+	}
+	return true
+}
+
+func (e *edgeSystem) change(c *callers, n int, name string) bool {
+	for k := range maxSends {
+		to, attempt := c.soak.instances[(n+k)%len(c.soak.instances)], fmt.Sprintf("%s.%d", name, k)
+		status, _, _ := e.send(c, to, http.MethodPost, "/one/x", attempt)
+		e.mu.Lock()
+		e.attempts[attempt] = status
+		e.mu.Unlock()
+		if status == http.StatusOK {
+			return true
+		}
+		if !platformtest.Promised(status) {
+			return false // it may have run, so that its caller does not send it again
+		}
+		time.Sleep(callerPause)
+	}
+	return false
+}
+
+func (e *edgeSystem) checkChanges(c *callers) {
+	for attempt, status := range e.attempts {
+		runs := 0
+		for _, t := range e.targets {
+			runs += t.Runs(attempt)
+		}
+		switch {
+		case runs > 1:
+			c.soak.find("attempt %s ran %d times", attempt, runs)
+		case runs > 0 && platformtest.Promised(status):
+			c.soak.find("attempt %s ran although status %d promised that it had not", attempt, status)
+		case runs == 0 && status == http.StatusOK:
+			c.soak.find("attempt %s was answered and did not run", attempt)
+		}
+	}
+}
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -5,19 +5,24 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"dogwooddrift.org/drift/cmd/internal/deploy"
-	"dogwooddrift.org/drift/cmd/internal/standin"
 )
 
 // instance is one process, which is started again each time it ends.
 type instance struct {
-	soak                      *soak
-	id                        string
-	settings, callers, direct string
+	soak *soak
+	id   string
+	log  string // path
+	args []string
+	env  []string
+	// callers is the proxy's address for callers, direct the instance's own.
+	callers, direct string
+	readyURL        string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -27,13 +32,13 @@
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	log, err := os.OpenFile(i.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	i.process = exec.Command(i.soak.Command, "--settings", i.settings)
-	i.process.Env = append(os.Environ(), i.soak.Env...)
+	i.process = exec.Command(i.soak.Command, i.args...)
+	i.process.Env = slices.Concat(os.Environ(), i.soak.Env, i.env)
 	i.process.Stdout, i.process.Stderr = log, log
 	if err := i.process.Start(); err != nil {
 		return err
@@ -133,7 +138,7 @@
 		case n < 5:
 			f = s.linkFault()
 		case n < 7:
-			f = s.targetFault(lasts)
+			f = s.system.fault(s)
 		default:
 			i := s.instances[s.rng.IntN(len(s.instances))]
 			sig, down := syscall.SIGKILL, lasts/2
@@ -180,20 +185,6 @@
 	}
 }
 
-func (s *soak) targetFault(lasts time.Duration) fault {
-	all := s.fleet.Select("", "", "")
-	t := all[s.rng.IntN(len(all))]
-	kinds := []standin.Faults{
-		{Straggle: 0.5, StraggleMS: 300}, {Shed: 0.5}, {Late: 0.3, LateMS: 200}, {Cross: 0.2}, {Duplicate: 0.3}, {ReportLagMS: 1000, ReportWarm: true},
-	}
-	if n := s.rng.IntN(len(kinds) + 2); n < len(kinds) {
-		return fault{name: "target fault", begin: func() { t.SetFaults(kinds[n]) }, end: func() { t.SetFaults(standin.Faults{}) }}
-	} else if n == len(kinds) {
-		return fault{name: "target silent", begin: t.SilenceConnections, end: func() {}}
-	}
-	return fault{name: "target cold", begin: t.TurnCold, end: func() {}}
-}
-
 func (s *soak) processFault(i *instance, busy *sync.Mutex, sig syscall.Signal, down time.Duration) fault {
 	if sig == syscall.SIGSTOP {
 		return fault{name: i.id + " paused", begin: func() { busy.Lock(); i.signal(syscall.SIGSTOP) }, end: func() { i.signal(syscall.SIGCONT); busy.Unlock() }}
@@ -211,7 +202,5 @@
 		l.link.Set(deploy.LinkOpen)
 		l.link.SetDelay(oneWay)
 	}
-	for _, t := range s.fleet.Select("", "", "") {
-		t.SetFaults(standin.Faults{})
-	}
+	s.system.healTargets()
 }
--- /dev/null
+++ b/cmd/internal/soak/own.go
@@ -0,0 +1,213 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/cmd/internal/load"
+	"dogwooddrift.org/drift/cmd/internal/standin"
+	"dogwooddrift.org/drift/document"
+)
+
+// ownSystem is the product's own interface before its stand-ins.
+type ownSystem struct{ fleet *standin.Fleet }
+
+func (o *ownSystem) deploy(s *soak) error {
+	services := []standin.ServiceOptions{
+		{Name: "search", Shards: 4, Replicas: 2, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
+		{Name: "orders", Replicas: 3, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
+	}
+	var err error
+	if o.fleet, err = standin.NewFleet(services, zones, standin.WithSeed(s.Seed), standin.WithSecrets(key)); err != nil {
+		return err
+	}
+	s.closers = append(s.closers, o.fleet.Close)
+	list := &document.InstanceList{Revision: 1}
+	for _, t := range o.fleet.Instances {
+		if t.Address, err = s.forward("target "+t.ID, t.Address); err != nil {
+			return err
+		}
+		list.Instances = append(list.Instances, t)
+	}
+	doc := &document.Document{
+		Revision: 1,
+		Organisations: []document.Organisation{{
+			Name: organisation, Host: true, Rate: 1e5, Burst: 1e5, Weight: 1, Keys: []document.Key{{ID: "k", SHA256: caller.Digest(key)}},
+		}},
+		Isolation: document.Isolation{KeyedLimit: 600}, ChangeWindow: 600,
+	}
+	for _, v := range services {
+		doc.Services = append(doc.Services, document.Service{Name: v.Name, Sharded: v.Shards > 0, Slots: v.Slots, Connections: v.Connections})
+	}
+	for _, z := range zones {
+		doc.Zones = append(doc.Zones, document.Zone{Name: z, RateFraction: 1 / float64(len(zones))})
+	}
+	platform := standin.NewPlatform()
+	server := httptest.NewServer(platform)
+	s.closers = append(s.closers, server.CloseClientConnections)
+	for n := range s.Instances {
+		i, entry, err := s.newInstance(n, zones[n%len(zones)], server.Listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		s.instances = append(s.instances, i)
+		list.Instances = append(list.Instances, entry)
+	}
+	if err := platform.PublishDocument(doc); err != nil {
+		return err
+	}
+	return platform.PublishInstances(list)
+}
+
+// newInstance writes the settings of an instance and returns its entry in the platform's list.
+func (s *soak) newInstance(n int, zone, platformAddress string) (*instance, document.Instance, error) {
+	id := fmt.Sprintf("entry-%d", n)
+	own := s.own[3*n : 3*n+3] // for callers, siblings and operators
+	callers, err := s.forward(id+" callers", own[0])
+	if err != nil {
+		return nil, document.Instance{}, err
+	}
+	siblings, err := s.forward(id+" siblings", own[1])
+	if err != nil {
+		return nil, document.Instance{}, err
+	}
+	platform, err := s.forward(id+" platform", platformAddress)
+	if err != nil {
+		return nil, document.Instance{}, err
+	}
+	settings := filepath.Join(s.Dir, id+".yaml")
+	text := fmt.Sprintf("id: %s\nzone: %s\nplatform: http://%s\nlisten: {callers: %q, siblings: %q, operators: %q}\ndrain: {notice: 300ms, limit: 10s}\nlog: {failures: 1000}\n",
+		id, zone, platform, own[0], own[1], own[2])
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return nil, document.Instance{}, err
+	}
+	i := &instance{
+		soak: s, id: id, log: settings + ".log", args: []string{"--settings", settings}, callers: callers, direct: own[0],
+		readyURL: "http://" + own[0] + "/ready",
+	}
+	return i, document.Instance{
+		ID: id, Kind: document.KindEntry, Zone: zone, State: document.StateLive, Address: callers, PeerAddress: siblings,
+	}, nil
+}
+
+func (o *ownSystem) fault(s *soak) fault {
+	all := o.fleet.Select("", "", "")
+	t := all[s.rng.IntN(len(all))]
+	kinds := []standin.Faults{
+		{Straggle: 0.5, StraggleMS: 300}, {Shed: 0.5}, {Late: 0.3, LateMS: 200}, {Cross: 0.2}, {Duplicate: 0.3}, {ReportLagMS: 1000, ReportWarm: true},
+	}
+	if n := s.rng.IntN(len(kinds) + 2); n < len(kinds) {
+		return fault{name: "target fault", begin: func() { t.SetFaults(kinds[n]) }, end: func() { t.SetFaults(standin.Faults{}) }}
+	} else if n == len(kinds) {
+		return fault{name: "target silent", begin: t.SilenceConnections, end: func() {}}
+	}
+	return fault{name: "target cold", begin: t.TurnCold, end: func() {}}
+}
+
+func (o *ownSystem) healTargets() {
+	for _, t := range o.fleet.Select("", "", "") {
+		t.SetFaults(standin.Faults{})
+	}
+}
+
+func (o *ownSystem) keysSeen() map[string]int {
+	out := map[string]int{}
+	for id, n := range o.fleet.Counters() {
+		out[id] = n.KeysSeen
+	}
+	return out
+}
+
+func (o *ownSystem) query(c *callers, to *instance, text string) bool {
+	r := o.send(c, to, "search/query", map[string]string{"query": text}, "")
+	if r == nil || r.Code != "" {
+		return false
+	}
+	for _, wrong := range load.UntruthfulAnswer(text, r, o.fleet.Shards("search", r.Snapshot)) {
+		c.soak.find("query %q at %s: %s", text, to.id, wrong)
+	}
+	return true
+}
+
+func (o *ownSystem) change(c *callers, n int, name string) bool {
+	for attempt := range maxSends {
+		to := c.soak.instances[(n+attempt)%len(c.soak.instances)]
+		r := o.send(c, to, "orders/changes", map[string]string{"change": name}, name)
+		c.mu.Lock()
+		known := c.changes[name]
+		known.Sent++
+		answered := r != nil && r.Code == ""
+		switch {
+		case answered:
+			known.Answered++
+		case r != nil && r.Ran == string(caller.RanNo):
+			known.NotRun++
+		}
+		c.changes[name] = known
+		c.mu.Unlock()
+		if answered {
+			if want := standin.Outcome(name); r.Outcome != want {
+				c.soak.find("change %s at %s: outcome %q, want %q", name, to.id, r.Outcome, want)
+			}
+			return true
+		}
+		time.Sleep(callerPause)
+	}
+	return false
+}
+
+// send returns the response, nil if there was none.
+func (o *ownSystem) send(c *callers, to *instance, path string, body map[string]string, idempotencyKey string) *load.Response {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // strings always encode
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.callers+"/v1/services/"+path, bytes.NewReader(text))
+	if err != nil {
+		c.soak.find("%v", err)
+		return nil
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Drift-Timeout-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	if idempotencyKey != "" {
+		// In this spelling net/http does not send the request again by itself.
+		r.Header["idempotency-key"] = []string{idempotencyKey}
+	}
+	response, err := c.client.Do(r)
+	if err != nil {
+		c.count("no response")
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	out := &load.Response{}
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		c.count("response cut off")
+		return nil
+	}
+	if response.StatusCode != http.StatusOK && out.Code == "" {
+		c.soak.find("status %d without a code from %s", response.StatusCode, to.id)
+	}
+	c.count(strings.TrimSpace("answer " + out.Code))
+	return out
+}
+
+func (o *ownSystem) checkChanges(c *callers) {
+	runs := o.fleet.Changes()
+	for name, learned := range c.changes {
+		for _, wrong := range load.UntruthfulChange(name, learned, runs[standin.ChangeKey(organisation, name)]) {
+			c.soak.find("%s", wrong)
+		}
+	}
+}
--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -8,17 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
 
-	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/cmd/internal/deploy"
-	"dogwooddrift.org/drift/cmd/internal/standin"
-	"dogwooddrift.org/drift/document"
 )
 
 // Options of a soak.
@@ -28,7 +23,9 @@
 	For time.Duration
 	// Instances is the number of processes.
 	Instances int
-	// Command starts an instance, with "--settings FILE" added; Env is added to its environment.
+	// Edge runs `dogwooddrift edge` before stand-ins of the users' platform, in place of the product's own interface.
+	Edge bool
+	// Command is the program of an instance; Env is added to its environment.
 	Command string
 	Env     []string
 	// Dir holds settings and logs.
@@ -55,8 +52,7 @@
 type soak struct {
 	Options
 	rng       *rand.Rand
-	fleet     *standin.Fleet
-	platform  *httptest.Server
+	system    system
 	instances []*instance
 	links     []namedLink
 	closers   []func()
@@ -66,6 +62,23 @@
 	findings []string
 }
 
+// system is what the instances are and what stands around them.
+type system interface {
+	// deploy starts the stand-ins and adds the instances, each connection through a proxy.
+	deploy(s *soak) error
+	// fault returns a random fault of a target, healTargets ends those of all.
+	fault(s *soak) fault
+	healTargets()
+	// keysSeen returns how often each target saw a caller's key.
+	keysSeen() map[string]int
+	// query sends a query and reports whether it was answered; wrong answers are findings.
+	query(c *callers, to *instance, name string) bool
+	// change sends a change until it is answered, to one instance after the other from the n-th on.
+	change(c *callers, n int, name string) bool
+	// checkChanges compares what callers learned with what ran.
+	checkChanges(c *callers)
+}
+
 // namedLink is a link that faults are injected into.
 type namedLink struct {
 	name string
@@ -75,6 +88,10 @@
 // Run runs a soak and returns what broke a promise. The error says that the soak itself could not be run.
 func Run(ctx context.Context, o Options) (findings []string, err error) {
 	s := &soak{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1))}
+	s.system = &ownSystem{}
+	if o.Edge {
+		s.system = &edgeSystem{}
+	}
 	defer s.close()
 	if err := s.deploy(); err != nil {
 		return nil, err
@@ -91,10 +108,10 @@
 	}
 	stopCallers()
 	c.checkRecovery(ctx)
-	c.checkChanges()
-	for id, n := range s.fleet.Counters() {
-		if n.KeysSeen > 0 {
-			s.find("target %s saw a caller's key %d times", id, n.KeysSeen)
+	s.system.checkChanges(c)
+	for id, n := range s.system.keysSeen() {
+		if n > 0 {
+			s.find("target %s saw a caller's key %d times", id, n)
 		}
 	}
 	c.report()
@@ -119,56 +136,13 @@
 	return f.Address(), nil
 }
 
-// deploy starts the stand-ins and the instances, each connection through a proxy.
+// deploy starts everything.
 func (s *soak) deploy() error {
-	zones := []string{"a", "b", "c"}
-	services := []standin.ServiceOptions{
-		{Name: "search", Shards: 4, Replicas: 2, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
-		{Name: "orders", Replicas: 3, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
-	}
 	var err error
-	if s.fleet, err = standin.NewFleet(services, zones, standin.WithSeed(s.Seed), standin.WithSecrets(key)); err != nil {
-		return err
-	}
-	s.closers = append(s.closers, s.fleet.Close)
-	list := &document.InstanceList{Revision: 1}
-	for _, t := range s.fleet.Instances {
-		if t.Address, err = s.forward("target "+t.ID, t.Address); err != nil {
-			return err
-		}
-		list.Instances = append(list.Instances, t)
-	}
-	doc := &document.Document{
-		Revision: 1,
-		Organisations: []document.Organisation{{
-			Name: organisation, Host: true, Rate: 1e5, Burst: 1e5, Weight: 1, Keys: []document.Key{{ID: "k", SHA256: caller.Digest(key)}},
-		}},
-		Isolation: document.Isolation{KeyedLimit: 600}, ChangeWindow: 600,
-	}
-	for _, o := range services {
-		doc.Services = append(doc.Services, document.Service{Name: o.Name, Sharded: o.Shards > 0, Slots: o.Slots, Connections: o.Connections})
-	}
-	for _, z := range zones {
-		doc.Zones = append(doc.Zones, document.Zone{Name: z, RateFraction: 1 / float64(len(zones))})
-	}
-	platform := standin.NewPlatform()
-	s.platform = httptest.NewServer(platform)
-	s.closers = append(s.closers, s.platform.CloseClientConnections)
 	if s.own, err = FreeAddresses(3 * s.Instances); err != nil {
 		return err
 	}
-	for n := range s.Instances {
-		i, entry, err := s.newInstance(n, zones[n%len(zones)])
-		if err != nil {
-			return err
-		}
-		s.instances = append(s.instances, i)
-		list.Instances = append(list.Instances, entry)
-	}
-	if err := platform.PublishDocument(doc); err != nil {
-		return err
-	}
-	if err := platform.PublishInstances(list); err != nil {
+	if err := s.system.deploy(s); err != nil {
 		return err
 	}
 	for _, i := range s.instances {
@@ -179,6 +153,8 @@
 	return nil
 }
 
+var zones = []string{"a", "b", "c"}
+
 // The ports of instances lie below the range from which the kernel takes those of outgoing connections, so that none is
 // taken while its instance restarts. Processes that run at the same time begin at different ones.
 const (
@@ -204,34 +180,6 @@
 	return out, nil
 }
 
-// newInstance writes the settings of an instance and returns its entry in the platform's list.
-func (s *soak) newInstance(n int, zone string) (*instance, document.Instance, error) {
-	id := fmt.Sprintf("entry-%d", n)
-	own := s.own[3*n : 3*n+3] // for callers, siblings and operators
-	callers, err := s.forward(id+" callers", own[0])
-	if err != nil {
-		return nil, document.Instance{}, err
-	}
-	siblings, err := s.forward(id+" siblings", own[1])
-	if err != nil {
-		return nil, document.Instance{}, err
-	}
-	platform, err := s.forward(id+" platform", s.platform.Listener.Addr().String())
-	if err != nil {
-		return nil, document.Instance{}, err
-	}
-	settings := filepath.Join(s.Dir, id+".yaml")
-	text := fmt.Sprintf("id: %s\nzone: %s\nplatform: http://%s\nlisten: {callers: %q, siblings: %q, operators: %q}\ndrain: {notice: 300ms, limit: 10s}\nlog: {failures: 1000}\n",
-		id, zone, platform, own[0], own[1], own[2])
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
-		return nil, document.Instance{}, err
-	}
-	i := &instance{soak: s, id: id, settings: settings, callers: callers, direct: own[0]}
-	return i, document.Instance{
-		ID: id, Kind: document.KindEntry, Zone: zone, State: document.StateLive, Address: callers, PeerAddress: siblings,
-	}, nil
-}
-
 func (s *soak) awaitReady(ctx context.Context, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	for _, i := range s.instances {
@@ -260,7 +208,7 @@
 func (i *instance) ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.direct+"/ready", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, i.readyURL, nil)
 	if err != nil {
 		return false
 	}
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -115,6 +115,7 @@
 type openSend struct {
 	attempt int
 	target  *Target
+	sent    time.Time
 }
 
 // Dispatch is the state machine of one forwarded request: which target of each service gets it, when a second one
@@ -167,6 +168,9 @@
 		// A send decided in this step has not left.
 		for _, s := range ready.Send {
 			s.Target.Gauge.Finish(0)
+			p := &d.parts[s.Part]
+			p.open = slices.DeleteFunc(p.open, func(o openSend) bool { return o.attempt == s.Attempt })
+			delete(d.owner, s.Attempt)
 		}
 		ready.Send = nil
 		d.finish(&ready)
@@ -265,7 +269,7 @@
 	d.attempt++
 	ready.Send = append(ready.Send, Send{Attempt: d.attempt, Part: i, Target: t, Hedge: len(p.open) > 0})
 	d.owner[d.attempt] = i
-	p.open = append(p.open, openSend{attempt: d.attempt, target: t})
+	p.open = append(p.open, openSend{attempt: d.attempt, target: t, sent: now})
 	p.sends++
 	if !slices.ContainsFunc(p.ran, t.same) {
 		p.ran = append(p.ran, t)
@@ -378,7 +382,7 @@
 
 // answered reports whether there is nothing left to wait for.
 func (d *Dispatch) answered(now time.Time, ready *DispatchReady) bool {
-	in, open, hopeful := 0, 0, 0
+	in, open, hopeful, probed := 0, 0, 0, 0
 	for i := range d.parts {
 		switch p := &d.parts[i]; {
 		case p.winner != 0:
@@ -387,6 +391,9 @@
 			open++
 			if !d.dark(p, now) {
 				hopeful++
+			} else if until := p.probedUntil(); now.Before(until) {
+				probed++
+				ready.wakeAt(until)
 			}
 		}
 	}
@@ -396,7 +403,7 @@
 	if !d.Gather {
 		return false
 	}
-	if !d.Covers(in + hopeful) {
+	if !d.Covers(in + hopeful + probed) {
 		return true // no answer is to be expected any more
 	}
 	if !d.Covers(in) {
@@ -414,6 +421,18 @@
 	return len(p.open) > 0 && !slices.ContainsFunc(p.open, func(o openSend) bool { return !o.target.Gauge.Dark(now) })
 }
 
+// probedUntil returns until when a reply may be expected of targets that have been silent. They may be back, and only a
+// send shows it.
+func (p *dispatchPart) probedUntil() time.Time {
+	var until time.Time
+	for _, o := range p.open {
+		if at := o.sent.Add(o.target.Gauge.silenceLimit()); at.After(until) {
+			until = at
+		}
+	}
+	return until
+}
+
 // Covers reports whether so many parts suffice for an answer.
 func (d *Dispatch) Covers(parts int) bool {
 	return parts > 0 && float64(parts) >= d.MinCoverage*float64(len(d.parts))
--- a/targets/dispatch_test.go
+++ b/targets/dispatch_test.go
@@ -469,3 +469,58 @@
 		}
 	}
 }
+
+// The load pattern "shards dark and back": the targets of so many shards fall silent that no answer has enough parts, and
+// come back. Guards against requests that are given up before anything is sent: nobody would ever notice the return.
+func TestRequestsProbeTargetsThatMayBeBack(t *testing.T) {
+	b := newDispatchBench(20, 2)
+	silent := func(now time.Time) bool {
+		at := now.Sub(time.Unix(1000, 0))
+		return at > 2*time.Second && at < 8*time.Second
+	}
+	b.reply = func(x *Target, now time.Time) (LegOutcome, time.Duration) {
+		if silent(now) && x.Service < "s05" {
+			return LegBroken, -1
+		}
+		return LegReplied, work(b.rng, 15*time.Millisecond)
+	}
+	all := b.play(200, 80*time.Millisecond, 105*time.Millisecond, 700*time.Millisecond)
+	meanwhile, after := 0, 0
+	for _, p := range all {
+		switch at := p.began.Sub(time.Unix(1000, 0)); {
+		case at > 5*time.Second && at < 8*time.Second && p.took > 300*time.Millisecond:
+			meanwhile++
+		case at > 9*time.Second && p.covered < 18:
+			after++
+		}
+	}
+	if meanwhile > 0 {
+		t.Errorf("%d requests waited for targets that had been silent for long", meanwhile)
+	}
+	if after > 0 {
+		t.Errorf("%d requests were not answered a second after the targets came back", after)
+	}
+}
+
+// Guards against "may have run" for a request of which nothing was sent.
+func TestRequestsThatAreGivenUpAtOnceHaveNotRun(t *testing.T) {
+	b := newDispatchBench(4, 2)
+	b.plan.MinCoverage, b.plan.Deadline, b.plan.AnswerBy = 1, b.now.Add(time.Second), b.now.Add(100*time.Millisecond)
+	b.services["s02"] = nil
+	d, ready := NewDispatch(b.plan, b.now)
+	if !ready.Done || len(ready.Send) != 0 || len(ready.Cancel) != 0 {
+		t.Fatalf("ready %+v, want done with nothing sent", ready)
+	}
+	for i, r := range d.Results() {
+		if r.MayHaveRun {
+			t.Errorf("part %d may have run, but was not sent", i)
+		}
+	}
+	for _, all := range b.services {
+		for _, x := range all {
+			if n := x.Gauge.Outstanding(); n != 0 {
+				t.Errorf("%s has %d requests outstanding", x.ID, n)
+			}
+		}
+	}
+}
