--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -6,18 +6,15 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"dogwooddrift.org/drift/cmd/internal/load"
 )
 
-// callers sends requests and keeps what was learned of each change.
+// callers sends requests and counts how they end.
 type callers struct {
 	soak   *soak
 	client *http.Client
 
-	mu      sync.Mutex
-	changes map[string]load.ChangeResult
-	codes   map[string]int
+	mu   sync.Mutex
+	ends map[string]int
 }
 
 const (
@@ -31,8 +28,7 @@
 
 func newCallers(s *soak) *callers {
 	return &callers{
-		soak: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}},
-		changes: map[string]load.ChangeResult{}, codes: map[string]int{},
+		soak: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}, ends: map[string]int{},
 	}
 }
 
@@ -54,10 +50,10 @@
 	return func() { cancel(); running.Wait() }
 }
 
-func (c *callers) count(code string) {
+func (c *callers) count(end string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.codes[code]++
+	c.ends[end]++
 }
 
 // checkRecovery sends requests to each instance until one of each kind is answered.
@@ -80,5 +76,5 @@
 }
 
 func (c *callers) report() {
-	c.soak.Report("%d changes; responses: %v", len(c.changes), c.codes)
+	c.soak.Report("requests ended: %v", c.ends)
 }
--- a/cmd/internal/soak/own.go
+++ b/cmd/internal/soak/own.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
@@ -19,9 +20,15 @@
 )
 
 // ownSystem is the product's own interface before its stand-ins.
-type ownSystem struct{ fleet *standin.Fleet }
+type ownSystem struct {
+	fleet *standin.Fleet
+
+	mu      sync.Mutex
+	changes map[string]load.ChangeResult
+}
 
 func (o *ownSystem) deploy(s *soak) error {
+	o.changes = map[string]load.ChangeResult{}
 	services := []standin.ServiceOptions{
 		{Name: "search", Shards: 4, Replicas: 2, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
 		{Name: "orders", Replicas: 3, Slots: 16, Connections: 100, ServiceTime: 5 * time.Millisecond},
@@ -142,8 +149,8 @@
 	for attempt := range maxSends {
 		to := c.soak.instances[(n+attempt)%len(c.soak.instances)]
 		r := o.send(c, to, "orders/changes", map[string]string{"change": name}, name)
-		c.mu.Lock()
-		known := c.changes[name]
+		o.mu.Lock()
+		known := o.changes[name]
 		known.Sent++
 		answered := r != nil && r.Code == ""
 		switch {
@@ -152,8 +159,8 @@
 		case r != nil && r.Ran == string(caller.RanNo):
 			known.NotRun++
 		}
-		c.changes[name] = known
-		c.mu.Unlock()
+		o.changes[name] = known
+		o.mu.Unlock()
 		if answered {
 			if want := standin.Outcome(name); r.Outcome != want {
 				c.soak.find("change %s at %s: outcome %q, want %q", name, to.id, r.Outcome, want)
@@ -205,7 +212,7 @@
 
 func (o *ownSystem) checkChanges(c *callers) {
 	runs := o.fleet.Changes()
-	for name, learned := range c.changes {
+	for name, learned := range o.changes {
 		for _, wrong := range load.UntruthfulChange(name, learned, runs[standin.ChangeKey(organisation, name)]) {
 			c.soak.find("%s", wrong)
 		}
