--- a/cmd/internal/soak/soak.go
+++ b/cmd/internal/soak/soak.go
@@ -156,18 +156,20 @@
 var zones = []string{"a", "b", "c"}
 
 // The ports of instances lie below the range from which the kernel takes those of outgoing connections, so that none is
-// taken while its instance restarts. Processes that run at the same time begin at different ones.
+// taken while its instance restarts. Processes that run at the same time take them from ranges of their own, so that none takes
+// the port of an instance of another that is down.
 const (
-	firstPort    = 20000
-	lastPort     = 32000
-	processPorts = 1000
-	portsApart   = 10
+	firstPort = 20000
+	lastPort  = 32000
+	// portRanges of portsApart each lie between them: 40 instances.
+	portRanges = 100
+	portsApart = 120
 )
 
 // FreeAddresses returns addresses on loopback that nobody listens on.
 func FreeAddresses(n int) ([]string, error) {
 	var out []string
-	for port := firstPort + os.Getpid()%processPorts*portsApart; len(out) < n; port++ {
+	for port := firstPort + os.Getpid()%portRanges*portsApart; len(out) < n; port++ {
 		if port > lastPort {
 			return nil, fmt.Errorf("only %d of %d ports are free", len(out), n)
 		}
