--- a/cmd/internal/soak/edge.go
+++ b/cmd/internal/soak/edge.go
@@ -56,46 +56,48 @@
 		}
 	}
 	store.Put("op/config", platformtest.Configuration(1, edgeHost, key, shards, "one"))
+	return e.addInstances(s, server.Listener.Addr().String())
+}
+
+// maxSeeds is how many instances the platform names to each.
+const maxSeeds = 3
+
+// addInstances adds the instances with their settings. The seeds are proxies; beats name the addresses that instances
+// bind, so that only the first contact of siblings meets the proxies.
+func (e *edgeSystem) addInstances(s *soak, storeAddress string) error {
+	var nodes []platformtest.Node
 	var seeds []string
 	for n := range s.Instances {
-		if err := e.addInstance(s, n, server.Listener.Addr().String(), &seeds); err != nil {
+		own := s.own[3*n : 3*n+3] // for callers, readiness and siblings
+		node := platformtest.Node{
+			Name: fmt.Sprintf("edge-%d", n), Zone: zones[n%len(zones)], Callers: own[0], Readiness: own[1], Siblings: own[2],
+		}
+		var err error
+		if node.Store, err = s.forward(node.Name+" store", storeAddress); err != nil {
 			return err
 		}
+		seed, err := s.forward(node.Name+" siblings", node.Siblings)
+		if err != nil {
+			return err
+		}
+		nodes, seeds = append(nodes, node), append(seeds, seed)
 	}
-	return nil
-}
-
-// addInstance writes the settings of an instance. The seeds are the proxies of the first three; beats name the addresses
-// that instances bind, so that only the first contact of siblings meets the proxies.
-func (e *edgeSystem) addInstance(s *soak, n int, storeAddress string, seeds *[]string) error {
-	id := fmt.Sprintf("edge-%d", n)
-	own := s.own[3*n : 3*n+3] // for callers, readiness and siblings
-	callers, err := s.forward(id+" callers", own[0])
-	if err != nil {
-		return err
-	}
-	siblings, err := s.forward(id+" siblings", own[2])
-	if err != nil {
-		return err
-	}
-	store, err := s.forward(id+" store", storeAddress)
-	if err != nil {
-		return err
-	}
-	if len(*seeds) < 3 {
-		*seeds = append(*seeds, siblings)
-	}
-	file := filepath.Join(s.Dir, id+".toml")
-	text := platformtest.NodeFile(platformtest.Node{
-		Name: id, Zone: zones[n%len(zones)], Callers: own[0], Readiness: own[1], Siblings: own[2], Store: store, Seeds: *seeds,
-	})
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return err
+	for _, node := range nodes {
+		node.Seeds = seeds[:min(len(seeds), maxSeeds)]
+		callers, err := s.forward(node.Name+" callers", node.Callers)
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(s.Dir, node.Name+".toml")
+		if err := os.WriteFile(file, []byte(platformtest.NodeFile(node)), 0o600); err != nil {
+			return err
+		}
+		s.instances = append(s.instances, &instance{
+			soak: s, id: node.Name, log: file + ".log", args: []string{"edge", "--metrics-port", "0", "--notice", edgeNotice.String()},
+			env: []string{nodefile.PathVariable + "=" + file}, callers: callers, direct: node.Callers,
+			readyURL: "http://" + node.Readiness + platformtest.ReadyPath,
+		})
 	}
-	s.instances = append(s.instances, &instance{
-		soak: s, id: id, log: file + ".log", args: []string{"edge", "--metrics-port", "0", "--notice", edgeNotice.String()},
-		env: []string{nodefile.PathVariable + "=" + file}, callers: callers, direct: own[0], readyURL: "http://" + own[1] + platformtest.ReadyPath,
-	})
 	return nil
 }
 
