--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -71,15 +71,10 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
 	shards := []string{"s0", "s1", "s2", "s3"}
-	var all []*platformtest.Target
-	for _, service := range append([]string{"one"}, shards...) {
-		for r := range 2 {
-			x := &platformtest.Target{ID: fmt.Sprintf("i-%s-%d", service, r), Service: service, Zone: "z", Work: 5 * time.Millisecond}
-			x.Start()
-			x.Register(store, x.Address())
-			t.Cleanup(x.Close)
-			all = append(all, x)
-		}
+	all := platformtest.StartTargets(append([]string{"one"}, shards...), 2, []string{"z"}, 5*time.Millisecond)
+	for _, x := range all {
+		t.Cleanup(x.Close)
+		x.Register(store, x.Address())
 	}
 	store.Put("op/config", platformtest.Configuration(1, edgeHost, edgeKey, shards, "one"))
 	own, err := soak.FreeAddresses(3 * edgeCount)
--- a/cmd/internal/soak/edge.go
+++ b/cmd/internal/soak/edge.go
@@ -42,18 +42,16 @@
 	for n := range edgeShards {
 		shards = append(shards, fmt.Sprint("s", n))
 	}
-	for n, service := range append([]string{"one"}, shards...) {
-		for r := range edgeReplicas {
-			t := &platformtest.Target{ID: fmt.Sprintf("i-%s-%d", service, r), Service: service, Zone: zones[(n+r)%len(zones)], Work: edgeWork}
-			t.Start()
-			s.closers = append(s.closers, t.Close)
-			address, err := s.forward("target "+t.ID, t.Address())
-			if err != nil {
-				return err
-			}
-			t.Register(store, address)
-			e.targets = append(e.targets, t)
+	e.targets = platformtest.StartTargets(append([]string{"one"}, shards...), edgeReplicas, zones, edgeWork)
+	for _, t := range e.targets {
+		s.closers = append(s.closers, t.Close)
+	}
+	for _, t := range e.targets {
+		address, err := s.forward("target "+t.ID, t.Address())
+		if err != nil {
+			return err
 		}
+		t.Register(store, address)
 	}
 	store.Put("op/config", platformtest.Configuration(1, edgeHost, key, shards, "one"))
 	return e.addInstances(s, server.Listener.Addr().String())
