--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -262,12 +262,17 @@
 func TestChangeOfAPatientCallerWaitsForItsHome(t *testing.T) {
 	f := newFleet(t, "a", "b", "c")
 	key := f.keyFor("a", "b")
-	back := time.Now().Add(moveLimit + 300*time.Millisecond)
-	f.cut = func(string) (before, after bool) { return time.Now().Before(back), false }
+	cutOff := func() {
+		back := time.Now().Add(moveLimit + 300*time.Millisecond)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cut = func(string) (before, after bool) { return time.Now().Before(back), false }
+	}
+	cutOff()
 	if _, refusal := f.change("c", key, moveParts*moveLimit/2); refusal == nil || refusal.Code != caller.CodeHomeUnreachable {
 		t.Errorf("the change of an impatient caller: %v", refusal)
 	}
-	back = time.Now().Add(moveLimit + 300*time.Millisecond)
+	cutOff()
 	outcome, refusal := f.change("c", f.keyFor("a", "c"), 10*time.Second)
 	if refusal != nil || outcome == nil {
 		t.Errorf("the change of a patient caller: %v", refusal)
