Tell a witness's record of the same attempt from an earlier one, and hand outcomes over at a stop

Cause (1): a witness that had just arrived got the home's open record of the very attempt that it was asked to record, and compared attempts with < only, so it took it for an earlier attempt. The change was refused with outcome_unknown although it had not run. The same attempt is now recorded again; a request of an attempt that has ended as not run and arrives late no longer reopens the record.

Cause (2): an instance that left sent its records only to instances that became holders. A holder whose message with the outcome had been lost kept its open record for the whole window and answered repeats with outcome_unknown, although the change had succeeded. Both holders of the new pair get each record, and an outcome is sent up to three times.

Tests: TestWitnessHoldsRecordOfSameAttempt and TestLeavingInstanceHandsOverOutcomes fail before and pass after.

--- a/sibling/changelog.go
+++ b/sibling/changelog.go
@@ -189,10 +189,13 @@
 		switch {
 		case e.BodyDigest != r.BodyDigest:
 			return WitnessResult{Verdict: VerdictOtherBody, Record: e.export(now)}
+		case e.Attempt == r.Attempt && e.Outcome == OutcomeNotRun:
+			// The request of an attempt that has ended arrives late. An open record would block the key.
+			return WitnessResult{Verdict: VerdictMoved}
 		case e.Outcome == OutcomeNotRun:
-		case e.Outcome == OutcomeOpen && e.Attempt.Owner == r.Attempt.Owner && e.Attempt.Number < r.Attempt.Number:
+		case e.Outcome == OutcomeOpen && e.Attempt.Owner == r.Attempt.Owner && e.Attempt.Number <= r.Attempt.Number:
 			// The same process of the home instance starts another attempt only after the earlier one certainly did
-			// not run.
+			// not run. The record of this very attempt is present if the home handed it over before this request.
 		default:
 			return WitnessResult{Verdict: VerdictKnown, Record: e.export(now)}
 		}
--- a/sibling/changelog_members.go
+++ b/sibling/changelog_members.go
@@ -195,9 +195,19 @@
 // instances. Every member receives at least one message, which announces the departure.
 func (l *ChangeLog) Leave(now time.Time) []HandOver {
 	l.leaving = true
+	l.reassignHolders(now)
 	byRecipient := map[string][]ChangeRecord{}
-	for _, h := range l.reassignHolders(now) {
-		byRecipient[h.To.ID] = append(byRecipient[h.To.ID], h.Records...)
+	for _, e := range l.records {
+		if e.Outcome == OutcomeNotRun {
+			continue
+		}
+		// Both holders get the record, not only a new one: the message with the outcome may have been lost on its way to
+		// the other.
+		for _, id := range []string{e.pair.Home, e.pair.Witness} {
+			if id != "" {
+				byRecipient[id] = append(byRecipient[id], e.export(now))
+			}
+		}
 	}
 	var out []HandOver
 	for _, x := range l.members {
--- a/sibling/changelog_test.go
+++ b/sibling/changelog_test.go
@@ -113,6 +113,48 @@
 	}
 }
 
+// Guards against a witness that takes the record of an attempt, which the home handed over when the witness arrived, for
+// an earlier attempt: the change would be refused with an unknown outcome although it did not run.
+func TestWitnessHoldsRecordOfSameAttempt(t *testing.T) {
+	now := time.Unix(0, 0)
+	members := testMembers("a", "b")
+	key := keyHeldByAAndB(members)
+	home, witness := servingLog("a", members, now), servingLog("b", members, now)
+	record := home.Begin(key, BodyDigest{}, now).Record
+	reply, _ := home.ReceiveHandOver(HandOver{From: "b", Arriving: true}, now)
+	witness.ReceiveArrivalReply("a", reply, now)
+	if v := witness.RecordAsWitness("a", record, now); v.Verdict != VerdictNew {
+		t.Errorf("witness with the record of this attempt: verdict %d, want %d", v.Verdict, VerdictNew)
+	}
+	notRun := record
+	notRun.Outcome = OutcomeNotRun
+	witness.Merge([]ChangeRecord{notRun}, now)
+	if v := witness.RecordAsWitness("a", record, now); v.Verdict != VerdictMoved || witness.records[key].Outcome != OutcomeNotRun {
+		t.Errorf("late request of an attempt that did not run: verdict %d, outcome %d", v.Verdict, witness.records[key].Outcome)
+	}
+}
+
+// Guards against a holder that keeps an open record because the message with the outcome was lost: after the instance
+// that knows the outcome has left, a repeat would be answered with an unknown outcome although the change succeeded.
+func TestLeavingInstanceHandsOverOutcomes(t *testing.T) {
+	now := time.Unix(0, 0)
+	members := testMembers("a", "b", "c")
+	key := keyHeldByAAndB(members)
+	home, witness := servingLog("a", members, now), servingLog("b", members, now)
+	record := home.Begin(key, BodyDigest{}, now).Record
+	witness.RecordAsWitness("a", record, now)
+	record.Outcome, record.Reply = OutcomeDone, []byte("r")
+	_ = home.Finish(record, now) // these messages are lost
+	for _, h := range home.Leave(now) {
+		if h.To.ID == "b" {
+			witness.ReceiveHandOver(h, now)
+		}
+	}
+	if v := witness.Begin(key, BodyDigest{}, now); v.Verdict != VerdictKnown || v.Record.Outcome != OutcomeDone || string(v.Record.Reply) != "r" {
+		t.Errorf("repeat at the new home: %+v, want the outcome of the change", v)
+	}
+}
+
 // Guards against records that arrive late or out of order: an open record that arrives after the record that its
 // attempt did not run would block the key, and dropping the record of a second attempt would let a third one run.
 func TestRecordsMergeInAnyOrder(t *testing.T) {
--- a/traffic/home.go
+++ b/traffic/home.go
@@ -95,10 +95,7 @@
 		t.beginFollowUp()
 		handOvers.Go(func() {
 			defer t.end()
-			ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
-			defer cancel()
-			// An instance that does not receive the outcome refuses a repetition with outcome_unknown, which is correct.
-			_, _ = t.siblings.HandOver(ctx, m)
+			t.handOverOutcome(m, record.Outcome)
 		})
 	}
 	if record.Outcome == sibling.OutcomeNotRun {
@@ -106,6 +103,29 @@
 	}
 }
 
+// outcomeAttempts is how often the outcome of a change is sent to another holder of its record.
+const outcomeAttempts = 3
+
+// handOverOutcome sends the outcome of a change to another holder of its record. That the change did not run is sent only
+// once, because its caller waits.
+func (t *QueryTier) handOverOutcome(m sibling.HandOver, outcome sibling.ChangeOutcome) {
+	attempts := outcomeAttempts
+	if outcome == sibling.OutcomeNotRun {
+		attempts = 1
+	}
+	for pause := initialHomePause; attempts > 0; attempts-- {
+		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
+		_, err := t.siblings.HandOver(ctx, m)
+		cancel()
+		if err == nil {
+			return
+		}
+		sleep(context.Background(), pause)
+		pause *= 2
+	}
+	// A holder that does not receive the outcome refuses a repetition with outcome_unknown, which is correct.
+}
+
 // outcomeByState maps the final state of a change to the outcome that is recorded.
 var outcomeByState = map[caller.ChangeState]sibling.ChangeOutcome{
 	caller.ChangeDone:    sibling.OutcomeDone,
