Follow all other entries when one entry of the list is odd

One item whose value is not base64, has the wrong type or a number out of range failed the read, and again at each further read: the instance stopped following the list.

Change: items and changes are decoded one by one. An odd one becomes a change without content: it replaces an earlier registration of the target, an earlier routing stays in force.

--- a/document/routing.go
+++ b/document/routing.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // ErrInvalidRouting means that a routing configuration failed validation and must not come into force.
@@ -158,7 +159,20 @@
 	for _, routes := range r.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	for i := range r.Services {
+		if s := &r.Services[i]; !validAmount(s.ColdRate) || s.MaxConnections < 0 || s.ColdTime < 0 {
+			return fmt.Errorf("%w: service %.100q: connections, cold rate and cold time must be finite and not negative", ErrInvalidRouting, s.Name)
+		}
+	}
 	for i := range r.Accounts {
+		a := &r.Accounts[i]
+		if !validAmount(a.Rate) || !validAmount(a.Burst) {
+			return fmt.Errorf("%w: organisation %.100q: rate and burst must be finite and not negative", ErrInvalidRouting, a.Name)
+		}
+		if strings.ContainsFunc(a.Name, unicode.IsControl) {
+			// The name stands in a header field of requests to targets.
+			return fmt.Errorf("%w: organisation %.100q: control character in the name", ErrInvalidRouting, a.Name)
+		}
 		for _, k := range r.Accounts[i].Keys {
 			r.byDigest[k.SHA256] = &r.Accounts[i]
 		}
@@ -166,6 +180,9 @@
 	return nil
 }
 
+// validAmount reports whether x is finite and not negative.
+func validAmount(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+
 // check validates the route.
 func (r *Route) check() error {
 	switch {
@@ -179,7 +196,7 @@
 		return errors.New("timeout, latency objective, attempts and number of records must not be negative")
 	}
 	for _, s := range r.Services {
-		if !(s.Weight >= 0) || math.IsInf(s.Weight, 0) {
+		if !validAmount(s.Weight) {
 			return errors.New("service weights must be finite and at least 0")
 		}
 	}
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -113,8 +114,9 @@
 	return out
 }
 
-// decodeGossipMessage returns an error for a message whose changes cannot all be decoded: if it applied only some of them,
-// this instance would wrongly count itself as complete.
+// decodeGossipMessage decodes a message. A change that cannot be decoded or is invalid becomes a change without content, as
+// it does for an instance that reads it from the platform: refusing the whole message would keep this instance from
+// following all other values for as long as the odd one exists.
 func decodeGossipMessage(m *siblingpb.GossipMessage) (routing.GossipMessage, error) {
 	u := m.GetUpdate()
 	out := routing.GossipMessage{OmitValues: m.GetNoValues(), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
@@ -127,8 +129,12 @@
 			Demand: make(map[string]float64, len(b.GetDemand())),
 		}
 		for i, index := range b.GetDemandOf() {
-			if int(index) < len(m.GetOrganisations()) && i < len(b.GetDemand()) {
-				state.Demand[m.GetOrganisations()[index]] = float64(b.GetDemand()[i])
+			if int64(index) >= int64(len(m.GetOrganisations())) || i >= len(b.GetDemand()) {
+				continue
+			}
+			// A demand that is negative or no number would spoil the division of the rate.
+			if demand := float64(b.GetDemand()[i]); demand >= 0 && !math.IsInf(demand, 0) {
+				state.Demand[m.GetOrganisations()[index]] = demand
 			}
 		}
 		out.MemberStates = append(out.MemberStates, state)
@@ -136,20 +142,31 @@
 	if len(u.GetChanges()) == 0 {
 		return out, nil
 	}
-	if err := json.Unmarshal(u.GetChanges(), &out.Update.Changes); err != nil {
+	var changes []json.RawMessage
+	if err := json.Unmarshal(u.GetChanges(), &changes); err != nil {
 		return routing.GossipMessage{}, fmt.Errorf("decode changes: %w", err)
 	}
-	for _, c := range out.Update.Changes {
-		if c.Routing == nil {
-			continue
-		}
-		if err := c.Routing.Index(); err != nil {
-			return routing.GossipMessage{}, err
+	for _, raw := range changes {
+		if c := decodeChange(raw); c.Kind != "" && c.Revision != 0 {
+			out.Update.Changes = append(out.Update.Changes, c)
 		}
 	}
 	return out, nil
 }
 
+// decodeChange decodes a change. It leaves out the content if that cannot be decoded or is invalid.
+func decodeChange(raw json.RawMessage) routing.Change {
+	var c routing.Change
+	err := json.Unmarshal(raw, &c)
+	if c.Target != nil && (err != nil || c.Target.Validate() != nil) {
+		c.Target = nil
+	}
+	if c.Routing != nil && (err != nil || c.Routing.Index() != nil) {
+		c.Routing = nil
+	}
+	return c
+}
+
 // GossipTimeout bounds a gossip exchange. It allows a few round trips between regions; an exchange that takes longer
 // is worth less than the next one.
 const GossipTimeout = 600 * time.Millisecond
