Obey targets that leave or ask for a rest, and bound the bytes of peers in trouble

Cause: nothing read Server-Leaving or Retry-After, so a target that the list called ready got requests until it ended, and one that had asked for a rest was asked again by choices, retries and hedges. A caller's body could take for ever. The shutdown of edge closed its listener at the first moment without requests, and New left listeners open when one failed.

Change: TargetStats holds departure and rest of one incarnation at one address; choice, hedges, retries and the check right before a send ask it. targets.Departures remembers departures beyond the entries of the list and passes them to siblings as hints with their age. A request whose targets all rest is refused at once with the time that is left, spread. Headers of replies are bounded by bytes, lines and interim replies; bodies of replies and of callers share byte budgets; a gathered part is cut to the records that can be in the answer. A caller's body must arrive by the request's deadline. edge waits for a quiet period as node does (cmd/internal/shutdown).

--- a/cmd/dogwooddrift/edge.go
+++ b/cmd/dogwooddrift/edge.go
@@ -25,6 +25,9 @@
 			&cli.DurationFlag{Name: "answer-margin", Value: c.AnswerMargin, Usage: "how long before a route's objective a gathered answer with sufficient coverage arrives at the caller"},
 			&cli.DurationFlag{Name: "reply-margin", Value: c.ReplyMargin, Usage: "how long before the deadline the final answer arrives at the caller"},
 			&cli.DurationFlag{Name: "notice", Value: c.Notice, Usage: "how long the instance keeps serving after SIGTERM"},
+			&cli.IntFlag{Name: "max-reply-bytes", Value: c.MaxReplyBytes, Usage: "largest accepted body of a target's reply, in bytes"},
+			&cli.IntFlag{Name: "reply-memory", Usage: "megabytes that the replies of targets may take at the same time; 0: a quarter of the machine's memory limit"},
+			&cli.IntFlag{Name: "body-memory", Usage: "megabytes that the bodies of callers' requests may take at the same time; 0: an eighth of the machine's memory limit"},
 			&cli.FloatFlag{Name: "log-failures", Value: c.LogLimits.FailuresPerSecond, Usage: "maximum failed or partial requests that are logged each second"},
 			&cli.FloatFlag{Name: "log-successes", Value: c.LogLimits.SuccessesPerSecond, Usage: "maximum other requests that are logged each second"},
 		},
@@ -32,6 +35,10 @@
 			c.MetricsPort, c.Notice = cmd.Int("metrics-port"), cmd.Duration("notice")
 			c.AnswerMargin, c.ReplyMargin = cmd.Duration("answer-margin"), cmd.Duration("reply-margin")
 			c.LogLimits = requestlog.Limits{FailuresPerSecond: cmd.Float("log-failures"), SuccessesPerSecond: cmd.Float("log-successes")}
+			c.MaxReplyBytes, c.ReplyMemoryMB, c.BodyMemoryMB = cmd.Int("max-reply-bytes"), cmd.Int("reply-memory"), cmd.Int("body-memory")
+			if c.MaxReplyBytes <= 0 || c.ReplyMemoryMB < 0 || c.BodyMemoryMB < 0 {
+				return errors.New("max-reply-bytes must be positive, reply-memory and body-memory must not be negative")
+			}
 			return runEdge(c)
 		},
 	}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"dogwooddrift.org/drift/cmd/internal/linelog"
 	"dogwooddrift.org/drift/cmd/internal/metrics"
 	"dogwooddrift.org/drift/cmd/internal/requestlog"
+	"dogwooddrift.org/drift/cmd/internal/shutdown"
 	"dogwooddrift.org/drift/control/loop"
 	"dogwooddrift.org/drift/platform/front"
 	"dogwooddrift.org/drift/platform/nodefile"
@@ -48,6 +49,11 @@
 	// Notice is how long the instance keeps serving after SIGTERM, so that the load balancer sees that it is not ready.
 	Notice    time.Duration
 	LogLimits requestlog.Limits
+	// MaxReplyBytes is the largest accepted body of a target's reply.
+	MaxReplyBytes int
+	// ReplyMemoryMB and BodyMemoryMB are the memory in megabytes that the replies of targets and the bodies of callers'
+	// requests may take at the same time; 0 derives them from the memory limit in the settings file.
+	ReplyMemoryMB, BodyMemoryMB int
 }
 
 // DefaultConfig returns the configuration that applies unless flags change it.
@@ -61,8 +67,9 @@
 		DefaultTransitTime: 12 * time.Millisecond,
 		MaxDeadline:        time.Hour, DefaultDeadline: 30 * time.Second,
 		// The load balancer checks readiness each second and removes an instance after two failed checks.
-		Notice:    2500 * time.Millisecond,
-		LogLimits: requestlog.Limits{FailuresPerSecond: 100, SuccessesPerSecond: 10},
+		Notice:        2500 * time.Millisecond,
+		LogLimits:     requestlog.Limits{FailuresPerSecond: 100, SuccessesPerSecond: 10},
+		MaxReplyBytes: 4 << 20,
 	}
 }
 
@@ -80,8 +87,16 @@
 	housekeepingInterval = time.Second
 	// exitReserve is the end of the shutdown grace time that is reserved for the exit of the process.
 	exitReserve = 700 * time.Millisecond
-	// drainPollInterval is the time between two checks whether requests are in flight. The listener closes only after a
-	// check finds none: closing it resets connections that the kernel has accepted and the process has not.
+	// replyMemoryFraction and bodyMemoryFraction are the fractions of the memory limit that the replies of targets and the
+	// bodies of callers' requests may take, and assumedMemoryMB is the limit that is assumed if none is set.
+	replyMemoryFraction = 0.25
+	bodyMemoryFraction  = 0.125
+	assumedMemoryMB     = 1024
+	// maxCallerHeaderBytes bounds the header of a caller's request before the operators' limit can be checked.
+	maxCallerHeaderBytes = 64 << 10
+	// maxStoreHeaderBytes bounds the header of a reply of the platform's store.
+	maxStoreHeaderBytes = 64 << 10
+	// drainPollInterval is the time between two checks whether requests are in flight.
 	drainPollInterval = 100 * time.Millisecond
 )
 
@@ -95,10 +110,12 @@
 	loop     *siblinggrpc.RoutingLoop
 	siblings *siblinggrpc.Client
 	searcher *searcher.Client
-	store    *store.Client
-	metrics  *metrics.Metrics
-	recorder *recorder
-	handler  *front.Handler
+	// replyMemory bounds the replies of targets that are held at the same time.
+	replyMemory *traffic.ByteBudget
+	store       *store.Client
+	metrics     *metrics.Metrics
+	recorder    *recorder
+	handler     *front.Handler
 
 	callersListener, readinessListener, siblingsListener, operatorsListener net.Listener
 }
@@ -122,10 +139,12 @@
 	dialer := &net.Dialer{KeepAlive: -1}
 	n := &Node{
 		path: path, settings: s, config: c, out: out, log: log.With().Str("instance", s.Instance).Logger(), metrics: metrics.New(),
-		siblings: siblinggrpc.NewClient(), searcher: searcher.New(dialer.DialContext),
+		siblings: siblinggrpc.NewClient(), replyMemory: byteBudget(c.ReplyMemoryMB, s.MemoryLimitMB, replyMemoryFraction),
 	}
+	n.searcher = searcher.New(dialer.DialContext, searcher.Limits{MaxBodyBytes: c.MaxReplyBytes, Memory: n.replyMemory})
 	n.recorder = newRecorder(requestlog.New(out, n.log, c.LogLimits), n.metrics)
-	n.store = store.New(s.StoreAddress, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}, func(err error) {
+	storeTransport := &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxStoreHeaderBytes}
+	n.store = store.New(s.StoreAddress, &http.Client{Transport: storeTransport}, func(err error) {
 		n.log.Warn().Err(err).Msg("platform: value not understood")
 	})
 	state := routing.NewState(routing.InstanceConfig{
@@ -136,9 +155,35 @@
 	forwarder := traffic.NewForwarder(traffic.ForwarderSettings{
 		Zone: s.Zone, AnswerMargin: c.AnswerMargin, ReplyMargin: c.ReplyMargin,
 	}, n.loop, n.searcher, n.recorder)
-	n.handler = front.NewHandler(front.Settings{MaxDeadline: c.MaxDeadline, DefaultDeadline: c.DefaultDeadline, DefaultTransitTime: c.DefaultTransitTime}, forwarder,
-		n.loop.Snapshot, n.recordMalformed)
-	return n, n.listen()
+	n.handler = front.NewHandler(front.Settings{
+		MaxDeadline: c.MaxDeadline, DefaultDeadline: c.DefaultDeadline, DefaultTransitTime: c.DefaultTransitTime,
+		BodyMemory: byteBudget(c.BodyMemoryMB, s.MemoryLimitMB, bodyMemoryFraction),
+	}, forwarder, n.loop.Snapshot, n.recordMalformed)
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+// byteBudget returns a budget of the given number of megabytes. If that is 0, it is the fraction of the memory limit.
+func byteBudget(megabytes, memoryLimitMB int, fraction float64) *traffic.ByteBudget {
+	if megabytes > 0 {
+		return traffic.NewByteBudget(int64(megabytes) << 20)
+	}
+	if memoryLimitMB <= 0 {
+		memoryLimitMB = assumedMemoryMB
+	}
+	return traffic.NewByteBudget(int64(float64(memoryLimitMB) * fraction * (1 << 20)))
+}
+
+// closeListeners closes the listeners that are open.
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callersListener, n.readinessListener, n.siblingsListener, n.operatorsListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
 }
 
 func (n *Node) listen() error {
@@ -168,10 +213,13 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{Handler: n.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: front.ConnContext}
+	callers := &http.Server{
+		Handler: n.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		ConnContext: front.ConnContext,
+	}
 	readiness := &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	peers := grpc.NewServer()
+	peers := grpc.NewServer(siblinggrpc.ServerOptions()...)
 	siblinggrpc.RegisterGossip(peers, n.loop)
 
 	group.Go(func() error { n.loop.Run(work, &executor{ctx: work, node: n}); return nil })
@@ -217,20 +265,19 @@
 	n.loop.Post(routing.Leaving{})
 	limitCtx, cancel := context.WithTimeout(context.Background(), max(n.settings.ShutdownGrace-exitReserve, n.config.Notice+time.Second))
 	defer cancel()
-	sleep(limitCtx, n.config.Notice)
-	for n.handler.InFlight() > 0 && limitCtx.Err() == nil {
-		sleep(limitCtx, drainPollInterval)
-	}
+	shutdown.Sleep(limitCtx, n.config.Notice)
+	n.awaitIdle(limitCtx)
+	shutdown.AwaitQuiet(limitCtx, n.handler.LastArrival)
+	n.awaitIdle(limitCtx)
 	if err := callers.Shutdown(limitCtx); err != nil {
 		n.log.Warn().Int64("running", n.handler.InFlight()).Msg("edge: requests were still running at the end of the grace time")
 	}
 }
 
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// awaitIdle waits until no request is in flight.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for n.handler.InFlight() > 0 && ctx.Err() == nil {
+		shutdown.Sleep(ctx, drainPollInterval)
 	}
 }
 
@@ -311,6 +358,7 @@
 	scope.Gauge(metricLogOmitted).Update(float64(n.recorder.Omitted()))
 	scope.Gauge(metricLogLinesDropped).Update(float64(n.out.Dropped()))
 	scope.Gauge(metricLoopEventsDropped).Update(float64(n.loop.Dropped()))
+	scope.Gauge(metricReplyBytesHeld).Update(float64(n.replyMemory.Used()))
 	scope.Gauge(metricMembers).Update(float64(s.MemberCount))
 	scope.Gauge(metricStoreRevision).Update(float64(s.Revision))
 	if s.Routing != nil {
@@ -365,7 +413,7 @@
 // outcome of the previous read.
 func (x *executor) post(e routing.Event) {
 	for !x.node.loop.Post(e) {
-		sleep(x.ctx, 10*time.Millisecond)
+		shutdown.Sleep(x.ctx, 10*time.Millisecond)
 		if x.ctx.Err() != nil {
 			return
 		}
--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -27,6 +27,7 @@
 	metricUsableTargets     = "usable_targets"
 	metricRateRequested     = "organisation_asked"
 	metricRateRefused       = "organisation_refused"
+	metricReplyBytesHeld    = "reply_bytes_held"
 	metricLoopEventsDropped = "loop_events_dropped"
 )
 
--- a/cmd/internal/node/drain.go
+++ b/cmd/internal/node/drain.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"dogwooddrift.org/drift/cmd/internal/shutdown"
 	"dogwooddrift.org/drift/control"
 	"dogwooddrift.org/drift/sibling"
 )
@@ -17,11 +18,6 @@
 	handOverTimeout = 2 * time.Second
 	// maxParallelHandOvers bounds the concurrent change-record messages of an instance that is shutting down.
 	maxParallelHandOvers = 64
-	// quietPeriod is how long no request must have arrived before the listener closes. Closing the listener resets
-	// connections that the kernel has accepted and the process has not, which cuts off a request on such a connection.
-	quietPeriod = 200 * time.Millisecond
-	// quietLimit bounds the wait for the quiet period: some callers keep sending requests although they are refused.
-	quietLimit = 2 * time.Second
 )
 
 // drain shuts the instance down gracefully: it reports unready, serves on for the notice time, refuses new requests,
@@ -31,7 +27,7 @@
 	n.log.Info().Dur("notice", n.settings.Drain.Notice).Msg("node: draining")
 	drainEvent := func(reply chan<- struct{}) control.Event { return control.Drain{Reply: reply} }
 	_, _ = control.Ask(abort, n.loop, drainEvent)
-	sleep(abort, n.settings.Drain.Notice)
+	shutdown.Sleep(abort, n.settings.Drain.Notice)
 	limitCtx, cancel := context.WithTimeout(abort, n.settings.Drain.Limit)
 	defer cancel()
 	finished := n.tier.Drain()
@@ -44,7 +40,7 @@
 	// The reply to this second event proves that the control loop has started the effects of all earlier events.
 	_, _ = control.Ask(limitCtx, n.loop, drainEvent)
 	n.handOversInFlight.wait(limitCtx)
-	n.awaitQuiet(limitCtx)
+	shutdown.AwaitQuiet(limitCtx, n.tier.LastArrival)
 	if err := callers.Shutdown(limitCtx); err != nil {
 		_ = callers.Close()
 	}
@@ -70,19 +66,6 @@
 	_ = group.Wait()
 }
 
-// awaitQuiet waits until no request has arrived for quietPeriod, for at most quietLimit.
-func (n *Node) awaitQuiet(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, quietLimit)
-	defer cancel()
-	for ctx.Err() == nil {
-		remaining := quietPeriod - time.Since(n.tier.LastArrival())
-		if remaining <= 0 {
-			return
-		}
-		sleep(ctx, remaining)
-	}
-}
-
 // sendHandOver sends change records to a sibling, without retries: each record has a second holder, which still has the
 // records that are not delivered.
 func (n *Node) sendHandOver(ctx context.Context, h sibling.HandOver) {
@@ -136,13 +119,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/cmd/internal/node/node.go
+++ b/cmd/internal/node/node.go
@@ -168,7 +168,7 @@
 	group, work := errgroup.WithContext(work)
 	callers := &http.Server{Handler: callerhttp.NewHandler(meteredTier{n.tier, n.metrics.Scope}, callerhttp.OnMalformed(n.recordMalformed)), ReadHeaderTimeout: readHeaderTimeout}
 	operators := &http.Server{Handler: operatorhttp.NewHandler(n), ReadHeaderTimeout: readHeaderTimeout}
-	peers := grpc.NewServer()
+	peers := grpc.NewServer(siblinggrpc.ServerOptions()...)
 	siblinggrpc.Register(peers, n.loop, n.receiver)
 	siblinggrpc.RegisterNotices(peers, n.loop)
 	siblinggrpc.RegisterTokens(peers, n.loop)
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -134,6 +134,14 @@
 		TargetID  string
 		Remaining time.Duration
 	}
+	// TargetLeaving reports that a target said in a reply that it is leaving. Target is the view of it that the request
+	// was sent by.
+	TargetLeaving struct{ Target *targets.Target }
+	// TargetResting reports that a target refused a request and wants no further ones for a time.
+	TargetResting struct {
+		TargetID string
+		Rest     time.Duration
+	}
 	// Reconfigured carries the settings that can change without a restart.
 	Reconfigured struct {
 		Seeds  []string
@@ -153,6 +161,8 @@
 func (TargetConnectionRefused) event() {}
 func (TargetMisdirected) event()       {}
 func (TargetCold) event()              {}
+func (TargetLeaving) event()           {}
+func (TargetResting) event()           {}
 func (Reconfigured) event()            {}
 func (Leaving) event()                 {}
 func (TakeDump) event()                {}
--- a/routing/reach.go
+++ b/routing/reach.go
@@ -18,7 +18,8 @@
 	recoveryContactAge = 300 * time.Millisecond
 )
 
-// ReachableFraction returns the fraction, from 0 to 1, of the services that have a target which is not unreachable. It
+// ReachableFraction returns the fraction, from 0 to 1, of the services that have a target which neither is unreachable nor
+// is leaving. It
 // is 0 without services.
 func (s *Snapshot) ReachableFraction(services []string, now time.Time) float64 {
 	if len(services) == 0 {
@@ -27,7 +28,7 @@
 	n := 0
 	for _, name := range services {
 		for _, t := range s.Candidates(name) {
-			if !t.Stats.Unreachable(now) {
+			if !t.Stats.Unreachable(now) && !t.Stats.Leaving() {
 				n++
 				break
 			}
--- a/routing/state.go
+++ b/routing/state.go
@@ -71,6 +71,7 @@
 	values           *values
 	gossip           *sibling.Gossip
 	crashes          *targets.CrashLog
+	departures       *targets.Departures
 	quarantinedCount int
 	// blamedAt is when a broken connection was last counted against a request.
 	blamedAt map[targets.Fingerprint]time.Time
@@ -118,7 +119,7 @@
 	self := sibling.MemberState{ID: config.ID, Zone: config.Zone, Address: config.Address, Generation: config.Generation, PlatformAge: sibling.NoContact}
 	return &State{
 		config: config, rng: rng, started: now, lastStep: now, values: newValues(), gossip: sibling.NewGossip(self, config.Seeds, rng, now),
-		crashes: targets.NewCrashLog(), targets: map[string]*targetState{}, retryBudgets: map[string]*targets.RetryBudget{},
+		crashes: targets.NewCrashLog(), departures: targets.NewDepartures(), targets: map[string]*targetState{}, retryBudgets: map[string]*targets.RetryBudget{},
 		limiters: map[string]*limiterState{}, blamedAt: map[targets.Fingerprint]time.Time{}, gossipErrors: map[string]error{},
 	}
 }
@@ -153,6 +154,14 @@
 			t.coldUntil = now.Add(e.Remaining)
 			s.changed = true
 		}
+	case TargetLeaving:
+		s.departures.Record(e.Target, now)
+		s.logState(string(KindTarget), e.Target.ID, "used", "leaving", "reply")
+		if t := s.targets[e.Target.ID]; t != nil {
+			s.departures.Apply(t.target)
+		}
+	case TargetResting:
+		s.logState(string(KindTarget), e.TargetID, "used", "rests for "+e.Rest.Round(time.Millisecond).String(), "reply")
 	case Reconfigured:
 		s.config.Bounds = e.Bounds
 		s.gossip.SetSeeds(e.Seeds)
@@ -217,6 +226,7 @@
 		s.rebuild(now)
 	}
 	s.crashes.Tick(now)
+	s.departures.Tick(now)
 	if n := len(s.crashes.Quarantined()); n != s.quarantinedCount {
 		s.logState("requests refused for crashes", "", strconv.Itoa(s.quarantinedCount), strconv.Itoa(n), "crashes")
 		s.quarantinedCount, s.changed = n, true
@@ -324,7 +334,7 @@
 	if now.Sub(s.noticesAt) >= sibling.GossipInterval {
 		n := s.crashes.TakeNotices(now)
 		// A crash notice is repeated in several rounds, so that it reaches all instances although each round reaches two.
-		s.notices = targets.Notices{Crashes: append(newestCrashes(s.notices.Crashes), n.Crashes...), Quarantined: n.Quarantined}
+		s.notices = targets.Notices{Crashes: append(newestCrashes(s.notices.Crashes), n.Crashes...), Quarantined: n.Quarantined, Departures: s.departures.Notices(now)}
 		s.noticesAt = now
 	}
 	return GossipMessage{MemberStates: s.gossip.MemberStates(now), Notices: s.notices}
@@ -344,6 +354,12 @@
 		delete(s.gossipErrors, m.Address)
 	}
 	s.crashes.ReceiveNotices(e.Message.Notices, now)
+	for _, id := range s.departures.Receive(e.Message.Notices.Departures, now) {
+		s.logState(string(KindTarget), id, "used", "leaving by hearsay", "sibling")
+		if t := s.targets[id]; t != nil {
+			s.departures.Apply(t.target)
+		}
+	}
 	s.applyUpdate(e.Message.Update, "sibling", now)
 	if e.Reply == nil {
 		s.pullDeadline = time.Time{}
@@ -520,7 +536,12 @@
 		if old.coldUntil.After(next.coldUntil) {
 			next.coldUntil = old.coldUntil
 		}
+		if old.draining && !r.Draining {
+			// Any other entry that calls the target ready may have been written before the target said that it leaves.
+			s.departures.Cancel(t)
+		}
 	}
+	s.departures.Apply(t)
 	s.targets[id] = next
 }
 
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -415,3 +415,55 @@
 		t.Errorf("%d instances read the store at once, want 1; %d read it without values from siblings, want all %d", first, reads, instances)
 	}
 }
+
+// Guards against a target that said that it is leaving and comes back into use by an entry that is older than this news,
+// by an entry that lapsed and returned, or at a sibling that has not met it; and against holding it against the next
+// incarnation.
+func TestDepartureOutlastsTheListsView(t *testing.T) {
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	entry := func(incarnation string, draining bool) Change {
+		c := target("i1", "s", "z")
+		c.Target.Incarnation, c.Target.Draining = incarnation, draining
+		return c
+	}
+	x.read(true, routes(1), entry("1", false))
+	accepts := func() bool {
+		targets := x.state.Snapshot().Candidates("s")
+		return len(targets) == 1 && targets[0].Stats.AcceptsRequests(x.now)
+	}
+	if !accepts() {
+		t.Fatal("not used before the departure")
+	}
+	x.step(TargetLeaving{Target: x.state.Snapshot().Candidates("s")[0]})
+	x.read(false, entry("1", false))
+	if accepts() {
+		t.Error("a later entry that merely calls the target ready brought it back")
+	}
+	x.read(false, Change{Kind: KindTarget, Name: "i1", Removed: true})
+	x.run(lapseTime + time.Second)
+	x.read(false, entry("1", false))
+	if accepts() {
+		t.Error("an entry that returned brought the target back")
+	}
+
+	reply := make(chan GossipMessage, 1)
+	x.step(GossipReceived{Message: GossipMessage{}, Reply: reply})
+	sibling := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	sibling.read(true, routes(1), entry("1", false))
+	sibling.step(GossipReceived{Message: <-reply})
+	hinted := sibling.state.Snapshot().Candidates("s")[0]
+	if !hinted.Stats.LeavingHint() || hinted.Stats.Leaving() {
+		t.Error("the sibling must take the news for a hint")
+	}
+
+	x.read(false, entry("2", false))
+	if !accepts() {
+		t.Error("the next incarnation is not used")
+	}
+	x.step(TargetLeaving{Target: x.state.Snapshot().Candidates("s")[0]})
+	x.read(false, entry("2", true))
+	x.read(false, entry("2", false))
+	if !accepts() {
+		t.Error("the entry was draining and is ready again: the departure was called off")
+	}
+}
--- a/sibling/siblinggrpc/client.go
+++ b/sibling/siblinggrpc/client.go
@@ -19,6 +19,18 @@
 // siblings, and a connection to each of 1,200 would take more memory than control work may use.
 const idleLimit = 20 * time.Second
 
+const (
+	// maxHeaderBytes bounds the headers of a call, and maxMessageBytes a message. A message with all values of a full fleet
+	// has about 2 MB.
+	maxHeaderBytes  = 16 << 10
+	maxMessageBytes = 8 << 20
+)
+
+// ServerOptions returns the options of a gRPC server for siblings.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.MaxHeaderListSize(maxHeaderBytes), grpc.MaxRecvMsgSize(maxMessageBytes)}
+}
+
 // Client calls siblings over one connection each. It is safe for concurrent use.
 type Client struct {
 	options []grpc.DialOption
@@ -41,7 +53,8 @@
 // NewClient returns a client without connections. The options apply to each connection.
 func NewClient(options ...grpc.DialOption) *Client {
 	options = append([]grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithStatsHandler(sendTracker{}), grpc.WithConnectParams(reconnectParams),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithMaxHeaderListSize(maxHeaderBytes), grpc.WithStatsHandler(sendTracker{}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)), grpc.WithConnectParams(reconnectParams),
 	}, options...)
 	return &Client{options: options, conns: map[string]*connection{}}
 }
--- a/sibling/siblinggrpc/notices.go
+++ b/sibling/siblinggrpc/notices.go
@@ -81,6 +81,11 @@
 			Fingerprint: q.Fingerprint[:], LeftMs: q.Remaining.Milliseconds(),
 		})
 	}
+	for _, d := range n.Departures {
+		out.Departures = append(out.Departures, &siblingpb.DepartureNotice{
+			Target: d.Target, Incarnation: d.Incarnation, Address: d.Address, AgeMs: d.Age.Milliseconds(),
+		})
+	}
 	return out
 }
 
@@ -106,5 +111,10 @@
 			})
 		}
 	}
+	for _, d := range n.GetDepartures() {
+		out.Departures = append(out.Departures, targets.DepartureNotice{
+			Target: d.GetTarget(), Incarnation: d.GetIncarnation(), Address: d.GetAddress(), Age: time.Duration(d.GetAgeMs()) * time.Millisecond,
+		})
+	}
 	return out
 }
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -110,9 +110,11 @@
 	replyAttempt   int // attempt of the final reply, 0 if none yet
 	failureAttempt int // attempt of the last reply that reports a failure, 0 if none
 	done           bool
-	mayHaveRun     bool      // some send may have run
-	retryAt        time.Time // earliest time of the next send while none is open
-	hedgeAt        time.Time // earliest time of a hedge
+	mayHaveRun     bool // some send may have run
+	// restLeft is the time, at the last choice, until one of the targets has rested if all of them rest, else 0.
+	restLeft time.Duration
+	retryAt  time.Time // earliest time of the next send while none is open
+	hedgeAt  time.Time // earliest time of a hedge
 }
 
 // openSend is a send that has not ended.
@@ -293,11 +295,40 @@
 	return d.MaxHedgeDelay
 }
 
+// accepting returns the targets that accept requests. It returns its argument unchanged if all of them do.
+func accepting(candidates []*Target, now time.Time) []*Target {
+	refuses := func(t *Target) bool { return !t.Stats.AcceptsRequests(now) }
+	if !slices.ContainsFunc(candidates, refuses) {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), refuses)
+}
+
+// restLeft returns the time until the first of the targets has rested, 0 if one of them accepts requests or none will.
+func restLeft(candidates []*Target, now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, t := range candidates {
+		if t.Stats.Leaving() {
+			continue
+		}
+		left := t.Stats.RestLeft(now)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // choose reserves a place at the target with the lowest score, and reports busy if there are eligible targets but none
-// has free capacity. Targets that may have run the part already are eligible only when no other target is left or
+// has free capacity. Targets that are leaving or rest are not eligible. Targets that may have run the part already are eligible only when no other target is left or
 // MaxAttempts is reached; then only they are. Targets with an open send of the part are never eligible.
 func (d *Dispatch) choose(p *dispatchPart, now time.Time) (best *Target, busy bool) {
 	candidates := d.Directory.Candidates(p.service)
+	p.restLeft = restLeft(candidates, now)
+	candidates = accepting(candidates, now)
 	untried := len(p.mayHaveRunAt) < d.MaxAttempts && slices.ContainsFunc(candidates, func(t *Target) bool { return !slices.ContainsFunc(p.mayHaveRunAt, t.sameID) })
 	type ranked struct {
 		target *Target
@@ -384,7 +415,7 @@
 		score *= zoneFactor
 	}
 	score += failureCost.Seconds() * t.Stats.FailureRate()
-	if t.Stats.Avoided(now) {
+	if t.Stats.Avoided(now) || t.Stats.LeavingHint() {
 		score += avoidedPenalty
 	}
 	return score
@@ -476,6 +507,9 @@
 	FailureAttempt int
 	// MayHaveRun is set if some target may have run the request.
 	MayHaveRun bool
+	// RestLeft is set if the part ended without a reply because all targets asked for a rest: the time until the first of
+	// them has rested.
+	RestLeft time.Duration
 }
 
 // Results returns the outcome of each part, in the order of DispatchConfig.Services.
@@ -484,6 +518,31 @@
 	for i := range d.parts {
 		p := &d.parts[i]
 		out[i] = PartResult{ReplyAttempt: p.replyAttempt, FailureAttempt: p.failureAttempt, MayHaveRun: p.mayHaveRun || p.replyAttempt != 0}
+		if p.replyAttempt == 0 {
+			out[i].RestLeft = p.restLeft
+		}
 	}
 	return out
 }
+
+// RestLeft returns the time until so many targets have rested that the request can be answered, provided that all other
+// targets reply. It is 0 if rest is not what the answer lacks.
+func (d *Dispatch) RestLeft() time.Duration {
+	var rests []time.Duration
+	for _, r := range d.Results() {
+		if r.RestLeft > 0 {
+			rests = append(rests, r.RestLeft)
+		}
+	}
+	slices.Sort(rests)
+	others := len(d.parts) - len(rests)
+	if d.EnoughParts(others) {
+		return 0
+	}
+	for i, left := range rests {
+		if d.EnoughParts(others + i + 1) {
+			return left
+		}
+	}
+	return 0
+}
--- a/targets/quarantine.go
+++ b/targets/quarantine.go
@@ -43,6 +43,8 @@
 	Warm        []WarmNotice
 	Crashes     []CrashNotice
 	Quarantined []QuarantineNotice
+	// Departures lists the targets that are leaving. Only instances that forward requests send it.
+	Departures []DepartureNotice
 }
 
 func (n Notices) empty() bool { return len(n.Warm)+len(n.Crashes)+len(n.Quarantined) == 0 }
--- a/targets/stats.go
+++ b/targets/stats.go
@@ -25,6 +25,9 @@
 	failureRate       atomic.Int64 // fraction of requests that the target shed or failed, in failureRateUnit, exponentially weighted
 	nextColdSend      atomic.Int64 // instant: when the next request may be sent to the cold target
 	rankedAt          atomic.Int64 // instant: when the target was last considered by Dispatch.choose
+	restUntil         atomic.Int64 // instant: until when the target wants no requests, 0 if it never asked for a rest
+	leaving           atomic.Bool  // the target said that it is leaving
+	leavingHint       atomic.Bool  // a sibling heard that the target is leaving
 }
 
 // origin is the reference time of instants. Only differences between instants are used.
--- a/targets/view.go
+++ b/targets/view.go
@@ -30,6 +30,11 @@
 // sameID reports whether o has the same ID, possibly as a value of another view.
 func (t *Target) sameID(o *Target) bool { return t.ID == o.ID }
 
+// SameIncarnation reports whether o is the same process at the same address, possibly as a value of another view.
+func (t *Target) SameIncarnation(o *Target) bool {
+	return t.ID == o.ID && t.Incarnation == o.Incarnation && t.Address == o.Address
+}
+
 // ShardView lists the usable replicas of one shard in one snapshot.
 type ShardView struct {
 	Shard    Shard
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -52,12 +52,18 @@
 	Status int
 	Header map[string][]string
 	Body   []byte
+	// Held is the memory of Body. The receiver of the reply releases it.
+	Held HeldBytes
 	// Signature is the target's signature of its reply, empty if there is none.
 	Signature string
 	// Load is the number of running and waiting requests that the target reported, -1 if it reported none.
 	Load int
 	// ColdFor is the remaining warm-up time that the target reported, 0 if it is warm or reported none.
 	ColdFor time.Duration
+	// Leaving reports that the target said that it is leaving.
+	Leaving bool
+	// Rest is the time for which a target that refused the request wants no further ones, 0 if it did not ask for a rest.
+	Rest time.Duration
 	// ConnectionRefused reports that the target refused the connection, ConnectionLost that it closed or reset the
 	// connection, Misdirected that another target now has the address.
 	ConnectionRefused, ConnectionLost, Misdirected bool
@@ -94,6 +100,13 @@
 	Refusal  *caller.Refusal
 }
 
+// Release gives back the memory that the result holds, once it has been written to the caller.
+func (r *ForwardResult) Release() {
+	if r.Reply != nil {
+		r.Reply.Held.Release()
+	}
+}
+
 // RoutingLoop gives access to the control goroutine of the routing: its published snapshots and its queue of events.
 type RoutingLoop interface {
 	Snapshot() *routing.Snapshot
@@ -268,8 +281,7 @@
 
 	prepared   PreparedRequest
 	routeStats *routeStats
-	ends       chan *attemptEnd
-	finished   chan struct{} // closed when the ends of attempts are no longer received
+	ends       attemptEnds
 	// cancels and replies are keyed by the number of the attempt.
 	cancels map[int]context.CancelFunc
 	replies map[int]*TargetReply
@@ -285,6 +297,52 @@
 	reply   TargetReply
 }
 
+// attemptEnds passes the ends of attempts to the goroutine of the request.
+type attemptEnds struct {
+	// arrived receives a value when ends arrive. It has room for one.
+	arrived chan struct{}
+	mu      sync.Mutex
+	ends    []*attemptEnd
+	closed  bool
+}
+
+// put adds the end of an attempt. After close, it releases the reply instead.
+func (e *attemptEnds) put(end *attemptEnd) {
+	e.mu.Lock()
+	closed := e.closed
+	if !closed {
+		e.ends = append(e.ends, end)
+	}
+	e.mu.Unlock()
+	if closed {
+		end.reply.Held.Release()
+		return
+	}
+	select {
+	case e.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the ends that arrived since the last call.
+func (e *attemptEnds) take() []*attemptEnd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ends := e.ends
+	e.ends = nil
+	return ends
+}
+
+// close releases the replies that were not taken and all that arrive later.
+func (e *attemptEnds) close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	for _, end := range e.take() {
+		end.reply.Held.Release()
+	}
+}
+
 // The divisors of the latency objective that give the maximum delay after which a hedged request is sent to a second
 // target. A sharded request waits for the slowest of many parts and hedges sooner; the latencies of a request to a single
 // service vary more, and most of its slow replies are due to long-running work.
@@ -328,8 +386,8 @@
 		Tail: d.routeStats.tail, MaxHedgeDelay: objective/hedgeDivisor + d.routeStats.expectedDispatchLag(), Directory: liveDirectory{loop: d.forwarder.loop, route: d.route, account: d.account}, Zone: d.forwarder.settings.Zone,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
-	d.ends, d.finished = make(chan *attemptEnd, len(services)), make(chan struct{})
-	defer close(d.finished)
+	d.ends.arrived = make(chan struct{}, 1)
+	defer d.ends.close()
 	defer d.cancelAll()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -344,16 +402,20 @@
 		timer.Reset(time.Until(ready.Wake))
 		var ended []targets.LegEnded
 		select {
-		case e := <-d.ends:
-			ended = d.collectEnds(e)
+		case <-d.ends.arrived:
+			for _, e := range d.ends.take() {
+				ended = append(ended, d.evaluate(e))
+			}
 		case <-timer.C:
 		case <-d.ctx.Done():
+			d.releaseReplies(nil)
 			return refuse(&caller.Refusal{Code: caller.CodeOutcomeUnknown, Ran: caller.RanUnknown, Message: "the caller cancelled the request"})
 		}
 		woken = len(ended) == 0
 		ready = dispatch.Step(ended, time.Now())
 	}
 	result := d.result(dispatch)
+	d.releaseReplies(result.Reply)
 	if now := time.Now(); woken && result.Gathered != nil && now.After(answerBy) {
 		// The timer alone triggered the answer, so this instance itself caused its delay after answerBy.
 		d.forwarder.lateness.observe(now.Sub(answerBy))
@@ -401,19 +463,6 @@
 	return d.loop.Snapshot().RetryBudget(service)
 }
 
-// collectEnds evaluates e and the ends of attempts that are already in the channel.
-func (d *dispatchRun) collectEnds(e *attemptEnd) []targets.LegEnded {
-	var out []targets.LegEnded
-	for {
-		out = append(out, d.evaluate(e))
-		select {
-		case e = <-d.ends:
-		default:
-			return out
-		}
-	}
-}
-
 // evaluate determines and records the outcome of an attempt. A sharded request accepts only successful replies with a
 // signature that was not received before.
 func (d *dispatchRun) evaluate(e *attemptEnd) targets.LegEnded {
@@ -431,6 +480,11 @@
 			outcome, reply.Reason = targets.LegNoReply, "duplicate or missing signature"
 		default:
 			d.signatures[reply.Signature] = true
+			if n := d.route.TopRecords; n > 0 && len(reply.Body) > trimFactor*n*targets.RecordSize {
+				// The rest of the part cannot be in the answer, so its memory is given back at once.
+				reply.Body = targets.GreatestRecords([][]byte{reply.Body}, n)
+				reply.Held.Release()
+			}
 		}
 	}
 	if outcome == targets.LegNotRun {
@@ -441,6 +495,10 @@
 	return targets.LegEnded{Attempt: e.attempt, Outcome: outcome}
 }
 
+// trimFactor is how many times the records of an answer a part may hold before it is cut to those that can be in the
+// answer.
+const trimFactor = 2
+
 func (d *dispatchRun) cancel(attempt int) {
 	if cancel := d.cancels[attempt]; cancel != nil {
 		cancel()
@@ -472,6 +530,7 @@
 	reply := d.prepared.Send(ctx, TargetRequest{Target: s.Target, Deadline: d.deadline, MaySend: d.maySend(s)})
 	now := time.Now()
 	elapsed := now.Sub(sentAt)
+	d.recordWish(s.Target, &reply, now)
 	if reply.Load >= 0 && reply.Outcome != targets.LegNoReply {
 		targetStats.RecordReportedLoad(reply.Load, now)
 	}
@@ -497,9 +556,27 @@
 		targetStats.Finish(0)
 	}
 	d.reportTargetState(s, &reply)
-	select {
-	case d.ends <- &attemptEnd{attempt: s.Attempt, reply: reply}:
-	case <-d.finished:
+	d.ends.put(&attemptEnd{attempt: s.Attempt, reply: reply})
+}
+
+// releaseReplies releases the memory of all replies but the one that is passed on to the caller.
+func (d *dispatchRun) releaseReplies(passedOn *TargetReply) {
+	for _, reply := range d.replies {
+		if reply != passedOn {
+			reply.Held.Release()
+		}
+	}
+}
+
+// recordWish records that a target wants no new requests, because it is leaving or needs a rest. The statistics that all
+// further choices ask are updated at once; control learns it for the siblings and the log.
+func (d *dispatchRun) recordWish(t *targets.Target, reply *TargetReply, now time.Time) {
+	if reply.Leaving && t.Stats.RecordLeaving() {
+		d.forwarder.loop.Post(routing.TargetLeaving{Target: t})
+	}
+	if reply.Rest > 0 {
+		rest := t.Stats.RecordRest(reply.Rest, rand.Float64(), now)
+		d.forwarder.loop.Post(routing.TargetResting{TargetID: t.ID, Rest: rest})
 	}
 }
 
@@ -529,7 +606,7 @@
 // and the routing still allows the request of this organisation at the service.
 func (d *dispatchRun) maySend(s targets.Send) func(time.Time) bool {
 	return func(now time.Time) bool {
-		if !now.Before(d.deadline) {
+		if !now.Before(d.deadline) || !s.Target.Stats.AcceptsRequests(now) {
 			return false
 		}
 		newest := d.forwarder.loop.Snapshot()
@@ -537,7 +614,7 @@
 			return true
 		}
 		usable := slices.ContainsFunc(newest.Candidates(s.Target.Service), func(t *targets.Target) bool {
-			return t.ID == s.Target.ID
+			return t.SameIncarnation(s.Target)
 		})
 		if now.Sub(d.request.Received) < staleRoutingGrace {
 			return usable || newest.Services[s.Target.Service] == nil
@@ -563,20 +640,20 @@
 			d.record.Covered = len(g.Signatures)
 			return ForwardResult{Gathered: g}
 		}
-		return d.refusal(mayHaveRun)
+		return d.refusal(mayHaveRun, m.RestLeft())
 	}
 	if reply := d.replies[results[0].ReplyAttempt]; reply != nil {
 		d.record.Covered = 1
 		if impliesNotRun(reply.Status) {
 			// The target ran the request, so a status that callers interpret as "not run" must not be passed on.
-			return d.refusal(true)
+			return d.refusal(true, 0)
 		}
 		return ForwardResult{Reply: reply}
 	}
 	if reply := d.replies[results[0].FailureAttempt]; reply != nil && !impliesNotRun(reply.Status) {
 		return ForwardResult{Reply: reply}
 	}
-	return d.refusal(mayHaveRun)
+	return d.refusal(mayHaveRun, m.RestLeft())
 }
 
 // impliesNotRun reports whether callers interpret an HTTP status as a guarantee that the request did not run.
@@ -600,7 +677,13 @@
 	return g
 }
 
-func (d *dispatchRun) refusal(mayHaveRun bool) ForwardResult {
+// restRefusalSpread is the fraction of the rest of targets by which the retry delay of a refusal is prolonged at most, so
+// that callers do not return in the same instant.
+const restRefusalSpread = 0.25
+
+// refusal returns the refusal of a request without an answer. restLeft is the time until enough targets have rested, 0 if
+// rest is not the reason.
+func (d *dispatchRun) refusal(mayHaveRun bool, restLeft time.Duration) ForwardResult {
 	late := !time.Now().Before(d.deadline)
 	r := &caller.Refusal{Ran: caller.RanNo, Code: caller.CodeNoTarget, RetryAfter: noTargetRetry, Message: "no target accepted the request"}
 	switch {
@@ -608,6 +691,9 @@
 		r = &caller.Refusal{Ran: caller.RanUnknown, Code: caller.CodeDeadline, Message: "no answer before the deadline"}
 	case mayHaveRun:
 		r = &caller.Refusal{Ran: caller.RanUnknown, Code: caller.CodeOutcomeUnknown, Message: "the targets failed or did not reply"}
+	case restLeft > 0:
+		r.Code, r.Message = caller.CodeOverloaded, "the targets asked for a rest"
+		r.RetryAfter = restLeft + time.Duration(restRefusalSpread*rand.Float64()*float64(restLeft))
 	case d.anyNotRun:
 		r.Code, r.RetryAfter, r.Message = caller.CodeOverloaded, targetsFullRetry, "all targets are at capacity"
 	}
