Confirm the values of a new instance, bound two owners of a cold target, and plain names in gossip

Cause: a new instance served with the values of its first sibling, which may be cut off and behind: a target that had left or a key that was withdrawn was in use again after a restart. The limit of a cold target doubled past the half that one of two owners may send. Twins: Members.find and Find, age and ageOf, two searches for a key in tests.

A cold target gets at most half of what it tolerates from each owner until it is warm. TestSiblingsGetWhatTheyLack passes the sender's own state on, as each message does.

Tests: TestNewInstanceConfirmsItsValues, TestTwoOwnersStayWithinAColdTargetsLimit.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -212,7 +212,7 @@
 // Snapshot is the view of the control state that traffic reads. It is immutable except for rate limiters, budgets and
 // target statistics, which are safe for concurrent use.
 type Snapshot struct {
-	// Routing is nil until the first routing is in force.
+	// Routing is nil until the first routing is in force and confirmed.
 	Routing *document.Routing
 	// RoutingSince is when the routing came into force at this instance.
 	RoutingSince time.Time
--- a/routing/state.go
+++ b/routing/state.go
@@ -85,6 +85,8 @@
 	retryBudgets map[string]*targets.RetryBudget
 	limiters     map[string]*limiterState
 	leaving      bool
+	// confirmed is set once the values may be used; see confirmValues.
+	confirmed bool
 
 	reading          bool // a read of the store is in flight
 	nextRead         time.Time
@@ -232,6 +234,7 @@
 		s.quarantinedCount, s.changed = n, true
 	}
 	s.logMemberChanges(now)
+	s.confirmValues(now)
 	s.divideRates(now)
 	s.updateIsolation(now)
 	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.reportedDemand())
@@ -273,7 +276,7 @@
 // of a fleet start at the same time.
 func (s *State) shouldReadStore(now time.Time) bool {
 	if s.values.completeTo != 0 {
-		return s.gossip.ShouldReadPlatform(now, readerTimeout)
+		return !s.confirmed || s.gossip.ShouldReadPlatform(now, readerTimeout)
 	}
 	siblingTimeout, valuesTimeout := firstSiblingTimeout, joinTimeout
 	if s.config.FirstStart {
@@ -550,13 +553,14 @@
 	now := s.lastStep
 	members := len(s.gossip.LimitSharers(now)) + 1
 	out := &Snapshot{
-		Routing: s.routing, RoutingSince: s.routingSince, Services: map[string]*Service{}, RateLimiters: map[string]*caller.RateLimiter{},
+		RoutingSince: s.routingSince, Services: map[string]*Service{}, RateLimiters: map[string]*caller.RateLimiter{},
 		Regions: s.config.Regions, Quarantined: s.crashes.Quarantined(), Revision: s.values.completeTo, MemberCount: members,
-		Ready: s.routing != nil && !s.leaving && !s.isolated,
+		Ready: s.routing != nil && s.confirmed && !s.leaving && !s.isolated,
 	}
-	if s.routing == nil {
+	if s.routing == nil || !s.confirmed {
 		return out
 	}
+	out.Routing = s.routing
 	for i := range s.routing.Services {
 		v := &s.routing.Services[i]
 		out.Services[v.Name] = &Service{Name: v.Name, RetryBudget: s.retryBudget(v.Name, now)}
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -175,7 +175,9 @@
 		t.Errorf("update %+v", u)
 	}
 	other := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-	other.step(GossipReceived{Message: GossipMessage{Update: x.state.values.updateAfter(0)}})
+	states := x.state.gossip.MemberStates(x.now)
+	states[0].ID = "b" // both have the same ID in this test
+	other.step(GossipReceived{Message: GossipMessage{MemberStates: states, Update: x.state.values.updateAfter(0)}})
 	if n := other.usable("s"); n != 1 || other.state.values.completeTo != x.revision {
 		t.Errorf("a new sibling has %d usable targets and every change up to revision %d", n, other.state.values.completeTo)
 	}
@@ -467,3 +469,56 @@
 		t.Error("the entry was draining and is ready again: the departure was called off")
 	}
 }
+
+// Guards against a new instance that serves with the values of a sibling that is behind: a target that has left, or a key
+// that was withdrawn, would be in use again.
+func TestNewInstanceConfirmsItsValues(t *testing.T) {
+	values := func(complete document.Revision) Update {
+		r := routes(1)
+		r.Revision = 1
+		if err := r.Routing.Index(); err != nil {
+			t.Fatal(err)
+		}
+		return Update{ToRevision: complete, Full: true, Changes: []Change{r}}
+	}
+	member := func(id, zone string, complete document.Revision, platformAge time.Duration) sibling.MemberState {
+		return sibling.MemberState{ID: id, Zone: zone, Address: id, Sequence: 1, CompleteTo: complete, PlatformAge: platformAge}
+	}
+	ready := func(states ...sibling.MemberState) *stateTest {
+		x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+		x.step(GossipReceived{Message: GossipMessage{MemberStates: states, Update: values(5)}})
+		return x
+	}
+	for name, c := range map[string]struct {
+		states []sibling.MemberState
+		want   bool
+	}{
+		"one sibling that is cut off":            {[]sibling.MemberState{member("b", "z", 5, time.Minute)}, false},
+		"a reader of the platform":               {[]sibling.MemberState{member("b", "z", 5, time.Second)}, true},
+		"a reader that is ahead":                 {[]sibling.MemberState{member("b", "z", 9, time.Second)}, false},
+		"three siblings of the own zone":         {[]sibling.MemberState{member("b", "z", 5, time.Minute), member("c", "z", 5, time.Minute), member("d", "z", 5, time.Minute)}, false},
+		"three siblings, one of another zone":    {[]sibling.MemberState{member("b", "z", 5, time.Minute), member("c", "y", 5, time.Minute), member("d", "z", 5, time.Minute)}, true},
+		"three siblings, one of which has newer": {[]sibling.MemberState{member("b", "z", 5, time.Minute), member("c", "y", 6, time.Minute), member("d", "z", 5, time.Minute)}, false},
+	} {
+		x := ready(c.states...)
+		if s := x.state.Snapshot(); s.Ready != c.want || (s.Routing != nil) != c.want {
+			t.Errorf("%s: ready %v, routing in use %v, want %v", name, s.Ready, s.Routing != nil, c.want)
+		}
+		if reads := x.reads; !c.want && reads == 0 {
+			t.Errorf("%s: the instance does not read the platform itself", name)
+		}
+	}
+	alone := ready(member("b", "z", 5, time.Minute))
+	alone.run(confirmTimeout + 100*time.Millisecond)
+	if !alone.state.Snapshot().Ready {
+		t.Error("not ready although nothing newer can be had")
+	}
+	read := ready(member("b", "z", 5, time.Minute))
+	withdrawn := routes(2)
+	withdrawn.Revision = 9
+	read.revision = 8
+	read.read(false, withdrawn)
+	if s := read.state.Snapshot(); !s.Ready || s.Routing.Version != 2 {
+		t.Errorf("after its own read: ready %v, routing %+v", s.Ready, s.Routing)
+	}
+}
--- a/sibling/changelog_members.go
+++ b/sibling/changelog_members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,15 +58,7 @@
 }
 
 // HomeOf returns the home instance of a change among the members.
-func (m Members) HomeOf(key ChangeKey) (Member, bool) { return m.find(m.pair(key).Home) }
-
-func (m Members) find(id string) (Member, bool) {
-	i, ok := slices.BinarySearchFunc(m, id, func(x Member, id string) int { return cmp.Compare(x.ID, id) })
-	if !ok {
-		return Member{}, false
-	}
-	return m[i], true
-}
+func (m Members) HomeOf(key ChangeKey) (Member, bool) { return m.Find(m.pair(key).Home) }
 
 // HandOver carries records of changes to a sibling.
 type HandOver struct {
@@ -103,7 +94,7 @@
 	arrived         bool
 }
 
-func (m *membership) member(id string) (Member, bool) { return m.members.find(id) }
+func (m *membership) member(id string) (Member, bool) { return m.members.Find(id) }
 
 // serving reports whether this process may act as home or witness.
 func (m *membership) serving(now time.Time) bool {
@@ -225,7 +216,7 @@
 	l.members = l.participants(now)
 	var joined []string
 	for _, x := range l.members {
-		if _, ok := before.find(x.ID); !ok {
+		if _, ok := before.Find(x.ID); !ok {
 			joined = append(joined, x.ID)
 		}
 	}
--- a/sibling/contact.go
+++ b/sibling/contact.go
@@ -55,11 +55,3 @@
 		*t = candidate
 	}
 }
-
-// age returns the time since t, NoContact if t is zero.
-func age(t, now time.Time) time.Duration {
-	if t.IsZero() {
-		return NoContact
-	}
-	return max(now.Sub(t), 0)
-}
--- a/sibling/disseminator.go
+++ b/sibling/disseminator.go
@@ -223,7 +223,7 @@
 	return Heartbeat{
 		ID: s.id, Zone: s.zone,
 		DocumentRevision: s.Revision(Document), ListRevision: s.Revision(InstanceList),
-		DirectAge: age(s.contact.direct, now), ZoneAge: age(s.contact.zone, now), OutsideAge: age(s.contact.outside, now),
+		DirectAge: ageOf(s.contact.direct, now), ZoneAge: ageOf(s.contact.zone, now), OutsideAge: ageOf(s.contact.outside, now),
 	}
 }
 
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -35,8 +35,8 @@
 	loop *RoutingLoop
 }
 
-// Swap applies a sibling's gossip message and returns this instance's own, with the values that the sibling lacks.
-func (s *gossipServer) Swap(ctx context.Context, m *siblingpb.GossipMessage) (*siblingpb.GossipMessage, error) {
+// Exchange applies a sibling's gossip message and returns this instance's own, with the values that the sibling lacks.
+func (s *gossipServer) Exchange(ctx context.Context, m *siblingpb.GossipMessage) (*siblingpb.GossipMessage, error) {
 	received, err := decodeGossipMessage(m)
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
@@ -57,7 +57,7 @@
 		return routing.GossipMessage{}, oops.In("sibling").Wrapf(sibling.ErrNotSent, "%v", err)
 	}
 	reply, err := call(c, address, func(conn grpc.ClientConnInterface) (*siblingpb.GossipMessage, error) {
-		return siblingpb.NewGossipClient(conn).Swap(ctx, m)
+		return siblingpb.NewGossipClient(conn).Exchange(ctx, m)
 	})
 	if err != nil {
 		return routing.GossipMessage{}, err
@@ -71,11 +71,11 @@
 
 func encodeGossipMessage(message routing.GossipMessage) (*siblingpb.GossipMessage, error) {
 	out := &siblingpb.GossipMessage{NoValues: message.OmitValues, Notices: encodeNotices(message.Notices), Update: &siblingpb.Update{
-		Since: uint64(message.Update.FromRevision), Upto: uint64(message.Update.ToRevision), Full: message.Update.Full,
+		FromRevision: uint64(message.Update.FromRevision), ToRevision: uint64(message.Update.ToRevision), Full: message.Update.Full,
 	}}
 	out.Organisations = organisations(message.MemberStates)
 	for _, state := range message.MemberStates {
-		out.Beats = append(out.Beats, encodeMemberState(state, out.Organisations))
+		out.MemberStates = append(out.MemberStates, encodeMemberState(state, out.Organisations))
 	}
 	if len(message.Update.Changes) == 0 {
 		return out, nil
@@ -101,10 +101,10 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-func encodeMemberState(state sibling.MemberState, organisations []string) *siblingpb.Beat {
-	out := &siblingpb.Beat{
-		Id: state.ID, Zone: state.Zone, Address: state.Address, Born: state.Generation, Count: state.Sequence, Leaving: state.Leaving,
-		Have: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
+func encodeMemberState(state sibling.MemberState, organisations []string) *siblingpb.MemberState {
+	out := &siblingpb.MemberState{
+		Id: state.ID, Zone: state.Zone, Address: state.Address, Generation: state.Generation, Sequence: state.Sequence, Leaving: state.Leaving,
+		CompleteTo: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
 	}
 	for i, name := range organisations {
 		if demand := state.Demand[name]; demand > 0 {
@@ -120,12 +120,12 @@
 func decodeGossipMessage(m *siblingpb.GossipMessage) (routing.GossipMessage, error) {
 	u := m.GetUpdate()
 	out := routing.GossipMessage{OmitValues: m.GetNoValues(), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
-		FromRevision: document.Revision(u.GetSince()), ToRevision: document.Revision(u.GetUpto()), Full: u.GetFull(),
+		FromRevision: document.Revision(u.GetFromRevision()), ToRevision: document.Revision(u.GetToRevision()), Full: u.GetFull(),
 	}}
-	for _, b := range m.GetBeats() {
+	for _, b := range m.GetMemberStates() {
 		state := sibling.MemberState{
-			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetBorn(), Sequence: b.GetCount(),
-			Leaving: b.GetLeaving(), CompleteTo: document.Revision(b.GetHave()), PlatformAge: decodeAge(b.StoreAgeMs),
+			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetGeneration(), Sequence: b.GetSequence(),
+			Leaving: b.GetLeaving(), CompleteTo: document.Revision(b.GetCompleteTo()), PlatformAge: decodeAge(b.StoreAgeMs),
 			Demand: make(map[string]float64, len(b.GetDemand())),
 		}
 		for i, index := range b.GetDemandOf() {
--- a/sibling/siblinggrpc/gossip_test.go
+++ b/sibling/siblinggrpc/gossip_test.go
@@ -73,7 +73,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			got, err := decodeGossipMessage(&siblingpb.GossipMessage{Update: &siblingpb.Update{
-				Upto: 9, Changes: []byte("[" + sound + "," + odd + "," + strings.ReplaceAll(sound, "i-1", "i-2") + "]"),
+				ToRevision: 9, Changes: []byte("[" + sound + "," + odd + "," + strings.ReplaceAll(sound, "i-1", "i-2") + "]"),
 			}})
 			if err != nil {
 				t.Fatal(err)
--- a/targets/fleet_test.go
+++ b/targets/fleet_test.go
@@ -333,3 +333,30 @@
 		}
 	}
 }
+
+// Guards against two owners of a cold target, which instances with different lists can be, that together send more than it
+// tolerates while each of them raises its limit.
+func TestTwoOwnersStayWithinAColdTargetsLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const tolerated, warmLimit = 8, 64
+	var owners [2]warmup
+	for i := range owners {
+		owners[i].enterCold(tolerated, now)
+	}
+	for replies := 0; owners[0].phase == PhaseCold; replies++ {
+		together := 0
+		for i := range owners {
+			together += owners[i].requestLimit(RoleOwner, warmLimit, now)
+			owners[i].recordReply(time.Millisecond, 10*time.Millisecond, warmLimit, now)
+		}
+		if together > tolerated {
+			t.Fatalf("two owners send up to %d requests after %d replies each, the target tolerates %d", together, replies, tolerated)
+		}
+		if replies > 10_000 {
+			t.Fatal("the target never becomes warm")
+		}
+	}
+	if n := owners[0].requestLimit(RoleOwner, warmLimit, now); n != warmLimit {
+		t.Errorf("limit of the warm target is %d, want %d", n, warmLimit)
+	}
+}
--- a/targets/warmup.go
+++ b/targets/warmup.go
@@ -35,7 +35,8 @@
 	// takeoverDelay is how long a target may be cold before the backup instance sends requests too. Owner and backup
 	// each start with at most half of the requests that the target tolerates, so that both together start within it.
 	takeoverDelay = 15 * time.Second
-	// The limit of a cold target or one on probation doubles after rampReplies fast replies per permitted request.
+	// The limit of a target on probation doubles after rampReplies fast replies per permitted request. That of a cold target
+	// does too, to find out when it is warm, but the requests that it gets stay within coldLimit until then.
 	rampReplies = 4
 	// A reply counts as fast up to fastFactor times the service's latency quantile.
 	fastFactor = 2
@@ -61,11 +62,13 @@
 	reportedState State
 	phaseSince    time.Time
 	limit         int
-	fastReplies   int
-	failures      int
-	firstFailure  time.Time
-	backoffUntil  time.Time
-	backoff       time.Duration
+	// coldLimit bounds the requests while the target is cold. Two instances whose lists differ may both act as its owner.
+	coldLimit    int
+	fastReplies  int
+	failures     int
+	firstFailure time.Time
+	backoffUntil time.Time
+	backoff      time.Duration
 }
 
 // enter starts a phase with a limit of at least one request.
@@ -78,7 +81,8 @@
 // requests that the target tolerates while cold.
 func (w *warmup) enterCold(maxColdRequests int, now time.Time) {
 	w.announcedWarm = ""
-	w.enter(PhaseCold, maxColdRequests/2, now)
+	w.coldLimit = max(maxColdRequests/2, 1)
+	w.enter(PhaseCold, w.coldLimit, now)
 }
 
 // recordState records an incarnation and state from a status or a reply. justStarted is set shortly after the start of
@@ -198,7 +202,7 @@
 		return min(w.limit, warmLimit)
 	case PhaseCold:
 		if role == RoleOwner || role == RoleBackup && now.Sub(w.phaseSince) >= takeoverDelay {
-			return min(w.limit, warmLimit)
+			return min(w.limit, w.coldLimit, warmLimit)
 		}
 	}
 	return 0
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -85,9 +86,17 @@
 // unusedKeyOf returns the key of a change that no test sends and whose home is the given instance.
 func (f *fleet) unusedKeyOf(home string) sibling.ChangeKey {
 	members := f.nodes[home].loop.Snapshot().ChangeMembers
+	key := firstKey("unused-", func(key sibling.ChangeKey) bool {
+		first, _ := members.HomeOf(key)
+		return first.ID == home
+	})
+	return sibling.NewChangeKey("o", "s", key)
+}
+
+// firstKey returns the first idempotency key with a prefix whose change key is accepted.
+func firstKey(prefix string, accept func(sibling.ChangeKey) bool) string {
 	for i := 0; ; i++ {
-		key := sibling.NewChangeKey("o", "s", fmt.Sprint("unused-", i))
-		if first, _ := members.HomeOf(key); first.ID == home {
+		if key := fmt.Sprint(prefix, i); accept(sibling.NewChangeKey("o", "s", key)) {
 			return key
 		}
 	}
@@ -170,20 +179,12 @@
 // keyFor returns an idempotency key whose home and witness are the given instances.
 func (f *fleet) keyFor(home, witness string) string {
 	members := f.nodes[home].loop.Snapshot().ChangeMembers
-	for i := 0; ; i++ {
-		key := strings.Repeat("k", i+1)
-		rank := sibling.NewChangeKey("o", "s", key)
-		without := sibling.Members{}
-		for _, m := range members {
-			if m.ID != home {
-				without = append(without, m)
-			}
-		}
-		first, _ := members.HomeOf(rank)
-		if second, _ := without.HomeOf(rank); first.ID == home && second.ID == witness {
-			return key
-		}
-	}
+	without := slices.DeleteFunc(slices.Clone(members), func(m sibling.Member) bool { return m.ID == home })
+	return firstKey("k", func(key sibling.ChangeKey) bool {
+		first, _ := members.HomeOf(key)
+		second, _ := without.HomeOf(key)
+		return first.ID == home && second.ID == witness
+	})
 }
 
 func (f *fleet) change(id, key string, timeout time.Duration) (*ChangeResult, *caller.Refusal) {
