Make the control work of an instance flat in organisations times members

Cause: profile of an instance without traffic (BenchmarkControlSecond). divideRates filled a map of all members for each of 190 organisations four times a second and looked each member up among the fresh ones; every step cloned and sorted the states of all members several times, and built the map of reported demand; each message sorted all members by recency; each change of one value rebuilt all targets.

Change: the demand of siblings is added up once a division, over the organisations that have a demand only, and what stale members keep follows from their last demand and the total at the last agreement. Gossip keeps its members ordered by ID and by recency and iterates. A change derives one target; expired values are looked for ten times a second.

--- a/routing/reach.go
+++ b/routing/reach.go
@@ -69,7 +69,7 @@
 // hasSiblingsElsewhere reports whether the members include instances of other zones, even if these were last seen some
 // time ago.
 func (s *State) hasSiblingsElsewhere(now time.Time) bool {
-	for _, m := range s.gossip.LimitSharers(now) {
+	for m := range s.gossip.EachLimitSharer(now, demandTimeout) {
 		if m.Zone != s.config.Zone {
 			return true
 		}
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -2,12 +2,10 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/document"
-	"dogwooddrift.org/drift/sibling"
 )
 
 const (
@@ -54,13 +52,13 @@
 	elapsed := now.Sub(s.lastDivision).Seconds()
 	first := s.lastDivision.IsZero()
 	s.lastDivision = now
-	members := s.gossip.LimitSharers(now)
-	instances := len(members) + 1
-	if len(members) == 0 {
+	demand := s.siblingDemand(now)
+	instances := demand.members + 1
+	if demand.members == 0 {
 		instances = assumedInstances
 	}
-	fresh := s.gossip.SeenWithin(now, demandTimeout)
-	known := map[string]bool{}
+	s.ownDemand = make(map[string]float64, len(s.ownDemand))
+	known := make(map[string]bool, len(s.routing.Accounts))
 	for i := range s.routing.Accounts {
 		a := &s.routing.Accounts[i]
 		known[a.Name] = true
@@ -76,14 +74,14 @@
 			state.demand += demandSampleWeight * (sample - state.demand)
 		}
 		state.requests = requests
-		own := state.recordDemand()
-		free := state.freeFraction(members, fresh, own, a.Name, instances)
-		total := own
-		for _, m := range fresh {
-			total += m.Demand[a.Name]
+		if state.demand >= minReportedDemand {
+			s.ownDemand[a.Name] = round(state.demand)
 		}
-		state.share = min(free, 1) * share(own, total, len(fresh)+1)
-		if len(members) == 0 {
+		own := state.recordDemand()
+		total := own + demand.fresh[a.Name]
+		free := state.freeFraction(demand, a.Name, total, instances)
+		state.share = min(free, 1) * share(own, total, demand.members-demand.stale+1)
+		if demand.members == 0 {
 			state.share = 1 / float64(instances)
 		}
 		if limits := s.rateLimits(a, state.share, instances, total <= free*s.belowRateThreshold(a)); limits != state.limits {
@@ -106,28 +104,53 @@
 	}
 }
 
-// freeFraction returns the fraction of the rate that this instance and the members with a fresh state divide among
-// them. The other members may be cut off and continue to spend; they keep the share that was computed when the states
-// of all members were last fresh. instances is the number that rates are divided by.
-func (l *limiterState) freeFraction(members, fresh []sibling.MemberState, own float64, organisation string, instances int) float64 {
-	if len(fresh) == len(members) {
-		total := own
-		for _, m := range members {
-			total += m.Demand[organisation]
+// siblingDemand is the demand at the members that share the limits, by organisation. Its maps hold only organisations that
+// some member has demand for, so that a division costs as much as there are demands, not organisations times members.
+type siblingDemand struct {
+	members, stale int // stale members have no fresh state
+	// fresh is the demand at the members with a fresh state, in requests a second.
+	fresh map[string]float64
+	// staleParts is the fraction of the rate that stale members keep because of their demand.
+	staleParts map[string]float64
+}
+
+// siblingDemand adds up the demand at the members.
+func (s *State) siblingDemand(now time.Time) siblingDemand {
+	d := siblingDemand{fresh: map[string]float64{}, staleParts: map[string]float64{}}
+	for m, fresh := range s.gossip.EachLimitSharer(now, demandTimeout) {
+		d.members++
+		if !fresh {
+			d.stale++
 		}
-		l.agreedShares = make(map[string]float64, len(members))
-		for _, m := range members {
-			l.agreedShares[m.ID] = share(m.Demand[organisation], total, instances)
+		for organisation, demand := range m.Demand {
+			switch l := s.limiters[organisation]; {
+			case fresh:
+				d.fresh[organisation] += demand
+			case l != nil && l.agreedTotal > 0:
+				d.staleParts[organisation] += (1 - evenFraction) * demand / l.agreedTotal
+			}
 		}
+	}
+	return d
+}
+
+// freeFraction returns the fraction of the rate that this instance and the members with a fresh state divide among
+// them. The other members may be cut off and continue to spend; they keep the share that was computed when the states
+// of all members were last fresh. total is the demand at this instance and the members with a fresh state, and instances
+// the number that rates are divided by.
+func (l *limiterState) freeFraction(demand siblingDemand, organisation string, total float64, instances int) float64 {
+	switch {
+	case demand.stale == 0:
+		l.agreedTotal, l.agreedInstances = total, instances
+		return 1
+	case l.agreedInstances == 0:
 		return 1
 	}
-	free := 1.0
-	for _, m := range members {
-		if !slices.ContainsFunc(fresh, func(f sibling.MemberState) bool { return f.ID == m.ID }) {
-			free -= l.agreedShares[m.ID]
-		}
+	stale := float64(demand.stale) / float64(l.agreedInstances)
+	if l.agreedTotal <= 0 {
+		return max(1-stale, 0)
 	}
-	return max(free, 0)
+	return max(1-evenFraction*stale-demand.staleParts[organisation], 0)
 }
 
 // recordDemand records the current demand and returns the demand of demandHistory divisions ago.
@@ -177,16 +200,5 @@
 // round rounds to two decimals, so that limits do not change with every small change of demand.
 func round(x float64) float64 { return math.Round(x*100) / 100 }
 
-// reportedDemand returns the demand of each organisation at this instance, in requests a second.
-func (s *State) reportedDemand() map[string]float64 {
-	out := make(map[string]float64, len(s.limiters))
-	for name, l := range s.limiters {
-		if l.demand >= minReportedDemand {
-			out[name] = round(l.demand)
-		}
-	}
-	return out
-}
-
 // minReportedDemand is the smallest demand that is sent to siblings, in requests a second.
 const minReportedDemand = 0.02
--- a/routing/state.go
+++ b/routing/state.go
@@ -99,8 +99,10 @@
 	pullDeadline time.Time
 	pullAddress  string // sibling with newer values that gets the next request for values
 	lastDivision time.Time
-	changed      bool // the snapshot is out of date
-	logEffects   []Effect
+	// ownDemand is the demand that this instance reports to siblings, as of lastDivision. It is not modified.
+	ownDemand  map[string]float64
+	changed    bool // the snapshot is out of date
+	logEffects []Effect
 }
 
 // limiterState is the rate limiter of one organisation with the demand that its limits are derived from.
@@ -111,9 +113,11 @@
 	// history holds the smoothed demand at the last divisions, oldest first.
 	history [demandHistory]float64
 	share   float64 // this instance's fraction of the rate
-	// agreedShares is the fraction of each other member when the states of all members were last up to date.
-	agreedShares map[string]float64
-	limits       caller.RateLimits
+	// agreedTotal is the demand at all instances and agreedInstances their number when the states of all members were last
+	// up to date; agreedInstances is 0 before that.
+	agreedTotal     float64
+	agreedInstances int
+	limits          caller.RateLimits
 }
 
 // NewState returns the state of an instance that has no values yet.
@@ -188,18 +192,22 @@
 		return
 	}
 	s.membersCheckedAt = now
-	live := map[string]string{}
-	for _, m := range s.gossip.Live(now) {
+	live := make(map[string]string, len(s.liveAddresses))
+	for m := range s.gossip.EachLive(now) {
 		live[m.ID] = m.Address
 		if _, known := s.liveAddresses[m.ID]; !known {
 			s.logState("member", m.ID, "unknown or unreachable", "live", "gossip")
 			delete(s.gossipErrors, m.Address)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.liveAddresses)) {
-		if _, still := live[id]; still {
-			continue
+	var lost []string
+	for id := range s.liveAddresses {
+		if _, still := live[id]; !still {
+			lost = append(lost, id)
 		}
+	}
+	slices.Sort(lost)
+	for _, id := range lost {
 		source := "gossip"
 		if err := s.gossipErrors[s.liveAddresses[id]]; err != nil {
 			source = err.Error()
@@ -224,7 +232,8 @@
 
 // runDue does what is due at now.
 func (s *State) runDue(now time.Time, result *StepResult) {
-	if s.values.expire(now) || s.expireTargetMarks(now) {
+	s.expireTargetMarks(now)
+	if s.values.expire(now) {
 		s.rebuild(now)
 	}
 	s.crashes.Tick(now)
@@ -237,7 +246,7 @@
 	s.confirmValues(now)
 	s.divideRates(now)
 	s.updateIsolation(now)
-	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.reportedDemand())
+	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.ownDemand)
 	for _, address := range s.gossip.Round(now, now.Sub(s.outsideContact) > outsideGossipAfter) {
 		s.sendGossip(address, s.shouldRequestValues(address, now), now, result)
 	}
@@ -256,19 +265,16 @@
 	}
 }
 
-// expireTargetMarks clears the cold and misdirected marks of targets that have expired and reports whether there were
-// any.
-func (s *State) expireTargetMarks(now time.Time) bool {
-	expired := false
+// expireTargetMarks clears the cold and misdirected marks of targets that have expired.
+func (s *State) expireTargetMarks(now time.Time) {
 	for _, t := range s.targets {
 		if !t.coldUntil.IsZero() && !now.Before(t.coldUntil) {
-			t.coldUntil, expired = time.Time{}, true
+			t.coldUntil, s.changed = time.Time{}, true
 		}
 		if !t.misdirectedUntil.IsZero() && !now.Before(t.misdirectedUntil) {
-			t.misdirectedUntil, expired = time.Time{}, true
+			t.misdirectedUntil, s.changed = time.Time{}, true
 		}
 	}
-	return expired
 }
 
 // shouldReadStore reports whether this instance reads the store. While an instance has no values, it lets the first in
@@ -311,7 +317,7 @@
 	}
 	newest, newestInZone := document.Revision(0), document.Revision(0)
 	otherZone := false
-	for _, m := range s.gossip.Live(now) {
+	for m := range s.gossip.EachLive(now) {
 		newest = max(newest, m.CompleteTo)
 		if m.Zone == s.config.Zone {
 			newestInZone = max(newestInZone, m.CompleteTo)
@@ -439,8 +445,8 @@
 	}
 	for _, c := range applied {
 		s.logChange(c, source)
+		s.applyValue(key{c.Kind, c.Name}, now)
 	}
-	s.rebuild(now)
 }
 
 func (s *State) logChange(c Change, source string) {
@@ -468,35 +474,39 @@
 	if t := s.targets[id]; t != nil {
 		t.misdirectedUntil = now.Add(misdirectedTime)
 		s.logState(string(KindTarget), id, "used", "misdirected", "reply")
-		s.rebuild(now)
+		s.changed = true
 	}
 }
 
-// rebuild derives the routing and the targets from the values.
+// rebuild derives the routing and the targets from all values.
 func (s *State) rebuild(now time.Time) {
+	for k := range s.values.entries {
+		s.applyValue(k, now)
+	}
+}
+
+// applyValue derives the routing or the target of one value, which may not be in use any more.
+func (s *State) applyValue(k key, now time.Time) {
 	s.changed = true
-	used := map[string]bool{}
-	for _, e := range s.values.entries {
-		c, ok := e.current(now)
-		if !ok {
-			continue
-		}
-		switch {
-		case c.Kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
-			s.logRateChanges(s.routing, c.Routing)
-			s.routing, s.routingSince = c.Routing, now
-			s.lastDivision = time.Time{}
-		case c.Kind == KindTarget && c.Target != nil:
-			used[c.Name] = true
-			s.putTarget(c.Name, c.Target, e.changedAt)
-		}
+	var c Change
+	var changedAt time.Time
+	if e := s.values.entries[k]; e != nil {
+		c, _ = e.current(now)
+		changedAt = e.changedAt
 	}
-	maps.DeleteFunc(s.targets, func(id string, t *targetState) bool {
-		if !used[id] {
-			s.crashes.RecordTargetLost(id, t.target.Incarnation, now)
+	switch {
+	case k.kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
+		s.logRateChanges(s.routing, c.Routing)
+		s.routing, s.routingSince = c.Routing, now
+		s.lastDivision = time.Time{}
+	case k.kind == KindTarget && c.Target != nil:
+		s.putTarget(k.name, c.Target, changedAt)
+	case k.kind == KindTarget:
+		if t := s.targets[k.name]; t != nil {
+			s.crashes.RecordTargetLost(k.name, t.target.Incarnation, now)
+			delete(s.targets, k.name)
 		}
-		return !used[id]
-	})
+	}
 }
 
 // logRateChanges logs the organisations whose rate or number of keys changes with a routing.
@@ -551,7 +561,7 @@
 // Snapshot returns the view that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	now := s.lastStep
-	members := len(s.gossip.LimitSharers(now)) + 1
+	members := s.gossip.LimitSharerCount(now) + 1
 	out := &Snapshot{
 		RoutingSince: s.routingSince, Services: map[string]*Service{}, RateLimiters: map[string]*caller.RateLimiter{},
 		Regions: s.config.Regions, Quarantined: s.crashes.Quarantined(), Revision: s.values.completeTo, MemberCount: members,
@@ -643,7 +653,7 @@
 )
 
 func (s *State) retryBudgetLimits(now time.Time) targets.RetryBudgetLimits {
-	fraction, instances := budgetFraction, len(s.gossip.LimitSharers(now))+1+unknownJoiners
+	fraction, instances := budgetFraction, s.gossip.LimitSharerCount(now)+1+unknownJoiners
 	if now.Sub(s.started) < s.config.Bounds.RetryBudgetWindow {
 		fraction, instances = restartFraction, max(instances, assumedInstances)
 	}
--- a/routing/values.go
+++ b/routing/values.go
@@ -38,8 +38,12 @@
 	// forgottenBelow is the revision below which removals may already be deleted: a sibling that is complete to less
 	// needs a full update.
 	forgottenBelow document.Revision
+	nextExpiry     time.Time
 }
 
+// expiryInterval is the time between two searches for values that have expired.
+const expiryInterval = 100 * time.Millisecond
+
 func newValues() *values { return &values{entries: map[key]*entry{}} }
 
 // apply applies an update and returns the changes that were newer than the known values.
@@ -110,6 +114,10 @@
 
 // expire deletes old removals and reports whether a lapsed value went out of use.
 func (v *values) expire(now time.Time) bool {
+	if now.Before(v.nextExpiry) {
+		return false
+	}
+	v.nextExpiry = now.Add(expiryInterval)
 	expired := false
 	for k, e := range v.entries {
 		if !e.lapsedUntil.IsZero() && !now.Before(e.lapsedUntil) {
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -2,7 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
+	"container/list"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,6 +65,7 @@
 	MemberState
 	receivedAt      time.Time // when the newest state was received
 	platformContact time.Time // when the instance itself last reached the platform, zero if never
+	recency         *list.Element
 }
 
 // Gossip is the view of the fleet's entry instances that this instance builds by exchanging messages with them. It
@@ -73,15 +75,18 @@
 	platformContact time.Time
 	seeds           []string
 	members         map[string]*member
-	rng             *rand.Rand
-	started         time.Time
-	rounds          int
-	next            time.Time
+	// byID holds the members ordered by ID, byRecency with the most recently received state first.
+	byID      []*member
+	byRecency *list.List
+	rng       *rand.Rand
+	started   time.Time
+	rounds    int
+	next      time.Time
 }
 
 // NewGossip returns a view with only this instance and the seeds, addresses that may be out of date.
 func NewGossip(self MemberState, seeds []string, rng *rand.Rand, now time.Time) *Gossip {
-	return &Gossip{self: self, seeds: seeds, members: map[string]*member{}, rng: rng, started: now, next: now}
+	return &Gossip{self: self, seeds: seeds, members: map[string]*member{}, byRecency: list.New(), rng: rng, started: now, next: now}
 }
 
 // SetSeeds replaces the seeds from the next round on.
@@ -107,31 +112,42 @@
 	}
 	g.rounds++
 	g.self.Sequence++
-	live := g.Live(now)
-	g.next = now.Add(g.interval(len(live), now))
-	maps.DeleteFunc(g.members, func(_ string, m *member) bool { return now.Sub(m.receivedAt) > forgetAfter })
+	g.forget(now)
+	var sameZone, otherZones []*member
+	for m := range g.within(now, g.memberTimeout()) {
+		if m.Zone == g.self.Zone {
+			sameZone = append(sameZone, m)
+		} else {
+			otherZones = append(otherZones, m)
+		}
+	}
+	live := len(sameZone) + len(otherZones)
+	g.next = now.Add(g.interval(live, now))
 	var to []string
 	add := func(address string) {
 		if address != "" && address != g.self.Address && !slices.Contains(to, address) {
 			to = append(to, address)
 		}
 	}
-	sameZone := slices.DeleteFunc(slices.Clone(live), func(s MemberState) bool { return s.Zone != g.self.Zone })
 	if len(sameZone) > 0 {
 		add(sameZone[g.rng.IntN(len(sameZone))].Address)
 	}
-	if len(live) > 0 {
-		add(live[g.rng.IntN(len(live))].Address)
+	if live > 0 {
+		if i := g.rng.IntN(live); i < len(sameZone) {
+			add(sameZone[i].Address)
+		} else {
+			add(otherZones[i-len(sameZone)].Address)
+		}
 	}
-	if otherZones := slices.DeleteFunc(slices.Clone(live), func(s MemberState) bool { return s.Zone == g.self.Zone }); crossZone && len(otherZones) > 0 {
+	if crossZone && len(otherZones) > 0 {
 		add(otherZones[g.rng.IntN(len(otherZones))].Address)
 	}
-	if len(live) < minLiveSiblings {
+	if live < minLiveSiblings {
 		for _, s := range g.seeds {
 			add(s)
 		}
 	}
-	if len(live) < minLiveSiblings || g.rounds%reconnectRounds == 0 {
+	if live < minLiveSiblings || g.rounds%reconnectRounds == 0 {
 		if silent := g.silentAddresses(now); len(silent) > 0 {
 			add(silent[g.rng.IntN(len(silent))])
 		}
@@ -155,8 +171,7 @@
 func (g *Gossip) silentAddresses(now time.Time) []string {
 	var out []string
 	known := map[string]bool{g.self.Address: true}
-	for _, id := range slices.Sorted(maps.Keys(g.members)) {
-		m := g.members[id]
+	for _, m := range g.byID {
 		known[m.Address] = true
 		if now.Sub(m.receivedAt) >= g.memberTimeout() {
 			out = append(out, m.Address)
@@ -186,8 +201,12 @@
 		}
 		if m == nil {
 			m = &member{}
+			m.recency = g.byRecency.PushFront(m)
 			g.members[state.ID] = m
+			i, _ := slices.BinarySearchFunc(g.byID, state.ID, func(x *member, id string) int { return cmp.Compare(x.ID, id) })
+			g.byID = slices.Insert(g.byID, i, m)
 		}
+		g.byRecency.MoveToFront(m.recency)
 		m.MemberState, m.receivedAt, m.platformContact = state, now, time.Time{}
 		if state.PlatformAge != NoContact {
 			m.platformContact = now.Add(-state.PlatformAge)
@@ -201,25 +220,52 @@
 func (g *Gossip) MemberStates(now time.Time) []MemberState {
 	own := g.self
 	own.PlatformAge = ageOf(g.platformContact, now)
-	fresh := slices.Collect(maps.Values(g.members))
-	slices.SortFunc(fresh, func(a, b *member) int {
-		return cmp.Or(b.receivedAt.Compare(a.receivedAt), cmp.Compare(a.ID, b.ID))
-	})
-	if rest := fresh[min(len(fresh), maxMemberStates/2):]; len(fresh) >= maxMemberStates {
-		g.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	out := make([]MemberState, 1, min(len(g.byID)+1, maxMemberStates))
+	out[0] = own
+	add := func(m *member) {
+		if now.Sub(m.receivedAt) < g.memberTimeout() {
+			out = append(out, m.state(now))
+		}
 	}
-	out := []MemberState{own}
-	for _, m := range fresh[:min(len(fresh), maxMemberStates-1)] {
-		if now.Sub(m.receivedAt) >= g.memberTimeout() {
-			continue
+	newest := len(g.byID)
+	if newest >= maxMemberStates {
+		newest = maxMemberStates / 2
+	}
+	chosen := map[*member]bool{}
+	for e := g.byRecency.Front(); e != nil && len(chosen) < newest; e = e.Next() {
+		m := e.Value.(*member)
+		chosen[m] = true
+		add(m)
+	}
+	for len(chosen) < min(len(g.byID), maxMemberStates-1) {
+		if m := g.byID[g.rng.IntN(len(g.byID))]; !chosen[m] {
+			chosen[m] = true
+			add(m)
 		}
-		state := m.MemberState
-		state.PlatformAge = ageOf(m.platformContact, now)
-		out = append(out, state)
 	}
 	return out
 }
 
+// state returns the state of the member with the present age of its contact with the platform.
+func (m *member) state(now time.Time) MemberState {
+	state := m.MemberState
+	state.PlatformAge = ageOf(m.platformContact, now)
+	return state
+}
+
+// forget removes the members that have been silent for forgetAfter.
+func (g *Gossip) forget(now time.Time) {
+	for e := g.byRecency.Back(); e != nil; e = g.byRecency.Back() {
+		m := e.Value.(*member)
+		if now.Sub(m.receivedAt) <= forgetAfter {
+			return
+		}
+		g.byRecency.Remove(e)
+		delete(g.members, m.ID)
+		g.byID = slices.DeleteFunc(g.byID, func(x *member) bool { return x == m })
+	}
+}
+
 // ageOf returns the time since at, NoContact if at is zero.
 func ageOf(at, now time.Time) time.Duration {
 	if at.IsZero() {
@@ -238,33 +284,68 @@
 	return g.receivedWithin(now, limitSharerTimeout)
 }
 
-// SeenWithin returns the other instances whose state was received within the limit, ordered by ID. The limit is
-// scaled up in a large fleet, as memberTimeout is.
-func (g *Gossip) SeenWithin(now time.Time, limit time.Duration) []MemberState {
-	return g.receivedWithin(now, time.Duration(float64(limit)*float64(g.memberTimeout())/float64(memberTimeoutMin)))
+// EachLimitSharer iterates over the other instances that share the fleet's limits with this one, ordered by ID. It tells of
+// each whether its state was received within freshLimit, which is scaled up in a large fleet as memberTimeout is. The states
+// must not be modified, and their PlatformAge is that of the time at which they were received.
+func (g *Gossip) EachLimitSharer(now time.Time, freshLimit time.Duration) iter.Seq2[*MemberState, bool] {
+	freshLimit = time.Duration(float64(freshLimit) * float64(g.memberTimeout()) / float64(memberTimeoutMin))
+	return func(yield func(*MemberState, bool) bool) {
+		for m := range g.within(now, limitSharerTimeout) {
+			if !yield(&m.MemberState, now.Sub(m.receivedAt) < freshLimit) {
+				return
+			}
+		}
+	}
 }
 
-// receivedWithin returns the other instances whose state was received within the limit and that are not shutting down,
-// ordered by ID.
+// LimitSharerCount returns the number of instances that EachLimitSharer yields.
+func (g *Gossip) LimitSharerCount(now time.Time) int {
+	n := 0
+	for range g.within(now, limitSharerTimeout) {
+		n++
+	}
+	return n
+}
+
+// EachLive iterates over the instances of Live. The states must not be modified, and their PlatformAge is that of the time
+// at which they were received.
+func (g *Gossip) EachLive(now time.Time) iter.Seq[*MemberState] {
+	return func(yield func(*MemberState) bool) {
+		for m := range g.within(now, g.memberTimeout()) {
+			if !yield(&m.MemberState) {
+				return
+			}
+		}
+	}
+}
+
+// receivedWithin returns the states of the members of within.
 func (g *Gossip) receivedWithin(now time.Time, limit time.Duration) []MemberState {
 	var out []MemberState
-	for _, m := range g.members {
-		if now.Sub(m.receivedAt) < limit && !m.Leaving {
-			state := m.MemberState
-			state.PlatformAge = ageOf(m.platformContact, now)
-			out = append(out, state)
-		}
+	for m := range g.within(now, limit) {
+		out = append(out, m.state(now))
 	}
-	slices.SortFunc(out, func(a, b MemberState) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
+// within iterates over the other instances whose state was received within the limit and that are not shutting down,
+// ordered by ID.
+func (g *Gossip) within(now time.Time, limit time.Duration) iter.Seq[*member] {
+	return func(yield func(*member) bool) {
+		for _, m := range g.byID {
+			if now.Sub(m.receivedAt) < limit && !m.Leaving && !yield(m) {
+				return
+			}
+		}
+	}
+}
+
 // ShouldReadPlatform reports whether this instance reads the platform for its zone: it does unless a live instance of
 // the zone with a higher rank reached the platform within the limit.
 func (g *Gossip) ShouldReadPlatform(now time.Time, limit time.Duration) bool {
 	mine := rendezvous(readerKey, g.self.ID)
-	for _, state := range g.Live(now) {
-		if state.Zone == g.self.Zone && state.PlatformAge != NoContact && state.PlatformAge <= limit && rendezvous(readerKey, state.ID) > mine {
+	for m := range g.within(now, g.memberTimeout()) {
+		if age := ageOf(m.platformContact, now); m.Zone == g.self.Zone && age != NoContact && age <= limit && rendezvous(readerKey, m.ID) > mine {
 			return false
 		}
 	}
@@ -272,12 +353,22 @@
 }
 
 // HasNoLiveSiblings reports whether no other instance is live.
-func (g *Gossip) HasNoLiveSiblings(now time.Time) bool { return len(g.Live(now)) == 0 }
+func (g *Gossip) HasNoLiveSiblings(now time.Time) bool {
+	for range g.within(now, g.memberTimeout()) {
+		return false
+	}
+	return true
+}
 
 // IsFirstReader reports whether this instance ranks first as reader of its zone among the live instances.
 func (g *Gossip) IsFirstReader(now time.Time) bool {
 	mine := rendezvous(readerKey, g.self.ID)
-	return !slices.ContainsFunc(g.Live(now), func(s MemberState) bool { return s.Zone == g.self.Zone && rendezvous(readerKey, s.ID) > mine })
+	for m := range g.within(now, g.memberTimeout()) {
+		if m.Zone == g.self.Zone && rendezvous(readerKey, m.ID) > mine {
+			return false
+		}
+	}
+	return true
 }
 
 // readerKey is the rendezvous hashing key for the rank of a zone's instances as readers of the platform.
@@ -286,5 +377,10 @@
 // IsOwner reports whether this instance ranks first for a key among the live instances.
 func (g *Gossip) IsOwner(key string, now time.Time) bool {
 	mine := rendezvous(key, g.self.ID)
-	return !slices.ContainsFunc(g.Live(now), func(s MemberState) bool { return rendezvous(key, s.ID) > mine })
+	for m := range g.within(now, g.memberTimeout()) {
+		if rendezvous(key, m.ID) > mine {
+			return false
+		}
+	}
+	return true
 }
