Send the outcome of a change that did not run again if its message is lost

Cause: TestRestartsCutOffNoRequest, two runs with the race detector at a load of 14 to 16: one change answered with outcome_unknown at its first attempt. The message that an attempt did not run was sent once, within 250 ms; when it was lost and the home was replaced, the witness took its open record for an attempt that may have run.

Change: all outcomes are sent up to three times, 100 and 200 ms apart; the caller waits for the first time only.

Test: TestNotRunReachesTheWitnessAfterALoss.

--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -280,3 +280,34 @@
 		t.Errorf("change with a long deadline: %v", refusal)
 	}
 }
+
+// Guards against a change that did not run and whose key is spent, because the message about that to the witness was lost:
+// after a restart of the home, the witness would take its open record for an attempt that may have run.
+func TestNotRunReachesTheWitnessAfterALoss(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	key := f.keyFor("a", "b")
+	busy := f.targets["s"].Targets[0]
+	for busy.Stats.TryStart(busy.Limit) {
+	}
+	var calls atomic.Int64
+	f.mu.Lock()
+	f.loseCall = func(method string) (bool, bool) { return method == "HandOver" && calls.Add(1) == 1, false }
+	f.mu.Unlock()
+	if _, refusal := f.change("a", key, time.Second); refusal == nil || refusal.Ran != caller.RanNo {
+		t.Fatalf("refusal is %v, want one that did not run", refusal)
+	}
+	f.eventually(func() bool { return calls.Load() >= 2 })
+	busy.Stats.Finish(0)
+	f.nodes["a"].kill()
+	f.publishList("b", "c")
+	f.eventually(func() bool {
+		outcome, refusal := f.change("c", key, time.Second)
+		if refusal != nil && refusal.Ran == caller.RanUnknown {
+			t.Fatalf("the repeat at the next home: %v", refusal)
+		}
+		return outcome != nil
+	})
+	if n := f.runCount(key); n != 1 {
+		t.Errorf("%d runs, want one", n)
+	}
+}
--- a/traffic/home.go
+++ b/traffic/home.go
@@ -82,48 +82,53 @@
 }
 
 // finishChange records an outcome at this instance and sends it to the other instances that hold a record of the change.
-// If the change did not run, it waits for their replies, since the next home would refuse the change as long as it holds
-// an open record.
+// If the change did not run, it waits until it was sent to each of them once, since the next home would refuse the change as
+// long as it holds an open record.
 func (t *QueryTier) finishChange(record sibling.ChangeRecord) {
 	messages, err := t.control.FinishChange(record)
 	if err != nil {
 		// The control goroutine has ended, so the process is ending too; the record at the witness stays open.
 		return
 	}
-	var handOvers sync.WaitGroup
+	var tried sync.WaitGroup
 	for _, m := range messages {
 		t.beginFollowUp()
-		handOvers.Go(func() {
+		tried.Add(1)
+		go func() {
 			defer t.end()
-			t.handOverOutcome(m, record.Outcome)
-		})
+			t.handOverOutcome(m, tried.Done)
+		}()
 	}
 	if record.Outcome == sibling.OutcomeNotRun {
-		handOvers.Wait()
+		tried.Wait()
 	}
 }
 
-// outcomeAttempts is how often the outcome of a change is sent to another holder of its record.
-const outcomeAttempts = 3
+const (
+	// outcomeAttempts is how often the outcome of a change is sent to another holder of its record.
+	outcomeAttempts = 3
+	// outcomePause is the first pause between two of these attempts; it doubles.
+	outcomePause = 100 * time.Millisecond
+)
 
-// handOverOutcome sends the outcome of a change to another holder of its record. That the change did not run is sent only
-// once, because its caller waits.
-func (t *QueryTier) handOverOutcome(m sibling.HandOver, outcome sibling.ChangeOutcome) {
-	attempts := outcomeAttempts
-	if outcome == sibling.OutcomeNotRun {
-		attempts = 1
-	}
-	for pause := initialHomePause; attempts > 0; attempts-- {
+// handOverOutcome sends the outcome of a change to another holder of its record, again if it gets no reply: a holder with an
+// open record would refuse a repetition with outcome_unknown, which is correct but costs the key. It calls tried after the
+// first attempt.
+func (t *QueryTier) handOverOutcome(m sibling.HandOver, tried func()) {
+	pause := outcomePause
+	for attempt := range outcomeAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 		_, err := t.siblings.HandOver(ctx, m)
 		cancel()
-		if err == nil {
+		if attempt == 0 {
+			tried()
+		}
+		if err == nil || attempt == outcomeAttempts-1 {
 			return
 		}
 		sleep(context.Background(), pause)
 		pause *= 2
 	}
-	// A holder that does not receive the outcome refuses a repetition with outcome_unknown, which is correct.
 }
 
 // outcomeByState maps the final state of a change to the outcome that is recorded.
