--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -262,6 +262,10 @@
 		ready.wakeAt(p.hedgeAt)
 		return
 	}
+	if waitUntil := p.hedgeAt.Add(d.hedgeDelay()); now.Before(waitUntil) && d.mostPending() {
+		ready.wakeAt(waitUntil)
+		return
+	}
 	t, _ := d.choose(p, now)
 	if t == nil || t.Stats.Unreachable(now) || !d.Directory.RetryBudget(p.service).TakeHedge(now) {
 		if t != nil {
@@ -274,6 +278,28 @@
 	d.send(i, p, t, now, ready)
 }
 
+const (
+	// minPartsForPatience is the number of parts from which on the replies of the others tell something about one part.
+	minPartsForPatience = 8
+	// patienceFraction is the fraction of pending parts above which hedges wait for twice their delay.
+	patienceFraction = 0.4
+)
+
+// mostPending reports whether so many parts have no reply yet that the delay is more likely this instance's own, or one that
+// all targets share: a hedge for each of them would double the work at the worst moment.
+func (d *Dispatch) mostPending() bool {
+	if len(d.parts) < minPartsForPatience {
+		return false
+	}
+	pending := 0
+	for i := range d.parts {
+		if !d.parts[i].done {
+			pending++
+		}
+	}
+	return float64(pending) > patienceFraction*float64(len(d.parts))
+}
+
 func (d *Dispatch) send(i int, p *dispatchPart, t *Target, now time.Time, ready *DispatchReady) {
 	d.lastAttempt++
 	ready.Send = append(ready.Send, Send{Attempt: d.lastAttempt, Part: i, Target: t, Hedge: len(p.openSends) > 0})
