Gather the shards of a request over two levels

Cause: an instance with a fifth of a core takes 100 ms for 180 sends, and at 295 instances it sees a request every six seconds, so that targets have closed its connections before the next one.

Change: such an instance splits the shards of a request into groups of about 24. The owner of a group is another instance of the zone, or of a zone with targets, found by rendezvous hashing among the live members, weighted by their parts of a core; it gathers the group and replies with the greatest records and the signatures. Retries, hedges and budgets belong to the owner. A group is asked for again, at the second owner or by the entry instance, only if it certainly did not run.

--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -66,8 +66,8 @@
 	e.ready.Store(response.StatusCode == http.StatusOK)
 }
 
-// startEdgeFleet starts a store, targets and instances.
-func startEdgeFleet(t *testing.T) ([]*edgeProcess, []*platformtest.Target) {
+// startEdgeFleet starts a store, targets and instances. cores is the part of a core that the instances' settings state.
+func startEdgeFleet(t *testing.T, cores float64) ([]*edgeProcess, []*platformtest.Target) {
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
@@ -88,7 +88,7 @@
 		e := &edgeProcess{settingsPath: filepath.Join(t.TempDir(), "boot.toml"), callersAddress: a[0], readinessAddress: a[1]}
 		text := platformtest.NodeFile(platformtest.Node{
 			Name: fmt.Sprint("edge-", n), Zone: "z", CallersAddress: a[0], ReadinessAddress: a[1], SiblingsAddress: a[2],
-			StoreAddress: strings.TrimPrefix(server.URL, "http://"), Seeds: []string{addresses[2], addresses[5], addresses[8]},
+			Cores: cores, StoreAddress: strings.TrimPrefix(server.URL, "http://"), Seeds: []string{addresses[2], addresses[5], addresses[8]},
 		})
 		if err := os.WriteFile(e.settingsPath, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -103,7 +103,14 @@
 // Guards against a graceful shutdown of an instance on the users' platform that cuts off or refuses a request, on
 // keep-alive and on new connections, and against changes that run twice.
 func TestEdgeRestartsCutOffNoRequest(t *testing.T) {
-	fleet, targets := startEdgeFleet(t)
+	t.Run("own sends", func(t *testing.T) { restartEdges(t, 0, edgeRestarts) })
+	// With so small a part of a core, the instances split each request into groups that others gather.
+	t.Run("owners", func(t *testing.T) { restartEdges(t, 0.002, edgeRestarts/3) })
+}
+
+// restartEdges restarts instances with the given part of a core one after the other under load.
+func restartEdges(t *testing.T, cores float64, restarts int) {
+	fleet, targets := startEdgeFleet(t, cores)
 	ctx, stop := context.WithCancel(t.Context())
 	var background sync.WaitGroup
 	for _, e := range fleet {
@@ -148,7 +155,7 @@
 			}
 		})
 	}
-	for n := range edgeRestarts {
+	for n := range restarts {
 		e := fleet[n%len(fleet)]
 		time.Sleep(200 * time.Millisecond)
 		if err := e.process.Process.Signal(syscall.SIGTERM); err != nil {
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -92,6 +92,10 @@
 	replyMemoryFraction = 0.25
 	bodyMemoryFraction  = 0.125
 	assumedMemoryMB     = 1024
+	// ownedSendsPerCore is the number of sends for siblings that a core has at the same time when they take the time that
+	// targets need: more would only wait. An instance accepts a few groups at least.
+	ownedSendsPerCore = 2000
+	minOwnedSends     = 100
 	// maxCallerHeaderBytes bounds the header of a caller's request before the operators' limit can be checked.
 	maxCallerHeaderBytes = 64 << 10
 	// maxStoreHeaderBytes bounds the header of a reply of the platform's store.
@@ -116,6 +120,7 @@
 	metrics     *metrics.Metrics
 	recorder    *recorder
 	handler     *front.Handler
+	forwarder   *traffic.Forwarder
 
 	callersListener, readinessListener, siblingsListener, operatorsListener net.Listener
 }
@@ -149,12 +154,14 @@
 	})
 	state := routing.NewState(routing.InstanceConfig{
 		ID: s.Instance, Zone: s.Zone, Address: s.SiblingsAddress, Regions: s.Regions, Seeds: s.Seeds, Bounds: s.Bounds,
-		Generation: uint64(now.UnixMilli()), FirstStart: s.FirstStart,
+		Generation: uint64(now.UnixMilli()), FirstStart: s.FirstStart, Cores: s.Cores,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	n.loop = loop.New[routing.Event, routing.Effect, routing.Snapshot](state)
 	forwarder := traffic.NewForwarder(traffic.ForwarderSettings{
-		Zone: s.Zone, AnswerMargin: c.AnswerMargin, ReplyMargin: c.ReplyMargin,
+		Instance: s.Instance, Zone: s.Zone, AnswerMargin: c.AnswerMargin, ReplyMargin: c.ReplyMargin, Siblings: n.siblings,
+		MaxOwnedSends: maxOwnedSends(s.Cores),
 	}, n.loop, n.searcher, n.recorder)
+	n.forwarder = forwarder
 	n.handler = front.NewHandler(front.Settings{
 		MaxDeadline: c.MaxDeadline, DefaultDeadline: c.DefaultDeadline, DefaultTransitTime: c.DefaultTransitTime,
 		BodyMemory: byteBudget(c.BodyMemoryMB, s.MemoryLimitMB, bodyMemoryFraction),
@@ -166,6 +173,14 @@
 	return n, nil
 }
 
+// maxOwnedSends returns how many sends may run for siblings at the same time on a part of a core; 0 means a whole core.
+func maxOwnedSends(cores float64) int {
+	if cores <= 0 {
+		cores = 1
+	}
+	return max(int(cores*ownedSendsPerCore), minOwnedSends)
+}
+
 // byteBudget returns a budget of the given number of megabytes. If that is 0, it is the fraction of the memory limit.
 func byteBudget(megabytes, memoryLimitMB int, fraction float64) *traffic.ByteBudget {
 	if megabytes > 0 {
@@ -221,6 +236,7 @@
 	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	peers := grpc.NewServer(siblinggrpc.ServerOptions()...)
 	siblinggrpc.RegisterGossip(peers, n.loop)
+	siblinggrpc.RegisterGatherer(peers, n.forwarder)
 
 	group.Go(func() error { n.loop.Run(work, &executor{ctx: work, node: n}); return nil })
 	group.Go(func() error { n.housekeep(work, reload); return nil })
@@ -274,9 +290,9 @@
 	}
 }
 
-// awaitIdle waits until no request is in flight.
+// awaitIdle waits until no request is in flight and nothing runs for siblings.
 func (n *Node) awaitIdle(ctx context.Context) {
-	for n.handler.InFlight() > 0 && ctx.Err() == nil {
+	for n.handler.InFlight()+n.forwarder.OwnedSends() > 0 && ctx.Err() == nil {
 		shutdown.Sleep(ctx, drainPollInterval)
 	}
 }
--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -58,7 +58,10 @@
 
 // Record counts a request and passes it to the request log, which writes all of its lines or none.
 func (r *recorder) Record(x *traffic.Record) {
-	r.count(x)
+	r.countSends(x)
+	if !x.ForSibling {
+		r.count(x)
+	}
 	r.Log.Record(x)
 }
 
@@ -97,6 +100,12 @@
 		m.parts.Inc(int64(x.Covered))
 		m.missing.Inc(int64(x.Parts - x.Covered))
 	}
+}
+
+// countSends counts the sends of a request.
+func (r *recorder) countSends(x *traffic.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for i := range x.Attempts {
 		k := sendKey{x.Attempts[i].Outcome, x.Attempts[i].Hedge}
 		if r.sends[k] == nil {
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -92,6 +92,8 @@
 	Bounds Bounds
 	// Generation rises with each start of the instance.
 	Generation uint64
+	// Cores is the part of a processor core that the instance has, 0 if unknown.
+	Cores float64
 	// FirstStart is set if the whole fleet starts for the first time, some seconds before its callers send requests.
 	FirstStart bool
 }
@@ -225,6 +227,9 @@
 	Quarantined map[targets.Fingerprint]time.Time
 	// Revision is the store revision up to which this instance has every change.
 	Revision document.Revision
+	// Owners holds, by route, the owners of the groups into which this instance splits the shards of a request, in order
+	// of preference. Routes whose shards it all sends to itself are absent.
+	Owners map[string][][]sibling.Owner
 	// MemberCount is the number of instances that limits are divided among, this one included.
 	MemberCount int
 	// Ready is set while this instance can serve requests: a routing is in force, and the instance is neither
--- a/routing/state.go
+++ b/routing/state.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dogwooddrift.org/drift/caller"
@@ -122,7 +123,7 @@
 
 // NewState returns the state of an instance that has no values yet.
 func NewState(config InstanceConfig, rng *rand.Rand, now time.Time) *State {
-	self := sibling.MemberState{ID: config.ID, Zone: config.Zone, Address: config.Address, Generation: config.Generation, PlatformAge: sibling.NoContact}
+	self := sibling.MemberState{ID: config.ID, Zone: config.Zone, Address: config.Address, Generation: config.Generation, Cores: config.Cores, PlatformAge: sibling.NoContact}
 	return &State{
 		config: config, rng: rng, started: now, lastStep: now, values: newValues(), gossip: sibling.NewGossip(self, config.Seeds, rng, now),
 		crashes: targets.NewCrashLog(), departures: targets.NewDepartures(), targets: map[string]*targetState{}, retryBudgets: map[string]*targets.RetryBudget{},
@@ -196,6 +197,7 @@
 	for m := range s.gossip.EachLive(now) {
 		live[m.ID] = m.Address
 		if _, known := s.liveAddresses[m.ID]; !known {
+			s.changed = true // the owners of groups depend on the live members
 			s.logState("member", m.ID, "unknown or unreachable", "live", "gossip")
 			delete(s.gossipErrors, m.Address)
 		}
@@ -208,6 +210,7 @@
 	}
 	slices.Sort(lost)
 	for _, id := range lost {
+		s.changed = true
 		source := "gossip"
 		if err := s.gossipErrors[s.liveAddresses[id]]; err != nil {
 			source = err.Error()
@@ -596,6 +599,46 @@
 	for name, l := range s.limiters {
 		out.RateLimiters[name] = l.limiter
 	}
+	out.Owners = s.owners(out, now)
+	return out
+}
+
+// owners returns the owners of the groups of each route whose requests this instance splits.
+func (s *State) owners(snapshot *Snapshot, now time.Time) map[string][][]sibling.Owner {
+	byShards := map[string][][]sibling.Owner{} // routes to the same shards have the same owners
+	out := map[string][][]sibling.Owner{}
+	for i := range s.routing.Routes {
+		route := &s.routing.Routes[i]
+		groups := sibling.GroupCount(len(route.Shards), s.config.Cores)
+		if groups == 0 || len(route.Regions) > 0 {
+			continue // a body must not leave the regions of its route
+		}
+		key := strings.Join(route.Shards, " ")
+		if byShards[key] == nil {
+			byShards[key] = sibling.RankOwners(s.config.ID, s.config.Zone, s.ownerCandidates(snapshot, route.Shards, now), groups)
+		}
+		out[route.Name] = byShards[key]
+	}
+	return out
+}
+
+// ownerCandidates returns the live instances, this one included, in zones that have targets of the shards.
+func (s *State) ownerCandidates(snapshot *Snapshot, shards []string, now time.Time) []sibling.Owner {
+	zones := map[string]bool{}
+	for _, name := range shards {
+		for _, t := range snapshot.Candidates(name) {
+			zones[t.Zone] = true
+		}
+	}
+	out := []sibling.Owner{}
+	if zones[s.config.Zone] {
+		out = append(out, sibling.Owner{ID: s.config.ID, Zone: s.config.Zone, Address: s.config.Address, Cores: s.config.Cores})
+	}
+	for m := range s.gossip.EachLive(now) {
+		if zones[m.Zone] {
+			out = append(out, sibling.Owner{ID: m.ID, Zone: m.Zone, Address: m.Address, Cores: m.Cores})
+		}
+	}
 	return out
 }
 
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -20,6 +20,8 @@
 	// Generation and Sequence order the states of an instance: Generation rises with each start, Sequence with each
 	// gossip round.
 	Generation, Sequence uint64
+	// Cores is the part of a processor core that the instance has, 0 if unknown.
+	Cores float64
 	// Leaving is set once the instance is shutting down.
 	Leaving bool
 	// CompleteTo is the newest revision up to which the instance has all of the platform's values.
--- /dev/null
+++ b/sibling/owners.go
@@ -0,0 +1,142 @@
+package sibling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// An instance with a small part of a core needs long to send a request to hundreds of shards, and sees so few requests that
+// targets have closed its connections before the next one. It splits the shards of a request into groups and lets another
+// instance, the owner, gather each group. Owners are found by rendezvous hashing, without any agreement: a different view of
+// the members costs a connection or a second question, never a wrong answer.
+
+const (
+	// sendTime is the processor time that one send to a target takes on a whole core.
+	sendTime = 110 * time.Microsecond
+	// maxOwnSendTime is the time up to which an instance sends to all shards of a request itself.
+	maxOwnSendTime = 20 * time.Millisecond
+	// shardsPerGroup is the number of shards in a group. A smaller group costs more calls, a larger one more time at its
+	// owner.
+	shardsPerGroup = 24
+	// minGroupsPerOwner is how many groups each instance owns at least, so that groups have about the same number of owners.
+	minGroupsPerOwner = 2
+	// ownersPerGroup is how many owners a group has at least on average, if the zone has that many instances.
+	ownersPerGroup = 3
+	// rankedOwners is how many owners of a group an instance knows: the one that it asks, and a second one.
+	rankedOwners = 2
+)
+
+// GroupCount returns the number of groups into which an instance with the given part of a core splits a request to a number
+// of shards. It is 0 if the instance sends to all shards itself. A part of 0 means that it is unknown and taken for a whole
+// core.
+func GroupCount(shards int, cores float64) int {
+	if cores <= 0 {
+		cores = 1
+	}
+	if time.Duration(float64(shards)*float64(sendTime)/cores) <= maxOwnSendTime {
+		return 0
+	}
+	return max((shards+shardsPerGroup/2)/shardsPerGroup, 2)
+}
+
+// Group returns the shards of group i of n.
+func Group(shards []string, i, n int) []string {
+	return shards[i*len(shards)/n : (i+1)*len(shards)/n]
+}
+
+// Owner is an instance that may gather groups of shards for others.
+type Owner struct {
+	ID, Zone, Address string
+	// Cores is the part of a core that the instance has, by which its share of the work is weighted.
+	Cores float64
+}
+
+// RankOwners returns, for each of a number of groups, the owners that the instance self asks, in order of preference. An
+// instance always prefers the same owner of a group, so that its connection to it stays open. Candidates of the own zone go
+// first: if there are any, only they are considered. self may be among the candidates; as an owner it does the work itself.
+func RankOwners(self, zone string, candidates []Owner, groups int) [][]Owner {
+	own := slices.DeleteFunc(slices.Clone(candidates), func(o Owner) bool { return o.Zone != zone })
+	if len(own) > 0 {
+		candidates = own
+	}
+	out := make([][]Owner, groups)
+	if len(candidates) == 0 {
+		return out
+	}
+	perOwner := min(max((ownersPerGroup*groups+len(candidates)-1)/len(candidates), minGroupsPerOwner), groups)
+	type scored struct {
+		owner Owner
+		score float64
+	}
+	rank := func(g int, o Owner) scored {
+		return scored{o, weightedScore(rendezvous(self+" "+strconv.Itoa(g), o.ID), o.Cores)}
+	}
+	ranked := make([][]scored, groups)
+	order := make([]int, groups)
+	scores := make([]uint64, groups)
+	for _, o := range candidates {
+		for g := range groups {
+			order[g], scores[g] = g, rendezvous("group "+strconv.Itoa(g)+" of "+strconv.Itoa(groups), o.ID)
+		}
+		slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+		for _, g := range order[:perOwner] {
+			ranked[g] = append(ranked[g], rank(g, o))
+		}
+	}
+	for g := range ranked {
+		if len(ranked[g]) == 0 {
+			for _, o := range candidates {
+				ranked[g] = append(ranked[g], rank(g, o))
+			}
+		}
+		slices.SortFunc(ranked[g], func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.owner.ID, b.owner.ID))
+		})
+		for _, s := range ranked[g][:min(len(ranked[g]), rankedOwners)] {
+			out[g] = append(out[g], s.owner)
+		}
+	}
+	return out
+}
+
+// weightedScore turns a hash into a score such that the highest of several scores belongs to each candidate with a
+// probability in proportion to its weight.
+func weightedScore(hash uint64, weight float64) float64 {
+	u := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -max(weight, minOwnerCores) / math.Log(u)
+}
+
+// minOwnerCores is the weight of an owner whose part of a core is unknown.
+const minOwnerCores = 0.05
+
+// GatherRequest asks an owner to gather the parts of some shards of a request.
+type GatherRequest struct {
+	RequestID, Method, RequestURI, Path, Host string
+	Header                                    map[string][]string
+	Body                                      []byte
+	// Organisation is the one that the request runs for, empty if it runs for none. KeyDigest is the digest of the caller's
+	// key, empty if there is none: the owner checks that the key is still valid.
+	Organisation, KeyDigest string
+	Shards                  []string
+	// MaxAttempts bounds the targets of each shard that may run the request.
+	MaxAttempts int
+	// Timeout is the time until the request ends. After SoftTimeout, missing parts are not awaited if the coverage of the
+	// shards suffices.
+	Timeout, SoftTimeout time.Duration
+}
+
+// GatherReply is the reply of an owner.
+type GatherReply struct {
+	// Declined means that nothing ran: the owner does not know the route or the shards, or has too much to do.
+	Declined bool
+	// Signatures are those of the parts that the owner gathered, and Body their greatest records.
+	Signatures []string
+	Body       []byte
+	// MayHaveRun is set if some target may have run the request.
+	MayHaveRun bool
+	// RestLeft is the time until enough targets have rested, if their rest is what the reply lacks.
+	RestLeft time.Duration
+}
--- /dev/null
+++ b/sibling/siblinggrpc/gather.go
@@ -0,0 +1,79 @@
+package siblinggrpc
+
+//go:generate protoc -I siblingpb --go_out=siblingpb --go_opt=paths=source_relative --go-grpc_out=siblingpb --go-grpc_opt=paths=source_relative siblingpb/gather.proto
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+)
+
+// ShardGatherer gathers the parts of some shards for a sibling.
+type ShardGatherer interface {
+	GatherShards(ctx context.Context, r sibling.GatherRequest) sibling.GatherReply
+}
+
+// RegisterGatherer adds the service that gathers parts for siblings to a gRPC server. Its handler is traffic: it does not
+// use the control goroutine.
+func RegisterGatherer(s grpc.ServiceRegistrar, g ShardGatherer) {
+	siblingpb.RegisterGathererServer(s, &gathererServer{gatherer: g})
+}
+
+type gathererServer struct {
+	siblingpb.UnimplementedGathererServer
+	gatherer ShardGatherer
+}
+
+// Gather gathers the parts of the shards in the request.
+func (s *gathererServer) Gather(ctx context.Context, m *siblingpb.GatherRequest) (*siblingpb.GatherReply, error) {
+	r := sibling.GatherRequest{
+		RequestID: m.GetRequestId(), Method: m.GetMethod(), RequestURI: m.GetRequestUri(), Path: m.GetPath(), Host: m.GetHost(),
+		Header: make(map[string][]string, len(m.GetHeader())), Body: m.GetBody(), Organisation: m.GetOrganisation(), KeyDigest: m.GetKeyDigest(),
+		Shards: m.GetShards(), MaxAttempts: int(m.GetMaxAttempts()),
+		Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, SoftTimeout: time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond,
+	}
+	for _, f := range m.GetHeader() {
+		r.Header[f.GetName()] = f.GetValues()
+	}
+	reply := s.gatherer.GatherShards(ctx, r)
+	return &siblingpb.GatherReply{
+		Declined: reply.Declined, Signatures: reply.Signatures, Body: reply.Body, MayHaveRun: reply.MayHaveRun,
+		RestLeftMs: reply.RestLeft.Milliseconds(),
+	}, nil
+}
+
+// GatherShards asks the sibling at an address to gather parts. The error wraps sibling.ErrNotSent only if the sibling
+// certainly did not receive the request.
+func (c *Client) GatherShards(ctx context.Context, address string, r sibling.GatherRequest) (sibling.GatherReply, error) {
+	m := &siblingpb.GatherRequest{
+		RequestId: r.RequestID, Method: r.Method, RequestUri: r.RequestURI, Path: r.Path, Host: r.Host, Body: r.Body,
+		Organisation: r.Organisation, KeyDigest: r.KeyDigest, Shards: r.Shards, MaxAttempts: uint32(max(r.MaxAttempts, 0)),
+		TimeoutUs: r.Timeout.Microseconds(), SoftTimeoutUs: r.SoftTimeout.Microseconds(),
+	}
+	for name, values := range r.Header {
+		m.Header = append(m.Header, &siblingpb.HeaderField{Name: name, Values: values})
+	}
+	conn, err := c.acquire(address)
+	if err != nil {
+		return sibling.GatherReply{}, err
+	}
+	var sent atomic.Bool
+	reply, err := siblingpb.NewGathererClient(conn).Gather(context.WithValue(ctx, sentKey{}, &sent), m)
+	c.release(address, conn, err)
+	switch {
+	case err == nil:
+		return sibling.GatherReply{
+			Declined: reply.GetDeclined(), Signatures: reply.GetSignatures(), Body: reply.GetBody(), MayHaveRun: reply.GetMayHaveRun(),
+			RestLeft: time.Duration(reply.GetRestLeftMs()) * time.Millisecond,
+		}, nil
+	case !sent.Load():
+		return sibling.GatherReply{}, oops.In("sibling").Wrapf(sibling.ErrNotSent, "%v", err)
+	}
+	return sibling.GatherReply{}, translate(err)
+}
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -104,7 +104,7 @@
 func encodeMemberState(state sibling.MemberState, organisations []string) *siblingpb.MemberState {
 	out := &siblingpb.MemberState{
 		Id: state.ID, Zone: state.Zone, Address: state.Address, Generation: state.Generation, Sequence: state.Sequence, Leaving: state.Leaving,
-		CompleteTo: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
+		Cores: float32(state.Cores), CompleteTo: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
 	}
 	for i, name := range organisations {
 		if demand := state.Demand[name]; demand > 0 {
@@ -126,7 +126,7 @@
 		state := sibling.MemberState{
 			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetGeneration(), Sequence: b.GetSequence(),
 			Leaving: b.GetLeaving(), CompleteTo: document.Revision(b.GetCompleteTo()), PlatformAge: decodeAge(b.StoreAgeMs),
-			Demand: make(map[string]float64, len(b.GetDemand())),
+			Cores: decodeCores(b.GetCores()), Demand: make(map[string]float64, len(b.GetDemand())),
 		}
 		for i, index := range b.GetDemandOf() {
 			if int64(index) >= int64(len(m.GetOrganisations())) || i >= len(b.GetDemand()) {
@@ -154,6 +154,14 @@
 	return out, nil
 }
 
+// decodeCores returns 0, unknown, for a value that is no part of a core.
+func decodeCores(cores float32) float64 {
+	if c := float64(cores); c >= 0 && !math.IsInf(c, 0) {
+		return c
+	}
+	return 0
+}
+
 // decodeChange decodes a change. It leaves out the content if that cannot be decoded or is invalid.
 func decodeChange(raw json.RawMessage) routing.Change {
 	var c routing.Change
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -115,11 +115,16 @@
 
 // ForwarderSettings configures a Forwarder.
 type ForwarderSettings struct {
-	Zone string
+	// Instance is the ID of this instance, and Zone its zone.
+	Instance, Zone string
 	// AnswerMargin is how long before the latency objective of its route a gathered answer is planned to reach the caller.
 	AnswerMargin time.Duration
 	// ReplyMargin is how long before the deadline the final answer is planned to reach the caller.
 	ReplyMargin time.Duration
+	// Siblings gathers groups of shards; nil if this instance sends to all shards itself.
+	Siblings SiblingGatherer
+	// MaxOwnedSends bounds the sends that run at the same time for siblings.
+	MaxOwnedSends int
 }
 
 // Forwarder forwards requests to the targets of their route. It is safe for concurrent use.
@@ -130,6 +135,8 @@
 	recorder Recorder
 	routes   sync.Map // *routeStats by the name of the route
 	lateness lateness
+	owners   sync.Map     // *targets.TargetStats by the ID of an owner
+	owned    atomic.Int64 // sends that run for siblings
 }
 
 // NewForwarder returns a forwarder that passes the record of each request to recorder.
@@ -176,7 +183,11 @@
 		return refuse(caller.Refuse(caller.CodeUnknownService, 0, "no route matches the host and path"))
 	}
 	record.Route = route.Name
-	account, refusal := identify(s.Routing, route, r.Key)
+	keyDigest := ""
+	if r.Key != "" {
+		keyDigest = caller.Digest(r.Key)
+	}
+	account, refusal := identify(s.Routing, route, keyDigest)
 	if refusal != nil {
 		return refuse(refusal)
 	}
@@ -185,7 +196,7 @@
 		organisation = account.Name
 	}
 	record.Organisation = organisation
-	fingerprint := targets.FingerprintOf(route.Name, r.Method+" "+r.RequestURI+"\x00"+organisation+"\x00"+string(r.Body))
+	fingerprint := fingerprintOf(route, r, organisation)
 	if until, quarantined := s.Quarantined[fingerprint]; quarantined && now.Before(until) {
 		return refuse(caller.Refuse(caller.CodeQuarantined, until.Sub(now), "the request is quarantined because it crashes targets"))
 	}
@@ -203,26 +214,46 @@
 		}
 	}
 	d := &dispatchRun{
-		forwarder: f, ctx: ctx, request: r, route: route, account: account, organisation: organisation, snapshot: s, deadline: deadline,
-		fingerprint: fingerprint, record: record,
+		forwarder: f, ctx: ctx, request: r, keyDigest: keyDigest, route: route, account: account, organisation: organisation, snapshot: s,
+		deadline: deadline, fingerprint: fingerprint, record: record, services: route.Shards, answerBy: f.answerBy(r, route, deadline),
+	}
+	if !route.Sharded() {
+		d.services = []string{route.PickService(rand.Float64())}
+	}
+	if owners := s.Owners[route.Name]; f.settings.Siblings != nil && len(owners) > 0 && (account == nil || len(account.Regions) == 0) {
+		return d.runSplit(owners, now)
 	}
 	return d.run(now)
 }
 
+// answerBy returns the time at which a gathered answer with sufficient coverage leaves this instance.
+func (f *Forwarder) answerBy(r *Request, route *document.Route, deadline time.Time) time.Time {
+	objective := objectiveOf(r, route, deadline)
+	return r.Received.Add(objective - r.TransitTime - f.settings.AnswerMargin - f.lateness.margin(objective))
+}
+
+// objectiveOf returns the latency objective of a request.
+func objectiveOf(r *Request, route *document.Route, deadline time.Time) time.Duration {
+	if route.LatencyObjective > 0 {
+		return route.LatencyObjective
+	}
+	return deadline.Sub(r.Received)
+}
+
 // identify returns the account of the organisation that a request runs for. It is nil if the routing requires no keys,
-// or if the key is optional on the route and the request has no valid one.
-func identify(r *document.Routing, route *document.Route, key string) (*document.Account, *caller.Refusal) {
+// or if the key is optional on the route and the request has no valid one. keyDigest is empty if the request has no key.
+func identify(r *document.Routing, route *document.Route, keyDigest string) (*document.Account, *caller.Refusal) {
 	if !r.RequiresKeys() {
 		return nil, nil
 	}
 	var account *document.Account
-	if key != "" {
-		account = r.AccountByKeyDigest(caller.Digest(key))
+	if keyDigest != "" {
+		account = r.AccountByKeyDigest(keyDigest)
 	}
 	switch {
 	case account != nil || route.KeyOptional:
 		return account, nil
-	case key == "":
+	case keyDigest == "":
 		return nil, caller.Refuse(caller.CodeUnauthenticated, 0, "the route requires a key")
 	}
 	return nil, caller.Refuse(caller.CodeUnauthenticated, 0, "the key is not valid")
@@ -271,11 +302,20 @@
 	forwarder    *Forwarder
 	ctx          context.Context
 	request      *Request
+	keyDigest    string // of the caller's key, empty if there is none
 	route        *document.Route
 	account      *document.Account
 	organisation string
 	snapshot     *routing.Snapshot
 	deadline     time.Time
+	// services are those that each run one part of the request: the shards of the route or some of them, or one service.
+	services []string
+	// answerBy is when a gathered answer with sufficient coverage leaves.
+	answerBy time.Time
+	// forSibling is set if the parts are gathered for a sibling, to which also a few of them are of use.
+	forSibling bool
+	// attemptLimit bounds the attempts below the limit of the route; 0 means that the route's limit applies.
+	attemptLimit int
 	fingerprint  targets.Fingerprint
 	record       *Record
 
@@ -352,14 +392,11 @@
 )
 
 func (d *dispatchRun) run(now time.Time) ForwardResult {
-	services := d.route.Shards
-	if !d.route.Sharded() {
-		services = []string{d.route.PickService(rand.Float64())}
-	}
+	services := d.services
 	for _, s := range services {
 		d.snapshot.RetryBudget(s).RecordRequest(now)
 	}
-	if d.shouldFailFast(services, now) {
+	if !d.forSibling && d.shouldFailFast(services, now) {
 		retry := unreachableRetry
 		if !d.snapshot.Ready {
 			retry = isolatedRetry
@@ -371,18 +408,14 @@
 	d.routeStats = d.forwarder.statsOf(d.route.Name)
 	d.prepared = d.forwarder.sender.Prepare(d.request, d.organisation)
 	d.cancels, d.replies, d.signatures = map[int]context.CancelFunc{}, map[int]*TargetReply{}, map[string]bool{}
-	objective := d.route.LatencyObjective
-	if objective <= 0 {
-		objective = d.deadline.Sub(d.request.Received)
-	}
+	objective, answerBy := objectiveOf(d.request, d.route, d.deadline), d.answerBy
 	hedgeDivisor := time.Duration(singleHedgeDivisor)
 	if d.route.Sharded() {
 		hedgeDivisor = shardedHedgeDivisor
 	}
-	answerBy := d.request.Received.Add(objective - d.request.TransitTime - d.forwarder.settings.AnswerMargin - d.forwarder.lateness.margin(objective))
 	dispatch, ready := targets.NewDispatch(targets.DispatchConfig{
 		Services: services, Gather: d.route.Sharded(), MinCoverage: d.route.MinCoverage, Idempotent: d.route.Idempotent,
-		MaxAttempts: d.route.MaxAttempts, Deadline: d.deadline, SoftDeadline: answerBy,
+		MaxAttempts: d.maxAttempts(), Deadline: d.deadline, SoftDeadline: answerBy,
 		Tail: d.routeStats.tail, MaxHedgeDelay: objective/hedgeDivisor + d.routeStats.expectedDispatchLag(), Directory: liveDirectory{loop: d.forwarder.loop, route: d.route, account: d.account}, Zone: d.forwarder.settings.Zone,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now)
@@ -416,7 +449,7 @@
 	}
 	result := d.result(dispatch)
 	d.releaseReplies(result.Reply)
-	if now := time.Now(); woken && result.Gathered != nil && now.After(answerBy) {
+	if now := time.Now(); woken && !d.forSibling && result.Gathered != nil && now.After(answerBy) {
 		// The timer alone triggered the answer, so this instance itself caused its delay after answerBy.
 		d.forwarder.lateness.observe(now.Sub(answerBy))
 	}
@@ -623,7 +656,7 @@
 		if !usable || route == nil || !route.AllowsService(s.Target.Service) {
 			return false
 		}
-		account, refusal := identify(newest.Routing, route, d.request.Key)
+		account, refusal := identify(newest.Routing, route, d.keyDigest)
 		return refusal == nil && (account == nil) == (d.organisation == "") && (account == nil || account.Name == d.organisation)
 	}
 }
@@ -636,7 +669,7 @@
 		mayHaveRun = mayHaveRun || r.MayHaveRun
 	}
 	if d.route.Sharded() {
-		if g := d.gather(results); m.EnoughParts(len(g.Signatures)) {
+		if g := d.gather(results); m.EnoughParts(len(g.Signatures)) || d.forSibling && len(g.Signatures) > 0 {
 			d.record.Covered = len(g.Signatures)
 			return ForwardResult{Gathered: g}
 		}
--- a/traffic/record.go
+++ b/traffic/record.go
@@ -44,6 +44,8 @@
 	// RetryAfter is the retry delay in the refusal.
 	RetryAfter time.Duration
 	Attempts   []AttemptRecord
+	// ForSibling is set if the parts were gathered for a sibling, which has the record of the whole request.
+	ForSibling bool
 }
 
 // AttemptRecord describes one attempt to send a request to a target or, for a change, to its home instance.
--- /dev/null
+++ b/traffic/split_test.go
@@ -0,0 +1,265 @@
+package traffic
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/caller"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/targets"
+)
+
+// splitFleet is an entry instance with the owners of its groups. It implements SiblingGatherer: calls go to the owner's
+// forwarder unless fail returns an error for the address.
+type splitFleet struct {
+	entry  *Forwarder
+	target *wishFleet
+	owners map[string]*Forwarder // by address
+	fail   func(address string) error
+	// stall is how long an owner waits before it gathers.
+	stall map[string]time.Duration
+
+	mu        sync.Mutex
+	calls     map[string]int // by address
+	cancelled map[string]int
+}
+
+func (f *splitFleet) GatherShards(ctx context.Context, address string, r sibling.GatherRequest) (sibling.GatherReply, error) {
+	f.mu.Lock()
+	f.calls[address]++
+	f.mu.Unlock()
+	if f.fail != nil {
+		if err := f.fail(address); err != nil {
+			return sibling.GatherReply{}, err
+		}
+	}
+	select {
+	case <-time.After(f.stall[address]):
+	case <-ctx.Done():
+		f.mu.Lock()
+		f.cancelled[address]++
+		f.mu.Unlock()
+		return sibling.GatherReply{}, sibling.ErrNoReply
+	}
+	return f.owners[address].GatherShards(ctx, r), nil
+}
+
+const splitShards = 40
+
+// newSplitFleet returns an entry instance whose requests to 40 shards are split into four groups. Groups 0 to 2 have two
+// owners, group 3 belongs to the entry instance itself.
+func newSplitFleet(t *testing.T, reply func(*targets.Target) TargetReply) *splitFleet {
+	t.Helper()
+	target, _ := newWishFleet(t, splitShards, 2, reply)
+	f := &splitFleet{target: target, owners: map[string]*Forwarder{}, stall: map[string]time.Duration{}, calls: map[string]int{}, cancelled: map[string]int{}}
+	route := &target.snapshot.Routing.Routes[0]
+	route.MinCoverage, route.TopRecords = 0.9, 3
+	groups := [][]sibling.Owner{}
+	for g := range 3 {
+		var owners []sibling.Owner
+		for n := range 2 {
+			address := fmt.Sprintf("o%d%d:1", g, n)
+			owners = append(owners, sibling.Owner{ID: address[:3], Address: address})
+			f.owners[address] = NewForwarder(ForwarderSettings{Siblings: f, Instance: address[:3], MaxOwnedSends: 100}, target, target, discard{})
+		}
+		groups = append(groups, owners)
+	}
+	target.snapshot.Owners = map[string][][]sibling.Owner{route.Name: append(groups, []sibling.Owner{{ID: "entry", Address: "entry:1"}})}
+	f.entry = NewForwarder(ForwarderSettings{Siblings: f, Instance: "entry"}, target, target, discard{})
+	return f
+}
+
+// signedReply returns a part that is signed by the target's service and holds a record of it.
+func signedReply(t *targets.Target) TargetReply {
+	body := make([]byte, targets.RecordSize)
+	copy(body, t.Service)
+	return TargetReply{Outcome: targets.LegReplied, Status: 200, Signature: "s." + t.Service, Body: body}
+}
+
+func (f *splitFleet) check(t *testing.T, d ForwardResult, parts int) {
+	t.Helper()
+	if d.Gathered == nil {
+		t.Fatalf("refused: %+v", d.Refusal)
+	}
+	g := d.Gathered
+	unique := map[string]bool{}
+	for _, s := range g.Signatures {
+		unique[s] = true
+	}
+	if len(unique) != parts || len(g.Signatures) != parts || g.MissingParts != splitShards-parts || len(g.Body) != 3*targets.RecordSize {
+		t.Errorf("%d signatures (%d different), %d missing, %d bytes, want %d parts", len(g.Signatures), len(unique), g.MissingParts, len(g.Body), parts)
+	}
+	for id, n := range f.target.sends {
+		if n > 1 {
+			t.Errorf("%d requests to %s", n, id)
+		}
+	}
+}
+
+// Guards against an answer of two levels that is not the one that the entry instance would have gathered: coverage,
+// signatures and records are one truth, and each shard is asked once.
+func TestOwnersGatherTheGroups(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	f.check(t, f.target.forward(f.entry, 1), splitShards)
+	if len(f.calls) != 3 {
+		t.Errorf("calls %v, want one to the first owner of each group", f.calls)
+	}
+	for g := range 3 {
+		if f.calls[fmt.Sprintf("o%d0:1", g)] != 1 {
+			t.Errorf("calls %v, want one to the first owner of each group", f.calls)
+		}
+	}
+}
+
+// Guards against an owner that is gone, leaves, is full or has another routing and costs the answer: its group certainly did
+// not run, so the second owner is asked, then the entry instance gathers it itself.
+func TestGroupsMoveOnIfTheyDidNotRun(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	f.fail = func(address string) error {
+		if address == "o00:1" || address == "o10:1" || address == "o11:1" {
+			return sibling.ErrNotSent
+		}
+		return nil
+	}
+	// The first owner of group 2 has an older routing without the route.
+	old := &wishFleet{snapshot: &routing.Snapshot{Routing: &document.Routing{}}}
+	f.owners["o20:1"] = NewForwarder(ForwarderSettings{}, old, old, discard{})
+	f.check(t, f.target.forward(f.entry, 1), splitShards)
+	if f.calls["o01:1"] != 1 || f.calls["o21:1"] != 1 {
+		t.Errorf("calls %v, want one to each second owner", f.calls)
+	}
+}
+
+// Guards against a group that runs again although it may have run: the targets of each shard could exceed the attempts of
+// the route. The rest of the answer is delivered if it suffices, else the refusal does not state that nothing ran.
+func TestLostGroupIsNotAskedForAgain(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	f.fail = func(address string) error {
+		if address[:2] == "o0" {
+			return sibling.ErrNoReply
+		}
+		return nil
+	}
+	d := f.target.forward(f.entry, 1)
+	if d.Refusal == nil || d.Refusal.Ran != caller.RanUnknown {
+		t.Fatalf("30 of 40 parts with a coverage of 0.9: %+v", d)
+	}
+	if f.calls["o00:1"]+f.calls["o01:1"] != 1 {
+		t.Errorf("calls %v, want one to the lost group", f.calls)
+	}
+	f.target.snapshot.Routing.Routes[0].MinCoverage = 0.7
+	f.target.sends = map[string]int{}
+	// The owner that did not reply is avoided now, and the second one is lost too.
+	f.check(t, f.target.forward(f.entry, 2), splitShards-10)
+}
+
+// Guards against an owner that is silent, frozen or cut off and holds up requests again and again.
+func TestSilentOwnerIsAvoided(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	f.target.snapshot.Routing.Routes[0].MinCoverage = 0.7
+	f.stall["o00:1"] = 3 * time.Second
+	started := time.Now()
+	f.check(t, f.target.forward(f.entry, 1), splitShards-10)
+	if took := time.Since(started); took > 400*time.Millisecond {
+		t.Errorf("answered after %v, want by the objective of 200 ms", took)
+	}
+	f.target.sends = map[string]int{}
+	f.check(t, f.target.forward(f.entry, 2), splitShards)
+	if f.calls["o00:1"] != 1 || f.calls["o01:1"] != 1 {
+		t.Errorf("calls %v, want the second owner at the second request", f.calls)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancelled["o00:1"] != 1 {
+		t.Error("the end of the request did not reach the silent owner")
+	}
+}
+
+// Guards against owners that are drowned, that split a group again, that exceed the attempts they were given, or that run a
+// request for an organisation whose key is not valid at the owner.
+func TestOwnersDeclineAndObey(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	owner := f.owners["o00:1"]
+	shards := f.target.snapshot.Routing.Routes[0].Shards
+	request := sibling.GatherRequest{
+		RequestID: "id", Method: "GET", RequestURI: "/x", Path: "/x", Host: "h", Shards: shards[:10], MaxAttempts: 1,
+		Timeout: time.Second, SoftTimeout: 100 * time.Millisecond,
+	}
+	if reply := owner.GatherShards(context.Background(), request); reply.Declined || len(reply.Signatures) != 10 {
+		t.Errorf("reply %+v", reply)
+	}
+	if len(f.calls) != 0 {
+		t.Errorf("the owner asked others: %v", f.calls)
+	}
+	for name, change := range map[string]func(*sibling.GatherRequest){
+		"unknown shard":        func(r *sibling.GatherRequest) { r.Shards = []string{"other"} },
+		"no shards":            func(r *sibling.GatherRequest) { r.Shards = nil },
+		"unknown route":        func(r *sibling.GatherRequest) { r.Host = "elsewhere" },
+		"deadline passed":      func(r *sibling.GatherRequest) { r.Timeout = 0 },
+		"unknown organisation": func(r *sibling.GatherRequest) { r.Organisation = "o" },
+		"too much to do":       func(r *sibling.GatherRequest) { r.Shards = slices.Concat(shards, shards, shards) },
+	} {
+		r := request
+		change(&r)
+		if reply := owner.GatherShards(context.Background(), r); !reply.Declined || reply.MayHaveRun {
+			t.Errorf("%s: %+v, want it declined", name, reply)
+		}
+	}
+	if owner.OwnedSends() != 0 {
+		t.Errorf("%d sends still counted", owner.OwnedSends())
+	}
+	f.target.reply = func(*targets.Target) TargetReply { return TargetReply{Outcome: targets.LegFailed, Status: 500} }
+	f.target.sends = map[string]int{}
+	if reply := owner.GatherShards(context.Background(), request); !reply.MayHaveRun || len(reply.Signatures) != 0 {
+		t.Errorf("all targets failed: %+v", reply)
+	}
+	for id := range f.target.sends {
+		other := id[:len(id)-1] + string('0'+'1'-id[len(id)-1])
+		if f.target.sends[other] > 0 && f.target.sends[id] > 0 {
+			t.Errorf("both targets of a shard ran the request, %s and %s, with one attempt allowed", id, other)
+		}
+	}
+}
+
+// Guards against a part that two groups bring in, or whose signature is missing.
+func TestGroupsWithSharedSignaturesAreLeftOut(t *testing.T) {
+	merged := mergedGroups{signatures: map[string]bool{}}
+	merged.add(groupResult{signatures: []string{"a", "b"}, body: []byte("x")}, 3)
+	merged.add(groupResult{signatures: []string{"c", "b"}, body: []byte("y")}, 3)
+	merged.add(groupResult{signatures: []string{"", "d"}, body: []byte("z"), mayHaveRun: true}, 3)
+	if len(merged.order) != 2 || len(merged.bodies) != 1 || !merged.mayHaveRun {
+		t.Errorf("merged %+v", merged)
+	}
+}
+
+// Guards against a caller that leaves and whose request goes on at the owners.
+func TestLeavingCallerReachesTheOwners(t *testing.T) {
+	f := newSplitFleet(t, signedReply)
+	for address := range f.owners {
+		f.stall[address] = 5 * time.Second
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, leave)
+	now := time.Now()
+	d := f.entry.Forward(ctx, &Request{ID: "id", Method: "GET", RequestURI: "/x", Path: "/x", Host: "h", Received: now, Deadline: now.Add(4 * time.Second)})
+	if d.Refusal == nil || time.Since(now) > time.Second {
+		t.Errorf("%+v after %v", d, time.Since(now))
+	}
+	for limit := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		f.mu.Lock()
+		cancelled := len(f.cancelled)
+		f.mu.Unlock()
+		if cancelled == 3 {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%d of 3 owners learned that the caller left", cancelled)
+		}
+	}
+}
