Keep gossip within large zones, and let the readers of three zones read for all

With six zones five of six random exchanges cross a border, each with up to 24 states, and each instance sought contact with another zone on its own. Each zone had a reader, and at 295 instances the pause between two reads exceeded the time after which the next in rank reads too.

Change: in zones of more than eight instances the zone as a whole starts three exchanges with other zones a round; a member's message tells when its zone last heard from another one, and isolation is decided on that (1 s instead of 0.6 s there). The readers of the three first zones in rank read while they reach the platform. The time limit of a reader includes its pause.

--- a/routing/confirm.go
+++ b/routing/confirm.go
@@ -42,7 +42,7 @@
 		if m.CompleteTo > s.values.completeTo {
 			return ""
 		}
-		if m.PlatformAge != sibling.NoContact && m.PlatformAge <= readerTimeout {
+		if m.PlatformAge != sibling.NoContact && m.PlatformAge <= s.readerTimeout() {
 			return "sibling that reads the platform"
 		}
 		otherZone = otherZone || m.Zone != s.config.Zone
--- a/routing/reach.go
+++ b/routing/reach.go
@@ -37,25 +37,53 @@
 	return float64(n) / float64(len(services))
 }
 
-// recordContact records gossip from a sibling; states starts with the state of the sender.
+// The limits for an instance of a large zone, whose contact with other zones is mostly that of others in its zone and reaches
+// it some rounds later.
+const (
+	largeZoneIsolationTimeout   = time.Second
+	largeZoneOutsideGossipAfter = 600 * time.Millisecond
+	largeZoneRecoveryContactAge = 600 * time.Millisecond
+)
+
+// recordContact records gossip from a sibling; states starts with the state of the sender. A sender of the own zone tells when
+// the zone last heard from another one.
 func (s *State) recordContact(states []sibling.MemberState, now time.Time) {
-	if len(states) > 0 && states[0].Zone != s.config.Zone {
+	switch {
+	case len(states) == 0:
+	case states[0].Zone != s.config.Zone:
 		s.outsideContact = now
+	case states[0].OutsideAge != sibling.NoContact:
+		if at := now.Add(-states[0].OutsideAge); at.After(s.outsideContact) {
+			s.outsideContact = at
+		}
 	}
 }
 
+// seeksOutsideContact reports whether each round of gossip includes a sibling of another zone.
+func (s *State) seeksOutsideContact(now time.Time) bool {
+	limit := outsideGossipAfter
+	if s.gossip.LargeZone(now) {
+		limit = largeZoneOutsideGossipAfter
+	}
+	return now.Sub(s.outsideContact) > limit
+}
+
 // updateIsolation decides whether this instance reports unready because it is cut off from other zones and cannot serve
 // some route. The load balancer then sends its callers to instances that can.
 func (s *State) updateIsolation(now time.Time) {
 	sinceContact := now.Sub(s.outsideContact)
+	timeout, recovery := isolationTimeout, recoveryContactAge
+	if s.gossip.LargeZone(now) {
+		timeout, recovery = largeZoneIsolationTimeout, largeZoneRecoveryContactAge
+	}
 	switch {
-	case s.isolated && sinceContact < recoveryContactAge:
+	case s.isolated && sinceContact < recovery:
 		s.isolated, s.changed = false, true
 		for _, t := range s.targets {
 			t.target.Stats.MarkReachable()
 		}
 		s.logState("zones", s.config.Zone, "cut off", "in contact", "exchange")
-	case !s.isolated && sinceContact > isolationTimeout && s.hasSiblingsElsewhere(now) && s.someRouteUnreachable(now):
+	case !s.isolated && sinceContact > timeout && s.hasSiblingsElsewhere(now) && s.someRouteUnreachable(now):
 		s.isolated, s.changed = true, true
 		for _, t := range s.targets {
 			if t.target.Zone != s.config.Zone && t.target.Stats.Unresponsive(now) {
--- a/routing/state.go
+++ b/routing/state.go
@@ -33,9 +33,9 @@
 	readPausePerMember = 5 * time.Millisecond
 	// readRetryDelay is the time before a failed read is repeated.
 	readRetryDelay = 300 * time.Millisecond
-	// readerTimeout is the age of the store contact of a zone's reader above which the next instance in rank reads too:
-	// one waiting read, its reply and a round of gossip.
-	readerTimeout = storeWait + 1200*time.Millisecond
+	// readerSlack is the time beyond a waiting read and the pause after it until a reader's contact with the store is known
+	// to its zone: the reply and rounds of gossip.
+	readerSlack = 1200 * time.Millisecond
 	// minOutage is the time without store contact after which a returning store may lack registrations that expired
 	// meanwhile.
 	minOutage = 1500 * time.Millisecond
@@ -92,7 +92,7 @@
 	reading          bool // a read of the store is in flight
 	nextRead         time.Time
 	storeContact     time.Time // last successful read by this instance
-	outsideContact   time.Time // last gossip with another zone
+	outsideContact   time.Time // last gossip of this zone with another one
 	isolated         bool      // cut off from other zones and unable to serve some route
 	storeRecoveredAt time.Time // first successful read after an outage
 	readFailures     int       // in a row; -1 if the next read must be a full one
@@ -249,8 +249,8 @@
 	s.confirmValues(now)
 	s.divideRates(now)
 	s.updateIsolation(now)
-	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.ownDemand)
-	for _, address := range s.gossip.Round(now, now.Sub(s.outsideContact) > outsideGossipAfter) {
+	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.outsideContact, s.ownDemand)
+	for _, address := range s.gossip.Round(now, s.seeksOutsideContact(now)) {
 		s.sendGossip(address, s.shouldRequestValues(address, now), now, result)
 	}
 	if s.pullAddress != "" {
@@ -285,7 +285,7 @@
 // of a fleet start at the same time.
 func (s *State) shouldReadStore(now time.Time) bool {
 	if s.values.completeTo != 0 {
-		return !s.confirmed || s.gossip.ShouldReadPlatform(now, readerTimeout)
+		return !s.confirmed || s.gossip.ShouldReadPlatform(now, s.readerTimeout())
 	}
 	siblingTimeout, valuesTimeout := firstSiblingTimeout, joinTimeout
 	if s.config.FirstStart {
@@ -403,13 +403,23 @@
 		s.storeRecoveredAt = now
 	}
 	s.readFailures, s.storeContact = 0, now
-	s.nextRead = now.Add(readPause + time.Duration(s.memberCount)*readPausePerMember)
+	s.nextRead = now.Add(s.readPause())
 	if now.Sub(s.storeRecoveredAt) < lapseWindow {
 		markLapsed(e.Update.Changes)
 	}
 	s.applyUpdate(e.Update, "platform", now)
 }
 
+// readPause returns the time between two reads of the store.
+func (s *State) readPause() time.Duration {
+	return readPause + time.Duration(s.memberCount)*readPausePerMember
+}
+
+// readerTimeout returns the age of the store contact of a zone's reader above which the next instance in rank reads too.
+func (s *State) readerTimeout() time.Duration {
+	return storeWait + s.readPause() - readPause + readerSlack
+}
+
 // markLapsed marks the removals of targets that an outage of the platform may have caused.
 func markLapsed(changes []Change) {
 	for i := range changes {
@@ -709,7 +719,7 @@
 func (s *State) dump(now time.Time) Dump {
 	d := Dump{
 		ID: s.config.ID, Zone: s.config.Zone, Revision: s.values.completeTo, StoreAge: ageText(s.storeContact, now),
-		ReadsStore: s.gossip.ShouldReadPlatform(now, readerTimeout), Shares: map[string]float64{},
+		ReadsStore: s.gossip.ShouldReadPlatform(now, s.readerTimeout()), Shares: map[string]float64{},
 	}
 	if s.routing != nil {
 		d.RoutingVersion = s.routing.Version
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -28,6 +28,9 @@
 	CompleteTo document.Revision
 	// PlatformAge is the time since the instance itself last reached the platform, NoContact if it never did.
 	PlatformAge time.Duration
+	// OutsideAge is the time since the instance, or to its knowledge another one of its zone, last heard from another zone;
+	// NoContact if that never happened. It is up to date only in a message of the instance itself.
+	OutsideAge time.Duration
 	// Demand is the rate of requests that the instance receives, in requests per second by organisation.
 	Demand map[string]float64
 }
@@ -54,6 +57,12 @@
 	limitSharerTimeout = 20 * time.Second
 	// forgetAfter is the time after which a silent member is removed and no longer contacted.
 	forgetAfter = 2 * time.Minute
+	// In a zone of more than smallZone instances, these together start crossZoneExchanges exchanges with other zones in a
+	// round: bytes between zones are dear, and what one instance hears soon reaches the others of its zone.
+	smallZone          = 8
+	crossZoneExchanges = 3
+	// readerZones is the number of zones whose readers read the platform while they reach it. The others hear from them.
+	readerZones = 3
 	// maxMemberStates bounds the states of one message, so that its size does not grow with the fleet.
 	maxMemberStates = 24
 	// minLiveSiblings is the number of live siblings below which the seeds are contacted in every round.
@@ -75,6 +84,7 @@
 type Gossip struct {
 	self            MemberState
 	platformContact time.Time
+	outsideContact  time.Time
 	seeds           []string
 	members         map[string]*member
 	// byID holds the members ordered by ID, byRecency with the most recently received state first.
@@ -94,10 +104,21 @@
 // SetSeeds replaces the seeds from the next round on.
 func (g *Gossip) SetSeeds(seeds []string) { g.seeds = seeds }
 
-// UpdateSelf updates the state that this instance publishes. platformContact is when it last reached the platform,
-// zero if never.
-func (g *Gossip) UpdateSelf(completeTo document.Revision, platformContact time.Time, demand map[string]float64) {
-	g.self.CompleteTo, g.platformContact, g.self.Demand = completeTo, platformContact, demand
+// UpdateSelf updates the state that this instance publishes. platformContact is when it last reached the platform, and
+// outsideContact when its zone last heard from another one; zero if never.
+func (g *Gossip) UpdateSelf(completeTo document.Revision, platformContact, outsideContact time.Time, demand map[string]float64) {
+	g.self.CompleteTo, g.platformContact, g.outsideContact, g.self.Demand = completeTo, platformContact, outsideContact, demand
+}
+
+// LargeZone reports whether only some instances of this zone exchange messages with other zones in a round.
+func (g *Gossip) LargeZone(now time.Time) bool {
+	n := 1
+	for m := range g.within(now, g.memberTimeout()) {
+		if m.Zone == g.self.Zone {
+			n++
+		}
+	}
+	return n > smallZone
 }
 
 // Leave marks this instance as shutting down.
@@ -134,12 +155,8 @@
 	if len(sameZone) > 0 {
 		add(sameZone[g.rng.IntN(len(sameZone))].Address)
 	}
-	if live > 0 {
-		if i := g.rng.IntN(live); i < len(sameZone) {
-			add(sameZone[i].Address)
-		} else {
-			add(otherZones[i-len(sameZone)].Address)
-		}
+	if m := g.second(sameZone, otherZones); m != nil {
+		add(m.Address)
 	}
 	if crossZone && len(otherZones) > 0 {
 		add(otherZones[g.rng.IntN(len(otherZones))].Address)
@@ -157,6 +174,25 @@
 	return to
 }
 
+// second returns the member for the second exchange of a round: any live one, but in a large zone mostly one of the own zone.
+func (g *Gossip) second(sameZone, otherZones []*member) *member {
+	live := len(sameZone) + len(otherZones)
+	if live == 0 {
+		return nil
+	}
+	i := g.rng.IntN(live)
+	if zone := len(sameZone) + 1; zone > smallZone && len(otherZones) > 0 {
+		i = g.rng.IntN(len(sameZone))
+		if g.rng.Float64() < crossZoneExchanges/float64(zone) {
+			i = len(sameZone) + g.rng.IntN(len(otherZones))
+		}
+	}
+	if i < len(sameZone) {
+		return sameZone[i]
+	}
+	return otherZones[i-len(sameZone)]
+}
+
 func (g *Gossip) interval(live int, now time.Time) time.Duration {
 	if (live < minLiveSiblings || g.self.CompleteTo == 0) && now.Sub(g.started) < startupPeriod {
 		return startupInterval
@@ -221,7 +257,7 @@
 // choice, so that every member's state is sent at some time.
 func (g *Gossip) MemberStates(now time.Time) []MemberState {
 	own := g.self
-	own.PlatformAge = ageOf(g.platformContact, now)
+	own.PlatformAge, own.OutsideAge = ageOf(g.platformContact, now), ageOf(g.outsideContact, now)
 	out := make([]MemberState, 1, min(len(g.byID)+1, maxMemberStates))
 	out[0] = own
 	add := func(m *member) {
@@ -343,9 +379,23 @@
 }
 
 // ShouldReadPlatform reports whether this instance reads the platform for its zone: it does unless a live instance of
-// the zone with a higher rank reached the platform within the limit.
+// the zone with a higher rank reached the platform within the limit, or instances of readerZones zones with a higher rank
+// did. The states of other zones may be older, by a part of the time after which a member is not live.
 func (g *Gossip) ShouldReadPlatform(now time.Time, limit time.Duration) bool {
-	mine := rendezvous(readerKey, g.self.ID)
+	mine, zone := rendezvous(readerKey, g.self.ID), rendezvous(readerKey, g.self.Zone)
+	farLimit := limit + g.memberTimeout()/4
+	var read map[string]bool
+	for m := range g.within(now, g.memberTimeout()) {
+		if age := ageOf(m.platformContact, now); m.Zone != g.self.Zone && age != NoContact && age <= farLimit && rendezvous(readerKey, m.Zone) > zone {
+			if read == nil {
+				read = map[string]bool{}
+			}
+			read[m.Zone] = true
+		}
+	}
+	if len(read) >= readerZones {
+		return false
+	}
 	for m := range g.within(now, g.memberTimeout()) {
 		if age := ageOf(m.platformContact, now); m.Zone == g.self.Zone && age != NoContact && age <= limit && rendezvous(readerKey, m.ID) > mine {
 			return false
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -105,6 +105,7 @@
 	out := &siblingpb.MemberState{
 		Id: state.ID, Zone: state.Zone, Address: state.Address, Generation: state.Generation, Sequence: state.Sequence, Leaving: state.Leaving,
 		Cores: float32(state.Cores), CompleteTo: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
+		OutsideAgeMs: encodeAge(state.OutsideAge),
 	}
 	for i, name := range organisations {
 		if demand := state.Demand[name]; demand > 0 {
@@ -126,7 +127,7 @@
 		state := sibling.MemberState{
 			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetGeneration(), Sequence: b.GetSequence(),
 			Leaving: b.GetLeaving(), CompleteTo: document.Revision(b.GetCompleteTo()), PlatformAge: decodeAge(b.StoreAgeMs),
-			Cores: decodeCores(b.GetCores()), Demand: make(map[string]float64, len(b.GetDemand())),
+			OutsideAge: decodeAge(b.OutsideAgeMs), Cores: decodeCores(b.GetCores()), Demand: make(map[string]float64, len(b.GetDemand())),
 		}
 		for i, index := range b.GetDemandOf() {
 			if int64(index) >= int64(len(m.GetOrganisations())) || i >= len(b.GetDemand()) {
