Plan groups of shards by the zones of their targets

Cause: trace of the small twin: each zone has targets of half of the shards, so owners of the own zone sent every second part across a border, and the groups of an instance were spread over all zones.

Change: an instance takes the shards with targets in its zone first, then the zone with most of the rest; the groups of a zone are the same for all askers.

Tests: TestGroupsCoverTheShardsByZone, TestOwnersShareTheWork, TestDepartureMovesFewOwners.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -227,9 +227,9 @@
 	Quarantined map[targets.Fingerprint]time.Time
 	// Revision is the store revision up to which this instance has every change.
 	Revision document.Revision
-	// Owners holds, by route, the owners of the groups into which this instance splits the shards of a request, in order
-	// of preference. Routes whose shards it all sends to itself are absent.
-	Owners map[string][][]sibling.Owner
+	// GatherGroups holds, by route, the groups into which this instance splits the shards of a request. Routes whose shards
+	// it all sends to itself are absent.
+	GatherGroups map[string][]sibling.GatherGroup
 	// MemberCount is the number of instances that limits are divided among, this one included.
 	MemberCount int
 	// Ready is set while this instance can serve requests: a routing is in force, and the instance is neither
--- a/routing/state.go
+++ b/routing/state.go
@@ -609,45 +609,48 @@
 	for name, l := range s.limiters {
 		out.RateLimiters[name] = l.limiter
 	}
-	out.Owners = s.owners(out, now)
+	out.GatherGroups = s.gatherGroups(out, now)
 	return out
 }
 
-// owners returns the owners of the groups of each route whose requests this instance splits.
-func (s *State) owners(snapshot *Snapshot, now time.Time) map[string][][]sibling.Owner {
-	byShards := map[string][][]sibling.Owner{} // routes to the same shards have the same owners
-	out := map[string][][]sibling.Owner{}
+// gatherGroups returns the groups of the shards of each route whose requests this instance splits.
+func (s *State) gatherGroups(snapshot *Snapshot, now time.Time) map[string][]sibling.GatherGroup {
+	var candidates []sibling.Owner
+	byShards := map[string][]sibling.GatherGroup{} // routes to the same shards have the same groups
+	out := map[string][]sibling.GatherGroup{}
 	for i := range s.routing.Routes {
 		route := &s.routing.Routes[i]
-		groups := sibling.GroupCount(len(route.Shards), s.config.Cores)
-		if groups == 0 || len(route.Regions) > 0 {
+		if !sibling.Splits(len(route.Shards), s.config.Cores) || len(route.Regions) > 0 {
 			continue // a body must not leave the regions of its route
 		}
+		if candidates == nil {
+			candidates = s.ownerCandidates(now)
+		}
 		key := strings.Join(route.Shards, " ")
 		if byShards[key] == nil {
-			byShards[key] = sibling.RankOwners(s.config.ID, s.config.Zone, s.ownerCandidates(snapshot, route.Shards, now), groups)
+			byShards[key] = sibling.PlanGroups(s.config.ID, s.config.Zone, route.Shards, snapshot.targetZones, candidates)
 		}
 		out[route.Name] = byShards[key]
 	}
 	return out
 }
 
-// ownerCandidates returns the live instances, this one included, in zones that have targets of the shards.
-func (s *State) ownerCandidates(snapshot *Snapshot, shards []string, now time.Time) []sibling.Owner {
-	zones := map[string]bool{}
-	for _, name := range shards {
-		for _, t := range snapshot.Candidates(name) {
-			zones[t.Zone] = true
+// targetZones returns the zones of the targets of a service.
+func (s *Snapshot) targetZones(service string) []string {
+	var out []string
+	for _, t := range s.Candidates(service) {
+		if !slices.Contains(out, t.Zone) {
+			out = append(out, t.Zone)
 		}
 	}
-	out := []sibling.Owner{}
-	if zones[s.config.Zone] {
-		out = append(out, sibling.Owner{ID: s.config.ID, Zone: s.config.Zone, Address: s.config.Address, Cores: s.config.Cores})
-	}
+	return out
+}
+
+// ownerCandidates returns the live instances, this one included.
+func (s *State) ownerCandidates(now time.Time) []sibling.Owner {
+	out := []sibling.Owner{{ID: s.config.ID, Zone: s.config.Zone, Address: s.config.Address, Cores: s.config.Cores}}
 	for m := range s.gossip.EachLive(now) {
-		if zones[m.Zone] {
-			out = append(out, sibling.Owner{ID: m.ID, Zone: m.Zone, Address: m.Address, Cores: m.Cores})
-		}
+		out = append(out, sibling.Owner{ID: m.ID, Zone: m.Zone, Address: m.Address, Cores: m.Cores})
 	}
 	return out
 }
--- a/sibling/owners.go
+++ b/sibling/owners.go
@@ -29,22 +29,13 @@
 	rankedOwners = 2
 )
 
-// GroupCount returns the number of groups into which an instance with the given part of a core splits a request to a number
-// of shards. It is 0 if the instance sends to all shards itself. A part of 0 means that it is unknown and taken for a whole
-// core.
-func GroupCount(shards int, cores float64) int {
+// Splits reports whether an instance with the given part of a core splits requests to a number of shards. A part of 0 means
+// that it is unknown and taken for a whole core.
+func Splits(shards int, cores float64) bool {
 	if cores <= 0 {
 		cores = 1
 	}
-	if time.Duration(float64(shards)*float64(sendTime)/cores) <= maxOwnSendTime {
-		return 0
-	}
-	return max((shards+shardsPerGroup/2)/shardsPerGroup, 2)
-}
-
-// Group returns the shards of group i of n.
-func Group(shards []string, i, n int) []string {
-	return shards[i*len(shards)/n : (i+1)*len(shards)/n]
+	return time.Duration(float64(shards)*float64(sendTime)/cores) > maxOwnSendTime
 }
 
 // Owner is an instance that may gather groups of shards for others.
@@ -54,16 +45,83 @@
 	Cores float64
 }
 
-// RankOwners returns, for each of a number of groups, the owners that the instance self asks, in order of preference. An
-// instance always prefers the same owner of a group, so that its connection to it stays open. Candidates of the own zone go
-// first: if there are any, only they are considered. self may be among the candidates; as an owner it does the work itself.
-func RankOwners(self, zone string, candidates []Owner, groups int) [][]Owner {
-	own := slices.DeleteFunc(slices.Clone(candidates), func(o Owner) bool { return o.Zone != zone })
-	if len(own) > 0 {
-		candidates = own
+// GatherGroup is a group of shards of a request with the owners that may gather it, in order of preference. Without owners,
+// or if the first is the asking instance itself, that instance gathers the group.
+type GatherGroup struct {
+	Shards []string
+	Owners []Owner
+}
+
+// PlanGroups splits the shards of a request among zones that have targets of them, the zone of the asking instance first and
+// then those with most of the rest, so that most sends stay within a zone, and divides those of each zone into groups. The
+// groups of a zone are the same for all instances, so that each target gets connections from few owners.
+func PlanGroups(self, zone string, shards []string, zonesOf func(shard string) []string, candidates []Owner) []GatherGroup {
+	inZone := map[string][]string{} // shards with a target in the zone, in their order
+	for _, s := range shards {
+		for _, z := range zonesOf(s) {
+			inZone[z] = append(inZone[z], s)
+		}
+	}
+	open := make(map[string]bool, len(shards))
+	for _, s := range shards {
+		open[s] = true
+	}
+	var out []GatherGroup
+	for next := zone; len(open) > 0 && next != ""; next = widestZone(self, inZone, open) {
+		all := inZone[next]
+		delete(inZone, next)
+		owners := rankOwners(self, slices.DeleteFunc(slices.Clone(candidates), func(o Owner) bool { return o.Zone != next }), groupCount(len(all)))
+		for g := range owners {
+			group := GatherGroup{Owners: owners[g]}
+			for _, s := range all[g*len(all)/len(owners) : (g+1)*len(all)/len(owners)] {
+				if open[s] {
+					group.Shards = append(group.Shards, s)
+					delete(open, s)
+				}
+			}
+			if len(group.Shards) > 0 {
+				out = append(out, group)
+			}
+		}
+	}
+	var rest []string // shards without targets
+	for _, s := range shards {
+		if open[s] {
+			rest = append(rest, s)
+		}
+	}
+	if len(rest) > 0 {
+		out = append(out, GatherGroup{Shards: rest})
+	}
+	return out
+}
+
+// groupCount returns the number of groups of a number of shards.
+func groupCount(shards int) int { return (shards + shardsPerGroup - 1) / shardsPerGroup }
+
+// widestZone returns the zone that has targets of most open shards, "" if none has any. Of several, each instance prefers
+// another one.
+func widestZone(self string, inZone map[string][]string, open map[string]bool) string {
+	best, most := "", 0
+	for z, shards := range inZone {
+		n := 0
+		for _, s := range shards {
+			if open[s] {
+				n++
+			}
+		}
+		if n > most || n == most && n > 0 && rendezvous(self, z) > rendezvous(self, best) {
+			best, most = z, n
+		}
 	}
+	return best
+}
+
+// rankOwners returns, for each of a number of groups, the owners that the instance self asks, in order of preference. An
+// instance always prefers the same owner of a group, so that its connection to it stays open.
+func rankOwners(self string, candidates []Owner, groups int) [][]Owner {
 	out := make([][]Owner, groups)
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || groups == 0 {
 		return out
 	}
 	perOwner := min(max((ownersPerGroup*groups+len(candidates)-1)/len(candidates), minGroupsPerOwner), groups)
--- a/sibling/owners_test.go
+++ b/sibling/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -19,50 +20,82 @@
 
 // Guards against small instances that send to hundreds of shards themselves, and against a hop where it costs more than it
 // saves.
-func TestGroupsFollowShardsAndCores(t *testing.T) {
+func TestSplitFollowsShardsAndCores(t *testing.T) {
 	for _, c := range []struct {
 		shards int
 		cores  float64
-		want   int
-	}{{20, 0.4, 0}, {30, 0.4, 0}, {90, 0.8, 0}, {135, 0, 0}, {90, 0.192, 4}, {180, 0.192, 8}, {180, 0.8, 8}, {270, 0.192, 11}} {
-		if got := GroupCount(c.shards, c.cores); got != c.want {
-			t.Errorf("%d shards on %v of a core: %d groups, want %d", c.shards, c.cores, got, c.want)
+		want   bool
+	}{{20, 0.4, false}, {30, 0.4, false}, {90, 0.8, false}, {135, 0, false}, {90, 0.192, true}, {180, 0.192, true}, {180, 0.8, true}, {270, 0.192, true}} {
+		if got := Splits(c.shards, c.cores); got != c.want {
+			t.Errorf("%d shards on %v of a core: split %v, want %v", c.shards, c.cores, got, c.want)
 		}
 	}
-	shards := make([]string, 181)
-	for i := range shards {
-		shards[i] = fmt.Sprint(i)
+}
+
+// ownerShards returns the names of shards, each with targets in three of six zones in turn.
+func ownerShards(n int) (shards []string, zonesOf func(string) []string) {
+	zones := map[string][]string{}
+	for i := range n {
+		name := fmt.Sprintf("s%03d", i)
+		shards = append(shards, name)
+		for k := range 3 {
+			zones[name] = append(zones[name], fmt.Sprint("z", (i+k)%6))
+		}
 	}
-	seen := 0
-	for i := range 8 {
-		for _, s := range Group(shards, i, 8) {
-			if s != shards[seen] {
-				t.Fatalf("shard %s at position %d", s, seen)
+	return shards, func(s string) []string { return zones[s] }
+}
+
+// Guards against shards that no group or two groups contain, against groups of a zone without targets of them, and against
+// requests that go to more zones than are needed.
+func TestGroupsCoverTheShardsByZone(t *testing.T) {
+	shards, zonesOf := ownerShards(180)
+	shards = append(shards, "without targets")
+	candidates := ownerCandidates(295, 6)
+	for _, zone := range []string{"z0", "z5", "elsewhere"} {
+		seen, zones, own := map[string]int{}, map[string]bool{}, 0
+		for _, g := range PlanGroups("n1", zone, shards, zonesOf, candidates) {
+			for _, s := range g.Shards {
+				seen[s]++
+				if len(g.Owners) == 0 {
+					continue
+				}
+				z := g.Owners[0].Zone
+				zones[z] = true
+				if z == zone {
+					own++
+				}
+				if !slices.Contains(zonesOf(s), z) {
+					t.Errorf("%s is gathered in %s, its targets are in %v", s, z, zonesOf(s))
+				}
+			}
+			if len(g.Shards) > shardsPerGroup {
+				t.Errorf("a group of %d shards", len(g.Shards))
 			}
-			seen++
 		}
-	}
-	if seen != len(shards) {
-		t.Errorf("%d shards in the groups, want all %d", seen, len(shards))
+		for _, s := range shards {
+			if seen[s] != 1 {
+				t.Errorf("zone %s: %s is in %d groups", zone, s, seen[s])
+			}
+		}
+		if len(zones) != 2 || zone != "elsewhere" && own != 90 {
+			t.Errorf("zone %s: gathered in zones %v, %d shards in the own one; two zones have all, the own one half", zone, zones, own)
+		}
 	}
 }
 
 // Guards against owners that are drowned while others idle, against groups without owners, and against work that does not
 // follow the parts of a core.
 func TestOwnersShareTheWork(t *testing.T) {
-	const groups = 8
-	for _, n := range []int{23, 90, 295, 1200} {
-		candidates := ownerCandidates(n, 3)
+	shards, zonesOf := ownerShards(180)
+	for _, n := range []int{24, 90, 295, 1200} {
+		candidates := ownerCandidates(n, 6)
 		load := map[string]int{}
 		for _, self := range candidates {
-			for g, owners := range RankOwners(self.ID, self.Zone, candidates, groups) {
-				if len(owners) == 0 {
-					t.Fatalf("%d instances: group %d has no owner", n, g)
-				}
-				if owners[0].Zone != self.Zone {
-					t.Errorf("%d instances: an owner in another zone", n)
+			for _, g := range PlanGroups(self.ID, self.Zone, shards, zonesOf, candidates) {
+				if len(g.Owners) == 0 {
+					t.Fatalf("%d instances: a group has no owner", n)
 				}
-				load[owners[0].ID]++
+				load[g.Owners[0].ID] += len(g.Shards)
 			}
 		}
 		small, strong, most := 0, 0, 0
@@ -77,39 +110,34 @@
 		}
 		perSmall := float64(small) / float64(n-strongCount)
 		if perStrong := float64(strong) / float64(max(strongCount, 1)); perStrong < 1.5*perSmall {
-			t.Errorf("%d instances: a strong one has %.1f groups, a small one %.1f", n, perStrong, perSmall)
+			t.Errorf("%d instances: a strong one has %.1f shards, a small one %.1f", n, perStrong, perSmall)
 		}
 		if float64(most) > 5*perSmall {
-			t.Errorf("%d instances: the busiest small one has %d groups, the mean is %.1f", n, most, perSmall)
+			t.Errorf("%d instances: the busiest small one has %d shards, the mean is %.1f", n, most, perSmall)
 		}
 	}
 }
 
 // Guards against a departure that moves owners which have nothing to do with it, and so closes warm connections.
 func TestDepartureMovesFewOwners(t *testing.T) {
-	const groups = 8
+	shards, zonesOf := ownerShards(180)
 	candidates := ownerCandidates(295, 6)
-	before := RankOwners("n7", "z1", candidates, groups)
-	var lost string
-	for _, o := range candidates {
-		if o.Zone == "z1" && o.ID != "n7" {
-			lost = o.ID
-			break
-		}
-	}
-	var rest []Owner
-	for _, o := range candidates {
-		if o.ID != lost {
-			rest = append(rest, o)
-		}
-	}
-	after := RankOwners("n7", "z1", rest, groups)
+	before := PlanGroups("n7", "z1", shards, zonesOf, candidates)
+	lost := before[0].Owners[0].ID
+	rest := slices.DeleteFunc(slices.Clone(candidates), func(o Owner) bool { return o.ID == lost })
+	after := PlanGroups("n7", "z1", shards, zonesOf, rest)
+	moved := 0
 	for g := range before {
-		if len(before[g]) > 0 && before[g][0].ID != lost && before[g][0] != after[g][0] {
-			t.Errorf("group %d moved from %s to %s", g, before[g][0].ID, after[g][0].ID)
+		if before[g].Owners[0].ID == lost {
+			moved++
+		} else if before[g].Owners[0] != after[g].Owners[0] {
+			t.Errorf("group %d moved from %s to %s", g, before[g].Owners[0].ID, after[g].Owners[0].ID)
+		}
+		if len(before[g].Owners) != rankedOwners {
+			t.Errorf("group %d has %d owners", g, len(before[g].Owners))
 		}
 	}
-	if far := RankOwners("x", "elsewhere", candidates, groups); len(far[0]) != rankedOwners {
-		t.Errorf("an instance of a zone without candidates knows %d owners", len(far[0]))
+	if moved == 0 || after[0].Owners[0] != before[0].Owners[1] {
+		t.Errorf("%d groups moved, the first to %+v, want its second owner", moved, after[0].Owners[0])
 	}
 }
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -220,8 +220,8 @@
 	if !route.Sharded() {
 		d.services = []string{route.PickService(rand.Float64())}
 	}
-	if owners := s.Owners[route.Name]; f.settings.Siblings != nil && len(owners) > 0 && (account == nil || len(account.Regions) == 0) {
-		return d.runSplit(owners, now)
+	if groups := s.GatherGroups[route.Name]; f.settings.Siblings != nil && len(groups) > 0 && (account == nil || len(account.Regions) == 0) {
+		return d.runSplit(groups, now)
 	}
 	return d.run(now)
 }
--- a/traffic/split.go
+++ b/traffic/split.go
@@ -37,22 +37,22 @@
 
 // runSplit runs a request to many shards whose groups are gathered by their owners. Retries and hedges are decided by the
 // owner of a group alone, so that the bounds on them are kept: the group is asked for again only if it certainly did not run.
-func (d *dispatchRun) runSplit(owners [][]sibling.Owner, now time.Time) ForwardResult {
+func (d *dispatchRun) runSplit(groups []sibling.GatherGroup, now time.Time) ForwardResult {
 	if d.shouldFailFast(d.services, now) {
 		return d.run(now) // which refuses the request
 	}
 	d.record.Parts = len(d.services)
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
-	results := make(chan groupResult, len(owners))
-	for g := range owners {
-		go func() { results <- d.gatherGroup(ctx, sibling.Group(d.services, g, len(owners)), owners[g]) }()
+	results := make(chan groupResult, len(groups))
+	for _, g := range groups {
+		go func() { results <- d.gatherGroup(ctx, g) }()
 	}
 	merged := mergedGroups{signatures: map[string]bool{}}
 	timer := time.NewTimer(time.Until(d.answerBy))
 	defer timer.Stop()
 	late := false
-	for pending := len(owners); pending > 0; {
+	for pending := len(groups); pending > 0; {
 		select {
 		case r := <-results:
 			pending--
@@ -115,9 +115,9 @@
 
 // gatherGroup returns the parts of one group of shards. It asks the owners in order of preference, passing over those that
 // did not respond lately, and gathers the group itself if none of them could be asked.
-func (d *dispatchRun) gatherGroup(ctx context.Context, shards []string, owners []sibling.Owner) groupResult {
+func (d *dispatchRun) gatherGroup(ctx context.Context, g sibling.GatherGroup) groupResult {
 	var out groupResult
-	for _, o := range owners[:min(len(owners), maxOwnerTries)] {
+	for _, o := range g.Owners[:min(len(g.Owners), maxOwnerTries)] {
 		if o.ID == d.forwarder.settings.Instance {
 			break
 		}
@@ -125,7 +125,7 @@
 		if stats.Avoided(time.Now()) {
 			continue
 		}
-		reply, err := d.askOwner(ctx, o, stats, shards, &out)
+		reply, err := d.askOwner(ctx, o, stats, g.Shards, &out)
 		switch {
 		case errors.Is(err, sibling.ErrNotSent), err == nil && reply.Declined:
 			continue
@@ -136,7 +136,7 @@
 		out.signatures, out.body, out.restLeft, out.mayHaveRun = reply.Signatures, reply.Body, reply.RestLeft, reply.MayHaveRun
 		return out
 	}
-	own := d.part(ctx, shards)
+	own := d.part(ctx, g.Shards)
 	result := own.run(time.Now())
 	out.tries = append(out.tries, own.record.Attempts...)
 	out.take(result)
--- a/traffic/split_test.go
+++ b/traffic/split_test.go
@@ -60,7 +60,7 @@
 	f := &splitFleet{target: target, owners: map[string]*Forwarder{}, stall: map[string]time.Duration{}, calls: map[string]int{}, cancelled: map[string]int{}}
 	route := &target.snapshot.Routing.Routes[0]
 	route.MinCoverage, route.TopRecords = 0.9, 3
-	groups := [][]sibling.Owner{}
+	groups := []sibling.GatherGroup{}
 	for g := range 3 {
 		var owners []sibling.Owner
 		for n := range 2 {
@@ -68,9 +68,10 @@
 			owners = append(owners, sibling.Owner{ID: address[:3], Address: address})
 			f.owners[address] = NewForwarder(ForwarderSettings{Siblings: f, Instance: address[:3], MaxOwnedSends: 100}, target, target, discard{})
 		}
-		groups = append(groups, owners)
+		groups = append(groups, sibling.GatherGroup{Shards: route.Shards[10*g : 10*g+10], Owners: owners})
 	}
-	target.snapshot.Owners = map[string][][]sibling.Owner{route.Name: append(groups, []sibling.Owner{{ID: "entry", Address: "entry:1"}})}
+	groups = append(groups, sibling.GatherGroup{Shards: route.Shards[30:], Owners: []sibling.Owner{{ID: "entry", Address: "entry:1"}}})
+	target.snapshot.GatherGroups = map[string][]sibling.GatherGroup{route.Name: groups}
 	f.entry = NewForwarder(ForwarderSettings{Siblings: f, Instance: "entry"}, target, target, discard{})
 	return f
 }
