Count the time of a gathered group from its sending

Change: requests to owners carry the sender's process and monotonic clock; the owner takes a request that was on its way longer than the fastest one of that sender as held up, takes that time off, and declines what is too late.

--- a/sibling/owners.go
+++ b/sibling/owners.go
@@ -184,6 +184,9 @@
 	// Timeout is the time until the request ends. After SoftTimeout, missing parts are not awaited if the coverage of the
 	// shards suffices.
 	Timeout, SoftTimeout time.Duration
+	// Sender identifies the process that sent the request, and SentAt is its monotonic clock at that time; see Transit.
+	Sender string
+	SentAt time.Duration
 }
 
 // GatherReply is the reply of an owner.
--- a/sibling/siblinggrpc/gather.go
+++ b/sibling/siblinggrpc/gather.go
@@ -37,6 +37,7 @@
 		Header: make(map[string][]string, len(m.GetHeader())), Body: m.GetBody(), Organisation: m.GetOrganisation(), KeyDigest: m.GetKeyDigest(),
 		Shards: m.GetShards(), MaxAttempts: int(m.GetMaxAttempts()),
 		Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, SoftTimeout: time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond,
+		Sender: m.GetSender(), SentAt: time.Duration(m.GetSentAtUs()) * time.Microsecond,
 	}
 	for _, f := range m.GetHeader() {
 		r.Header[f.GetName()] = f.GetValues()
@@ -55,6 +56,7 @@
 		RequestId: r.RequestID, Method: r.Method, RequestUri: r.RequestURI, Path: r.Path, Host: r.Host, Body: r.Body,
 		Organisation: r.Organisation, KeyDigest: r.KeyDigest, Shards: r.Shards, MaxAttempts: uint32(max(r.MaxAttempts, 0)),
 		TimeoutUs: r.Timeout.Microseconds(), SoftTimeoutUs: r.SoftTimeout.Microseconds(),
+		Sender: r.Sender, SentAtUs: r.SentAt.Microseconds(),
 	}
 	for name, values := range r.Header {
 		m.Header = append(m.Header, &siblingpb.HeaderField{Name: name, Values: values})
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"dogwooddrift.org/drift/caller"
 	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/targets"
 )
 
@@ -137,11 +139,19 @@
 	lateness lateness
 	owners   sync.Map     // *targets.TargetStats by the ID of an owner
 	owned    atomic.Int64 // sends that run for siblings
+	transit  *sibling.Transit
+	// started is the origin of the clock in messages to siblings, and process identifies this process there.
+	started time.Time
+	process string
 }
 
 // NewForwarder returns a forwarder that passes the record of each request to recorder.
 func NewForwarder(s ForwarderSettings, l RoutingLoop, sender TargetSender, recorder Recorder) *Forwarder {
-	return &Forwarder{settings: s, loop: l, sender: sender, recorder: recorder}
+	now := time.Now()
+	return &Forwarder{
+		settings: s, loop: l, sender: sender, recorder: recorder, transit: sibling.NewTransit(), started: now,
+		process: s.Instance + "/" + strconv.FormatInt(now.UnixNano(), 36),
+	}
 }
 
 // The retry delays that refusals recommend to callers.
--- a/traffic/split.go
+++ b/traffic/split.go
@@ -177,6 +177,7 @@
 		RequestID: r.ID, Method: r.Method, RequestURI: r.RequestURI, Path: r.Path, Host: r.Host, Header: r.Header, Body: r.Body,
 		Organisation: d.organisation, KeyDigest: d.keyDigest, Shards: shards, MaxAttempts: d.maxAttempts(),
 		Timeout: d.deadline.Sub(sentAt) - groupReplyMargin, SoftTimeout: d.answerBy.Sub(sentAt) - groupReplyMargin,
+		Sender: d.forwarder.process, SentAt: sentAt.Sub(d.forwarder.started),
 	})
 	now := time.Now()
 	try := AttemptRecord{
@@ -241,6 +242,9 @@
 	now := time.Now()
 	declined := sibling.GatherReply{Declined: true}
 	s := f.loop.Snapshot()
+	// The request may have been held up on its way, and its time counts from the sending.
+	delay := f.transit.Delay(r.Sender, r.SentAt, now.Sub(f.started))
+	r.Timeout, r.SoftTimeout = r.Timeout-delay, r.SoftTimeout-delay
 	if s.Routing == nil || len(r.Shards) == 0 || r.Timeout <= 0 {
 		return declined
 	}
--- a/traffic/split_test.go
+++ b/traffic/split_test.go
@@ -195,6 +195,9 @@
 	if reply := owner.GatherShards(context.Background(), request); reply.Declined || len(reply.Signatures) != 10 {
 		t.Errorf("reply %+v", reply)
 	}
+	first := request
+	first.Sender = "a"
+	owner.GatherShards(context.Background(), first)
 	if len(f.calls) != 0 {
 		t.Errorf("the owner asked others: %v", f.calls)
 	}
@@ -202,6 +205,7 @@
 		"unknown shard":        func(r *sibling.GatherRequest) { r.Shards = []string{"other"} },
 		"no shards":            func(r *sibling.GatherRequest) { r.Shards = nil },
 		"unknown route":        func(r *sibling.GatherRequest) { r.Host = "elsewhere" },
+		"held up by a cut":     func(r *sibling.GatherRequest) { r.Sender, r.SentAt = "a", -5*time.Second },
 		"deadline passed":      func(r *sibling.GatherRequest) { r.Timeout = 0 },
 		"unknown organisation": func(r *sibling.GatherRequest) { r.Organisation = "o" },
 		"too much to do":       func(r *sibling.GatherRequest) { r.Shards = slices.Concat(shards, shards, shards) },
