--- a/sibling/siblinggrpc/changes.go
+++ b/sibling/siblinggrpc/changes.go
@@ -57,14 +57,22 @@
 func callChanges[Q, R any](ctx context.Context, c *Client, to sibling.Member, request Q,
 	method func(siblingpb.ChangesClient, context.Context, Q, ...grpc.CallOption) (R, error),
 ) (R, error) {
+	return callTracked(ctx, c, to.PeerAddress, func(ctx context.Context, conn grpc.ClientConnInterface) (R, error) {
+		return method(siblingpb.NewChangesClient(conn), ctx, request)
+	})
+}
+
+// callTracked makes a call to the sibling at an address. Its error wraps sibling.ErrNotSent only if the sibling certainly did
+// not receive the message.
+func callTracked[R any](ctx context.Context, c *Client, address string, method func(context.Context, grpc.ClientConnInterface) (R, error)) (R, error) {
 	var zero R
-	conn, err := c.acquire(to.PeerAddress)
+	conn, err := c.acquire(address)
 	if err != nil {
 		return zero, err
 	}
 	var sent atomic.Bool
-	reply, err := method(siblingpb.NewChangesClient(conn), context.WithValue(ctx, sentKey{}, &sent), request)
-	c.release(to.PeerAddress, conn, err)
+	reply, err := method(context.WithValue(ctx, sentKey{}, &sent), conn)
+	c.release(address, conn, err)
 	switch {
 	case err == nil:
 		return reply, nil
--- a/sibling/siblinggrpc/gather.go
+++ b/sibling/siblinggrpc/gather.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
 	"dogwooddrift.org/drift/sibling"
@@ -61,21 +59,14 @@
 	for name, values := range r.Header {
 		m.Header = append(m.Header, &siblingpb.HeaderField{Name: name, Values: values})
 	}
-	conn, err := c.acquire(address)
+	reply, err := callTracked(ctx, c, address, func(ctx context.Context, conn grpc.ClientConnInterface) (*siblingpb.GatherReply, error) {
+		return siblingpb.NewGathererClient(conn).Gather(ctx, m)
+	})
 	if err != nil {
 		return sibling.GatherReply{}, err
 	}
-	var sent atomic.Bool
-	reply, err := siblingpb.NewGathererClient(conn).Gather(context.WithValue(ctx, sentKey{}, &sent), m)
-	c.release(address, conn, err)
-	switch {
-	case err == nil:
-		return sibling.GatherReply{
-			Declined: reply.GetDeclined(), Signatures: reply.GetSignatures(), Body: reply.GetBody(), MayHaveRun: reply.GetMayHaveRun(),
-			RestLeft: time.Duration(reply.GetRestLeftMs()) * time.Millisecond,
-		}, nil
-	case !sent.Load():
-		return sibling.GatherReply{}, oops.In("sibling").Wrapf(sibling.ErrNotSent, "%v", err)
-	}
-	return sibling.GatherReply{}, translate(err)
+	return sibling.GatherReply{
+		Declined: reply.GetDeclined(), Signatures: reply.GetSignatures(), Body: reply.GetBody(), MayHaveRun: reply.GetMayHaveRun(),
+		RestLeft: time.Duration(reply.GetRestLeftMs()) * time.Millisecond,
+	}, nil
 }
--- /dev/null
+++ b/sibling/siblinggrpc/gather_test.go
@@ -0,0 +1,55 @@
+package siblinggrpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"dogwooddrift.org/drift/sibling"
+)
+
+// fakeGatherer stores the request that it gets and returns a fixed reply.
+type fakeGatherer struct {
+	got   sibling.GatherRequest
+	reply sibling.GatherReply
+}
+
+func (f *fakeGatherer) GatherShards(_ context.Context, r sibling.GatherRequest) sibling.GatherReply {
+	f.got = r
+	return f.reply
+}
+
+// Guards against requests to owners and their replies that differ after encoding and decoding, and against a request that
+// counts as perhaps run although no connection was made.
+func TestGatherSurvivesTheWire(t *testing.T) {
+	f := &fakeGatherer{reply: sibling.GatherReply{Signatures: []string{"a", "b"}, Body: []byte("records"), MayHaveRun: true, RestLeft: 250 * time.Millisecond}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(ServerOptions()...)
+	RegisterGatherer(server, f)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	client := NewClient()
+	t.Cleanup(client.Close)
+	sent := sibling.GatherRequest{
+		RequestID: "id", Method: "POST", RequestURI: "/a?b", Path: "/a", Host: "h", Header: map[string][]string{"X-Own": {"1", "2"}}, Body: []byte("body"),
+		Organisation: "o", KeyDigest: "digest", Shards: []string{"s", "t"}, MaxAttempts: 2, Timeout: 300 * time.Millisecond,
+		SoftTimeout: -2 * time.Millisecond, Sender: "edge-1/x", SentAt: 5 * time.Second,
+	}
+	got, err := client.GatherShards(t.Context(), listener.Addr().String(), sent)
+	if err != nil || !reflect.DeepEqual(got, f.reply) || !reflect.DeepEqual(f.got, sent) {
+		t.Errorf("request %+v\nreply %+v, %v", f.got, got, err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, err := client.GatherShards(ctx, "127.0.0.1:1", sent); !errors.Is(err, sibling.ErrNotSent) {
+		t.Errorf("no listener: %v, want %v", err, sibling.ErrNotSent)
+	}
+}
