--- a/traffic/split_test.go
+++ b/traffic/split_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -76,6 +77,13 @@
 	return f
 }
 
+// callCounts returns the number of calls by address.
+func (f *splitFleet) callCounts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.calls)
+}
+
 // signedReply returns a part that is signed by the target's service and holds a record of it.
 func signedReply(t *targets.Target) TargetReply {
 	body := make([]byte, targets.RecordSize)
@@ -96,7 +104,7 @@
 	if len(unique) != parts || len(g.Signatures) != parts || g.MissingParts != splitShards-parts || len(g.Body) != 3*targets.RecordSize {
 		t.Errorf("%d signatures (%d different), %d missing, %d bytes, want %d parts", len(g.Signatures), len(unique), g.MissingParts, len(g.Body), parts)
 	}
-	for id, n := range f.target.sends {
+	for id, n := range f.target.counts() {
 		if n > 1 {
 			t.Errorf("%d requests to %s", n, id)
 		}
@@ -108,12 +116,12 @@
 func TestOwnersGatherTheGroups(t *testing.T) {
 	f := newSplitFleet(t, signedReply)
 	f.check(t, f.target.forward(f.entry, 1), splitShards)
-	if len(f.calls) != 3 {
-		t.Errorf("calls %v, want one to the first owner of each group", f.calls)
+	if len(f.callCounts()) != 3 {
+		t.Errorf("calls %v, want one to the first owner of each group", f.callCounts())
 	}
 	for g := range 3 {
-		if f.calls[fmt.Sprintf("o%d0:1", g)] != 1 {
-			t.Errorf("calls %v, want one to the first owner of each group", f.calls)
+		if f.callCounts()[fmt.Sprintf("o%d0:1", g)] != 1 {
+			t.Errorf("calls %v, want one to the first owner of each group", f.callCounts())
 		}
 	}
 }
@@ -132,8 +140,8 @@
 	old := &wishFleet{snapshot: &routing.Snapshot{Routing: &document.Routing{}}}
 	f.owners["o20:1"] = NewForwarder(ForwarderSettings{}, old, old, discard{})
 	f.check(t, f.target.forward(f.entry, 1), splitShards)
-	if f.calls["o01:1"] != 1 || f.calls["o21:1"] != 1 {
-		t.Errorf("calls %v, want one to each second owner", f.calls)
+	if f.callCounts()["o01:1"] != 1 || f.callCounts()["o21:1"] != 1 {
+		t.Errorf("calls %v, want one to each second owner", f.callCounts())
 	}
 }
 
@@ -151,11 +159,11 @@
 	if d.Refusal == nil || d.Refusal.Ran != caller.RanUnknown {
 		t.Fatalf("30 of 40 parts with a coverage of 0.9: %+v", d)
 	}
-	if f.calls["o00:1"]+f.calls["o01:1"] != 1 {
-		t.Errorf("calls %v, want one to the lost group", f.calls)
+	if f.callCounts()["o00:1"]+f.callCounts()["o01:1"] != 1 {
+		t.Errorf("calls %v, want one to the lost group", f.callCounts())
 	}
 	f.target.snapshot.Routing.Routes[0].MinCoverage = 0.7
-	f.target.sends = map[string]int{}
+	f.target.reset(signedReply)
 	// The owner that did not reply is avoided now, and the second one is lost too.
 	f.check(t, f.target.forward(f.entry, 2), splitShards-10)
 }
@@ -170,10 +178,10 @@
 	if took := time.Since(started); took > 400*time.Millisecond {
 		t.Errorf("answered after %v, want by the objective of 200 ms", took)
 	}
-	f.target.sends = map[string]int{}
+	f.target.reset(signedReply)
 	f.check(t, f.target.forward(f.entry, 2), splitShards)
-	if f.calls["o00:1"] != 1 || f.calls["o01:1"] != 1 {
-		t.Errorf("calls %v, want the second owner at the second request", f.calls)
+	if f.callCounts()["o00:1"] != 1 || f.callCounts()["o01:1"] != 1 {
+		t.Errorf("calls %v, want the second owner at the second request", f.callCounts())
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,8 +206,8 @@
 	first := request
 	first.Sender = "a"
 	owner.GatherShards(context.Background(), first)
-	if len(f.calls) != 0 {
-		t.Errorf("the owner asked others: %v", f.calls)
+	if len(f.callCounts()) != 0 {
+		t.Errorf("the owner asked others: %v", f.callCounts())
 	}
 	for name, change := range map[string]func(*sibling.GatherRequest){
 		"unknown shard":        func(r *sibling.GatherRequest) { r.Shards = []string{"other"} },
@@ -219,14 +227,14 @@
 	if owner.OwnedSends() != 0 {
 		t.Errorf("%d sends still counted", owner.OwnedSends())
 	}
-	f.target.reply = func(*targets.Target) TargetReply { return TargetReply{Outcome: targets.LegFailed, Status: 500} }
-	f.target.sends = map[string]int{}
+	f.target.reset(func(*targets.Target) TargetReply { return TargetReply{Outcome: targets.LegFailed, Status: 500} })
 	if reply := owner.GatherShards(context.Background(), request); !reply.MayHaveRun || len(reply.Signatures) != 0 {
 		t.Errorf("all targets failed: %+v", reply)
 	}
-	for id := range f.target.sends {
+	sends := f.target.counts()
+	for id := range sends {
 		other := id[:len(id)-1] + string('0'+'1'-id[len(id)-1])
-		if f.target.sends[other] > 0 && f.target.sends[id] > 0 {
+		if sends[other] > 0 && sends[id] > 0 {
 			t.Errorf("both targets of a shard ran the request, %s and %s, with one attempt allowed", id, other)
 		}
 	}
--- a/traffic/wish_test.go
+++ b/traffic/wish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -47,6 +48,20 @@
 	return reply
 }
 
+// counts returns the number of sends by target.
+func (f *wishFleet) counts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.sends)
+}
+
+// reset forgets the sends and makes targets reply as reply returns. Sends of earlier requests may still end.
+func (f *wishFleet) reset(reply func(*targets.Target) TargetReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends, f.reply = map[string]int{}, reply
+}
+
 func newWishFleet(t *testing.T, shards, replicas int, reply func(*targets.Target) TargetReply) (*wishFleet, *Forwarder) {
 	t.Helper()
 	r := &document.Routing{Version: 1}
@@ -93,10 +108,12 @@
 			t.Fatalf("request %d: %+v", n, d.Refusal)
 		}
 	}
-	if f.sends[leaving] != 1 {
-		t.Errorf("%d requests to the target that is leaving, want the one that brought the news", f.sends[leaving])
+	if n := f.counts()[leaving]; n != 1 {
+		t.Errorf("%d requests to the target that is leaving, want the one that brought the news", n)
 	}
 	told := 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, e := range f.events {
 		if x, ok := e.(routing.TargetLeaving); ok && x.Target.ID == leaving {
 			told++
@@ -155,7 +172,7 @@
 		}
 		delays[d.Refusal.RetryAfter.Round(10*time.Millisecond)] = true
 	}
-	for id, n := range f.sends {
+	for id, n := range f.counts() {
 		if n > 2 {
 			t.Errorf("%d requests to %s during its rest", n, id)
 		}
@@ -180,8 +197,8 @@
 			t.Errorf("request %d: %+v, %+v after %v", n, d.Gathered, d.Refusal, time.Since(started))
 		}
 	}
-	if f.sends["s0-0"] != 1 {
-		t.Errorf("%d requests to the resting target", f.sends["s0-0"])
+	if n := f.counts()["s0-0"]; n != 1 {
+		t.Errorf("%d requests to the resting target", n)
 	}
 }
 
@@ -208,16 +225,22 @@
 	single, forwarder := newWishFleet(t, 1, 1, func(*targets.Target) TargetReply {
 		return TargetReply{Outcome: targets.LegReplied, Status: 200, Signature: "s", Held: hold(100)}
 	})
-	d := single.forward(forwarder, 0)
-	if budget.Used() != 100 {
-		t.Errorf("%d bytes held while the reply is written, want 100", budget.Used())
+	// The replies to hedges may arrive after the answers, and are released then.
+	await := func(bytes int64, when string) {
+		t.Helper()
+		for limit := time.Now().Add(5 * time.Second); budget.Used() != bytes; time.Sleep(time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("%d bytes held %s, want %d", budget.Used(), when, bytes)
+			}
+		}
 	}
+	await(0, "after the gathered answers")
+	d := single.forward(forwarder, 0)
+	await(100, "while the reply is written")
 	d.Release()
 	late := &attemptEnds{arrived: make(chan struct{}, 1)}
 	late.put(&attemptEnd{reply: TargetReply{Held: hold(10)}})
 	late.close()
 	late.put(&attemptEnd{reply: TargetReply{Held: hold(10)}})
-	if budget.Used() != 0 {
-		t.Errorf("%d bytes still held", budget.Used())
-	}
+	await(0, "at the end")
 }
