--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -322,8 +322,9 @@
 	services []string
 	// answerBy is when a gathered answer with sufficient coverage leaves.
 	answerBy time.Time
-	// forSibling is set if the parts are gathered for a sibling, to which also a few of them are of use.
-	forSibling bool
+	// isGroup is set if the services are one group of the shards of a request: each of its parts is of use, whatever the
+	// coverage of the group.
+	isGroup bool
 	// attemptLimit bounds the attempts below the limit of the route; 0 means that the route's limit applies.
 	attemptLimit int
 	fingerprint  targets.Fingerprint
@@ -341,58 +342,6 @@
 	signatures map[string]bool
 }
 
-// attemptEnd is the reply to an attempt, by the number of the attempt.
-type attemptEnd struct {
-	attempt int
-	reply   TargetReply
-}
-
-// attemptEnds passes the ends of attempts to the goroutine of the request.
-type attemptEnds struct {
-	// arrived receives a value when ends arrive. It has room for one.
-	arrived chan struct{}
-	mu      sync.Mutex
-	ends    []*attemptEnd
-	closed  bool
-}
-
-// put adds the end of an attempt. After close, it releases the reply instead.
-func (e *attemptEnds) put(end *attemptEnd) {
-	e.mu.Lock()
-	closed := e.closed
-	if !closed {
-		e.ends = append(e.ends, end)
-	}
-	e.mu.Unlock()
-	if closed {
-		end.reply.Held.Release()
-		return
-	}
-	select {
-	case e.arrived <- struct{}{}:
-	default:
-	}
-}
-
-// take returns the ends that arrived since the last call.
-func (e *attemptEnds) take() []*attemptEnd {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	ends := e.ends
-	e.ends = nil
-	return ends
-}
-
-// close releases the replies that were not taken and all that arrive later.
-func (e *attemptEnds) close() {
-	e.mu.Lock()
-	e.closed = true
-	e.mu.Unlock()
-	for _, end := range e.take() {
-		end.reply.Held.Release()
-	}
-}
-
 // The divisors of the latency objective that give the maximum delay after which a hedged request is sent to a second
 // target. A sharded request waits for the slowest of many parts and hedges sooner; the latencies of a request to a single
 // service vary more, and most of its slow replies are due to long-running work.
@@ -406,7 +355,7 @@
 	for _, s := range services {
 		d.snapshot.RetryBudget(s).RecordRequest(now)
 	}
-	if !d.forSibling && d.shouldFailFast(services, now) {
+	if !d.isGroup && d.shouldFailFast(services, now) {
 		retry := unreachableRetry
 		if !d.snapshot.Ready {
 			retry = isolatedRetry
@@ -459,7 +408,7 @@
 	}
 	result := d.result(dispatch)
 	d.releaseReplies(result.Reply)
-	if now := time.Now(); woken && !d.forSibling && result.Gathered != nil && now.After(answerBy) {
+	if now := time.Now(); woken && !d.isGroup && result.Gathered != nil && now.After(answerBy) {
 		// The timer alone triggered the answer, so this instance itself caused its delay after answerBy.
 		d.forwarder.lateness.observe(now.Sub(answerBy))
 	}
@@ -679,7 +628,7 @@
 		mayHaveRun = mayHaveRun || r.MayHaveRun
 	}
 	if d.route.Sharded() {
-		if g := d.gather(results); m.EnoughParts(len(g.Signatures)) || d.forSibling && len(g.Signatures) > 0 {
+		if g := d.gather(results); m.EnoughParts(len(g.Signatures)) || d.isGroup && len(g.Signatures) > 0 {
 			d.record.Covered = len(g.Signatures)
 			return ForwardResult{Gathered: g}
 		}
--- a/traffic/split.go
+++ b/traffic/split.go
@@ -160,7 +160,7 @@
 func (d *dispatchRun) part(ctx context.Context, shards []string) *dispatchRun {
 	return &dispatchRun{
 		forwarder: d.forwarder, ctx: ctx, request: d.request, keyDigest: d.keyDigest, route: d.route, account: d.account,
-		organisation: d.organisation, snapshot: d.snapshot, deadline: d.deadline, services: shards, answerBy: d.answerBy, forSibling: true,
+		organisation: d.organisation, snapshot: d.snapshot, deadline: d.deadline, services: shards, answerBy: d.answerBy, isGroup: true,
 		fingerprint: d.fingerprint, record: &Record{ID: d.record.ID, Received: d.record.Received},
 	}
 }
@@ -271,7 +271,7 @@
 	}
 	d := &dispatchRun{
 		forwarder: f, ctx: ctx, request: request, keyDigest: r.KeyDigest, route: route, account: account, organisation: r.Organisation,
-		snapshot: s, deadline: now.Add(r.Timeout), services: r.Shards, answerBy: now.Add(r.SoftTimeout), forSibling: true,
+		snapshot: s, deadline: now.Add(r.Timeout), services: r.Shards, answerBy: now.Add(r.SoftTimeout), isGroup: true,
 		attemptLimit: r.MaxAttempts, fingerprint: fingerprintOf(route, request, r.Organisation), record: record,
 	}
 	result := d.run(now)
