--- a/review/1/main.go
+++ b/review/1/main.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	clients = 90
+	clients = 240
 	length  = 95 * time.Second
 	// The disruption: spells of garbleFor after pauses of garblePause, in which one of the two searchers sends a second
 	// copy of copyShare of its answers late, where the next answer on the connection is expected.
@@ -33,7 +33,7 @@
 	var garbling atomic.Bool
 	var searchers []*harness.Searcher
 	for n, zone := range []string{"a", "b"} {
-		s := &harness.Searcher{ID: fmt.Sprintf("i-desk-%d", n), Service: "desk", Zone: zone, Slots: 6 - 5*n, Queue: 1 - n}
+		s := &harness.Searcher{ID: fmt.Sprintf("i-desk-%d", n), Service: "desk", Zone: zone, Slots: 16 - 14*n, Queue: 2 - 2*n}
 		s.Work = func() time.Duration { return workTime/2 + time.Duration(rand.Int64N(int64(workTime))) }
 		if n == 0 {
 			s.Copy = func() bool { return garbling.Load() && rand.Float64() < copyShare }
