--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -320,13 +320,14 @@
 // Balancer tells which edges get new connections: it asks each of them once a second, and two misses in a row take an edge
 // out.
 type Balancer struct {
+	edges  []*Edge
 	mu     sync.Mutex
 	misses map[*Edge]int
 }
 
 // NewBalancer starts a balancer for the edges, which runs until ctx ends.
 func NewBalancer(ctx context.Context, edges []*Edge) *Balancer {
-	b := &Balancer{misses: map[*Edge]int{}}
+	b := &Balancer{edges: edges, misses: map[*Edge]int{}}
 	for _, e := range edges {
 		go func() {
 			for ctx.Err() == nil {
@@ -352,6 +353,32 @@
 	return b.misses[e] < 2
 }
 
+// Choose returns the edge of a client's new connection from a zone, as the platform does by a hash of the client: one of the
+// zone's edges in rotation; if fewer than half of them are, one of all the zone's edges; if none is, one of the others in
+// rotation.
+func (b *Balancer) Choose(client int, zone string) *Edge {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all, in, others []*Edge
+	for _, e := range b.edges {
+		switch misses := b.misses[e]; {
+		case e.Zone == zone && misses < 2:
+			all, in = append(all, e), append(in, e)
+		case e.Zone == zone:
+			all = append(all, e)
+		case misses < 2:
+			others = append(others, e)
+		}
+	}
+	switch {
+	case len(in) == 0 && len(others) > 0:
+		return others[client%len(others)]
+	case 2*len(in) < len(all):
+		return all[client%len(all)]
+	}
+	return in[client%len(in)]
+}
+
 // Link is a proxy between a machine and the store. While it is cut, it passes on nothing in either direction: connections
 // stay open and silent.
 type Link struct {
