--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -66,6 +66,8 @@
 	Record *Record
 	Store  *Store
 	Edges  []*Edge
+	// CPUShare is the part of a core that the settings of the edges state; 1 if it is 0.
+	CPUShare float64
 
 	dir     string
 	closers []func()
@@ -149,6 +151,10 @@
 			d.Edges = append(d.Edges, e)
 		}
 	}
+	share := d.CPUShare
+	if share == 0 {
+		share = 1
+	}
 	var seeds []string
 	for z := range zones {
 		seeds = append(seeds, fmt.Sprintf("%q", d.Edges[z*count].Control))
@@ -177,7 +183,7 @@
 Readiness = %q
 Control = %q
 [Limits]
-CpuShare = 1.0
+CpuShare = %g
 CpuCores = 1
 MemoryMb = 284
 MaxOpenFiles = 4100
@@ -217,7 +223,7 @@
 ReadsPerS = 2000
 HistoryS = 20
 ValueBytes = 1048576
-`, e.Name, e.ip, e.Zone, strings.Join(seeds, ","), zoneLines.String(), e.Callers, e.Readiness, e.Control, ContactMs, DrainMs, GraceS,
+`, e.Name, e.ip, e.Zone, strings.Join(seeds, ","), zoneLines.String(), e.Callers, e.Readiness, e.Control, share, ContactMs, DrainMs, GraceS,
 			ConfigApplyMs, e.StoreLink.Address)
 		if err := os.WriteFile(e.file, []byte(text), 0o600); err != nil {
 			return err
--- a/review/harness/searcher.go
+++ b/review/harness/searcher.go
@@ -21,6 +21,10 @@
 	// Copy reports whether a second copy of an answer that was just sent follows it late, at the point where the answer to
 	// the next request on the connection is expected.
 	Copy func() bool
+	// Body returns the body of the answer to a request; nil for a short text.
+	Body func(r *http.Request) []byte
+	// Quiet leaves the runs of this searcher out of the record: the case writes them itself.
+	Quiet bool
 
 	record  *Record
 	address string
@@ -181,7 +185,9 @@
 	s.running++
 	s.runs[id] = append(s.runs[id], time.Now())
 	s.mu.Unlock()
-	s.record.Line("searcher %s runs %s of tenant %q", s.ID, id, r.Header.Get("Tenant"))
+	if !s.Quiet {
+		s.record.Line("searcher %s runs %s of tenant %q", s.ID, id, r.Header.Get("Tenant"))
+	}
 	if s.Crashes != nil && s.Crashes(r) {
 		s.Stop()
 		return nil, false
@@ -189,7 +195,10 @@
 	time.Sleep(s.Work())
 	s.mu.Lock()
 	s.running--
-	text := fmt.Sprintf("done by %s", s.ID)
+	text := fmt.Appendf(nil, "done by %s", s.ID)
+	if s.Body != nil {
+		text = s.Body(r)
+	}
 	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, id, load(), len(text), text)
 	s.mu.Unlock()
 	<-slots
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -146,10 +146,15 @@
 
 // Route is a route of the operators' configuration.
 type Route struct {
-	Name, Host, Prefix, Type, Service string
-	TimeoutMs, TargetLatencyMs        int
-	Priority, MaxAttempts             int
-	Public                            bool
+	Name, Host, Prefix, Type   string
+	Service                    string `json:",omitempty"`
+	TimeoutMs, TargetLatencyMs int
+	Priority, MaxAttempts      int
+	Public                     bool
+	// Fanout, TopK and MinCoverage are set instead of Service on a route to many shards.
+	Fanout      []string `json:",omitempty"`
+	TopK        int      `json:",omitempty"`
+	MinCoverage float64  `json:",omitempty"`
 }
 
 // Tenant is a tenant of the operators' configuration.
