--- a/review/harness/searcher.go
+++ b/review/harness/searcher.go
@@ -26,6 +26,7 @@
 	// Quiet leaves the runs of this searcher out of the record: the case writes them itself.
 	Quiet bool
 
+	leaving string // header field of all answers, empty unless the searcher is leaving
 	record  *Record
 	address string
 	mu      sync.Mutex
@@ -53,13 +54,27 @@
 
 // Register writes the searcher's entry.
 func (s *Searcher) Register(store *Store, state string) time.Time {
+	return store.Put(s.Key(), s.Entry(state, 1))
+}
+
+// Key returns the key of the searcher's entry.
+func (s *Searcher) Key() string { return "servers/" + s.ID }
+
+// Entry returns an entry of the searcher. sequence counts what it has written since its start.
+func (s *Searcher) Entry(state string, sequence int) map[string]any {
 	s.mu.Lock()
-	born := s.born
-	s.mu.Unlock()
-	return store.Put("servers/"+s.ID, map[string]any{
+	defer s.mu.Unlock()
+	return map[string]any{
 		"Service": s.Service, "Address": s.address, "Zone": s.Zone, "Version": "v1", "Capacity": s.Slots, "State": state,
-		"WarmupLeftMs": 0, "Sequence": 1, "born": born,
-	})
+		"WarmupLeftMs": 0, "Sequence": sequence, "born": s.born,
+	}
+}
+
+// Leave makes the searcher say in all its answers that it is leaving.
+func (s *Searcher) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = "Server-Leaving: 1\r\n"
 }
 
 func (s *Searcher) start(l net.Listener) {
@@ -159,17 +174,17 @@
 	switch {
 	case r.URL.Path == "/health":
 		defer s.mu.Unlock()
-		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", s.ID, load()), true
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %s\r\n%sContent-Length: 0\r\n\r\n", s.ID, load(), s.leaving), true
 	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != s.ID:
 		defer s.mu.Unlock()
-		return fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, s.ID), true
+		return fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, s.ID, s.leaving), true
 	case id == "":
 		defer s.mu.Unlock()
 		return []byte("HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"), true
 	case len(s.slots) == cap(s.slots) && s.waiting >= s.Queue:
 		defer s.mu.Unlock()
 		s.record.Line("searcher %s is full and turns %s away", s.ID, id)
-		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", id, load()), true
+		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nServer-Load: %s\r\n%sContent-Length: 0\r\n\r\n", id, load(), s.leaving), true
 	}
 	slots := s.slots
 	s.waiting++
@@ -199,7 +214,7 @@
 	if s.Body != nil {
 		text = s.Body(r)
 	}
-	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.ID, id, load(), len(text), text)
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: %s.%s\r\nServer-Load: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.ID, id, load(), s.leaving, len(text), text)
 	s.mu.Unlock()
 	<-slots
 	return answer, true
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -55,6 +56,37 @@
 	return s.write(item{Key: key, Value: text})
 }
 
+// PutEntry writes a searcher's entry as Put does, unless nothing but its Sequence would change.
+func (s *Store) PutEntry(key string, entry map[string]any) time.Time {
+	text, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // the cases write values that encode
+	}
+	s.mu.Lock()
+	var newest []byte
+	for _, i := range s.events {
+		if i.Key == key {
+			newest = i.Value
+		}
+	}
+	s.mu.Unlock()
+	if sameButSequence(newest, text) {
+		return time.Now()
+	}
+	return s.write(item{Key: key, Value: text})
+}
+
+// sameButSequence reports whether two entries differ in nothing but their Sequence.
+func sameButSequence(a, b []byte) bool {
+	var x, y map[string]any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	delete(x, "Sequence")
+	delete(y, "Sequence")
+	return reflect.DeepEqual(x, y)
+}
+
 // Remove removes a key and returns the time of the acknowledgement.
 func (s *Store) Remove(key string) time.Time { return s.write(item{Key: key, Removed: true}) }
 
