A planned stop accepts only what it can answer, and answers what still runs at its end

Cause: the drain only waited for a moment without requests in flight. Requests of kept connections were passed on until the end of the grace time, whatever time they might take, and http.Server.Shutdown then got a context that had ended, so that Close cut all connections. Nothing answered what still ran.

At the end each running request gets a final answer. All requests are refused before connections are closed. The same holds for groups of shards gathered for siblings. The event that begins the stop is no longer lost when the control queue is full.

--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -43,7 +43,8 @@
 func (e *edgeProcess) start(t *testing.T) {
 	t.Helper()
 	e.process = exec.Command(os.Args[0], "edge", "--metrics-port", "0", "--notice", edgeNotice.String())
-	e.process.Env = append(os.Environ(), mainVariable+"=1", nodefile.PathVariable+"="+e.settingsPath)
+	// The race detector would sleep for a second at the end of the process.
+	e.process.Env = append(os.Environ(), mainVariable+"=1", nodefile.PathVariable+"="+e.settingsPath, "GORACE=atexit_sleep_ms=0")
 	log, err := os.OpenFile(e.settingsPath+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -85,8 +85,10 @@
 	softMemoryLimitFraction = 0.7
 	// housekeepingInterval is the period of closing idle connections, setting the gauges and reading the settings file.
 	housekeepingInterval = time.Second
-	// exitReserve is the end of the shutdown grace time that is reserved for the exit of the process.
+	// exitReserve is the end of the shutdown grace time that is reserved for the last answers, which take closeTime at most,
+	// and the exit of the process.
 	exitReserve = 700 * time.Millisecond
+	closeTime   = 400 * time.Millisecond
 	// replyMemoryFraction and bodyMemoryFraction are the fractions of the memory limit that the replies of targets and the
 	// bodies of callers' requests may take, and assumedMemoryMB is the limit that is assumed if none is set.
 	replyMemoryFraction = 0.25
@@ -100,6 +102,8 @@
 	maxCallerHeaderBytes = 64 << 10
 	// maxStoreHeaderBytes bounds the header of a reply of the platform's store.
 	maxStoreHeaderBytes = 64 << 10
+	// postRetryInterval is the time between two attempts to queue an event that must not be lost.
+	postRetryInterval = 10 * time.Millisecond
 	// drainPollInterval is the time between two checks whether requests are in flight.
 	drainPollInterval = 100 * time.Millisecond
 )
@@ -249,7 +253,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			n.drain(callers)
+			n.drain(work, callers, peers)
 		case <-work.Done():
 		}
 		for _, s := range []*http.Server{callers, readiness, operators} {
@@ -274,20 +278,33 @@
 	return err
 }
 
-// drain shuts the instance down gracefully: it reports unready, serves on for the notice time, waits for the requests in
-// flight and then closes the callers' server.
-func (n *Node) drain(callers *http.Server) {
-	n.log.Info().Dur("notice", n.config.Notice).Msg("edge: stopping")
-	n.loop.Post(routing.Leaving{})
-	limitCtx, cancel := context.WithTimeout(context.Background(), max(n.settings.ShutdownGrace-exitReserve, n.config.Notice+time.Second))
+// drain shuts the instance down gracefully: it reports unready, serves on for the notice time, then only accepts requests
+// that it can answer in time, and closes the servers when no request is in flight. The requests that still run at the end
+// of the grace time get the final answer that is possible then.
+func (n *Node) drain(ctx context.Context, callers *http.Server, peers *grpc.Server) {
+	now := time.Now()
+	stop := caller.Stop{NoticeEnds: now.Add(n.config.Notice), Ends: now.Add(max(n.settings.ShutdownGrace-exitReserve, n.config.Notice+time.Second))}
+	n.log.Info().Dur("notice", n.config.Notice).Time("ends", stop.Ends).Msg("edge: stopping")
+	n.post(ctx, routing.Leaving{Stop: stop})
+	running, cancel := context.WithDeadline(ctx, stop.Ends)
+	defer cancel()
+	shutdown.Sleep(running, n.config.Notice)
+	n.awaitIdle(running)
+	shutdown.AwaitQuiet(running, n.handler.LastArrival)
+	n.forwarder.RefuseAll()
+	n.awaitIdle(running)
+	if left := n.handler.InFlight() + n.forwarder.OwnedSends(); left > 0 {
+		n.log.Warn().Int64("running", left).Msg("edge: requests end with the grace time")
+	}
+	n.forwarder.EndRunning()
+	closing, cancel := context.WithTimeout(ctx, closeTime)
 	defer cancel()
-	shutdown.Sleep(limitCtx, n.config.Notice)
-	n.awaitIdle(limitCtx)
-	shutdown.AwaitQuiet(limitCtx, n.handler.LastArrival)
-	n.awaitIdle(limitCtx)
-	if err := callers.Shutdown(limitCtx); err != nil {
-		n.log.Warn().Int64("running", n.handler.InFlight()).Msg("edge: requests were still running at the end of the grace time")
+	if err := callers.Shutdown(closing); err != nil {
+		n.log.Warn().Err(err).Int64("running", n.handler.InFlight()).Msg("edge: callers' connections are closed before their requests have ended")
 	}
+	stopPeers := context.AfterFunc(closing, peers.Stop)
+	defer stopPeers()
+	peers.GracefulStop()
 }
 
 // awaitIdle waits until no request is in flight and nothing runs for siblings.
@@ -411,7 +428,7 @@
 
 func (x *executor) readStore(e routing.ReadStore) {
 	update, err := x.node.store.Read(x.ctx, e)
-	x.post(routing.StoreRead{Update: update, Err: err})
+	x.node.post(x.ctx, routing.StoreRead{Update: update, Err: err})
 }
 
 func (x *executor) exchangeGossip(e routing.SendGossip) {
@@ -419,18 +436,18 @@
 	defer cancel()
 	reply, err := x.node.siblings.ExchangeGossip(ctx, e.Address, e.Message)
 	if err != nil {
-		x.post(routing.GossipFailed{Address: e.Address, Err: err})
+		x.node.post(x.ctx, routing.GossipFailed{Address: e.Address, Err: err})
 		return
 	}
-	x.post(routing.GossipReceived{Message: reply})
+	x.node.post(x.ctx, routing.GossipReceived{Message: reply})
 }
 
-// post queues an event and retries while the queue is full: control starts the next read of the store only after the
-// outcome of the previous read.
-func (x *executor) post(e routing.Event) {
-	for !x.node.loop.Post(e) {
-		shutdown.Sleep(x.ctx, 10*time.Millisecond)
-		if x.ctx.Err() != nil {
+// post queues an event that must not be lost, and retries while the queue is full: control starts the next read of the store
+// only after the outcome of the previous read, and a stop must begin.
+func (n *Node) post(ctx context.Context, e routing.Event) {
+	for !n.loop.Post(e) {
+		shutdown.Sleep(ctx, postRetryInterval)
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -150,7 +150,7 @@
 		Bounds Bounds
 	}
 	// Leaving begins the planned stop: the instance reports unready and announces by gossip that it leaves.
-	Leaving struct{}
+	Leaving struct{ Stop caller.Stop }
 	// TakeDump requests a dump of the state. Reply must have room for one value.
 	TakeDump struct{ Reply chan<- Dump }
 )
@@ -235,6 +235,8 @@
 	// Ready is set while this instance can serve requests: a routing is in force, and the instance is neither
 	// stopping nor cut off from other zones.
 	Ready bool
+	// Stop is the plan of the instance's planned stop, nil if it is not stopping.
+	Stop *caller.Stop
 }
 
 // Candidates returns the targets of a service that may get new requests.
--- a/routing/state.go
+++ b/routing/state.go
@@ -85,7 +85,7 @@
 	targets      map[string]*targetState // by ID
 	retryBudgets map[string]*targets.RetryBudget
 	limiters     map[string]*limiterState
-	leaving      bool
+	stop         *caller.Stop // nil unless the instance is stopping
 	// confirmed is set once the values may be used; see confirmValues.
 	confirmed bool
 
@@ -174,7 +174,7 @@
 		s.gossip.SetSeeds(e.Seeds)
 		s.lastDivision = time.Time{}
 	case Leaving:
-		s.leaving, s.changed = true, true
+		s.stop, s.changed = &e.Stop, true
 		s.gossip.Leave()
 	case TakeDump:
 		e.Reply <- s.dump(now)
@@ -578,7 +578,7 @@
 	out := &Snapshot{
 		RoutingSince: s.routingSince, Services: map[string]*Service{}, RateLimiters: map[string]*caller.RateLimiter{},
 		Regions: s.config.Regions, Quarantined: s.crashes.Quarantined(), Revision: s.values.completeTo, MemberCount: members,
-		Ready: s.routing != nil && s.confirmed && !s.leaving && !s.isolated,
+		Ready: s.routing != nil && s.confirmed && s.stop == nil && !s.isolated, Stop: s.stop,
 	}
 	if s.routing == nil || !s.confirmed {
 		return out
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -184,6 +184,13 @@
 	return ready
 }
 
+// End ends the dispatch before its deadline. Its results are those that are known so far.
+func (d *Dispatch) End() DispatchReady {
+	var ready DispatchReady
+	d.finish(&ready)
+	return ready
+}
+
 // end records the outcome of a send and schedules the next one of its part if the part is not done.
 func (d *Dispatch) end(e LegEnded, now time.Time, ready *DispatchReady) {
 	i, ok := d.partOf[e.Attempt]
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -141,8 +141,9 @@
 	owned    atomic.Int64 // sends that run for siblings
 	transit  *sibling.Transit
 	// started is the origin of the clock in messages to siblings, and process identifies this process there.
-	started time.Time
-	process string
+	started  time.Time
+	process  string
+	stopping stopping
 }
 
 // NewForwarder returns a forwarder that passes the record of each request to recorder.
@@ -150,7 +151,7 @@
 	now := time.Now()
 	return &Forwarder{
 		settings: s, loop: l, sender: sender, recorder: recorder, transit: sibling.NewTransit(), started: now,
-		process: s.Instance + "/" + strconv.FormatInt(now.UnixNano(), 36),
+		process: s.Instance + "/" + strconv.FormatInt(now.UnixNano(), 36), stopping: stopping{ended: make(chan struct{})},
 	}
 }
 
@@ -218,6 +219,9 @@
 	if !now.Before(deadline) {
 		return refuse(caller.Refuse(caller.CodeDeadline, 0, "the deadline has passed"))
 	}
+	if refusal := f.stopRefusal(s.Stop, deadline, now); refusal != nil {
+		return refuse(refusal)
+	}
 	if limiter := s.RateLimiters[organisation]; limiter != nil && account != nil {
 		if ok, retryAfter := limiter.Take(now); !ok {
 			return refuse(caller.Refuse(caller.CodeRateLimited, retryAfter, "the organisation exceeds its rate"))
@@ -399,6 +403,9 @@
 				ended = append(ended, d.evaluate(e))
 			}
 		case <-timer.C:
+		case <-d.forwarder.stopping.ended:
+			ready = dispatch.End()
+			continue
 		case <-d.ctx.Done():
 			d.releaseReplies(nil)
 			return refuse(&caller.Refusal{Code: caller.CodeOutcomeUnknown, Ran: caller.RanUnknown, Message: "the caller cancelled the request"})
--- a/traffic/split.go
+++ b/traffic/split.go
@@ -51,7 +51,7 @@
 	merged := mergedGroups{signatures: map[string]bool{}}
 	timer := time.NewTimer(time.Until(d.answerBy))
 	defer timer.Stop()
-	late := false
+	late, ended := false, false
 	for pending := len(groups); pending > 0; {
 		select {
 		case r := <-results:
@@ -61,10 +61,12 @@
 		case <-timer.C:
 			late = true
 			timer.Reset(time.Until(d.deadline))
+		case <-d.forwarder.stopping.ended:
+			ended = true
 		case <-d.ctx.Done():
 			return refuse(&caller.Refusal{Code: caller.CodeOutcomeUnknown, Ran: caller.RanUnknown, Message: "the caller cancelled the request"})
 		}
-		if now := time.Now(); !now.Before(d.deadline) || late && d.enough(len(merged.order)) {
+		if now := time.Now(); ended || !now.Before(d.deadline) || late && d.enough(len(merged.order)) {
 			merged.mayHaveRun = merged.mayHaveRun || pending > 0
 			break
 		}
@@ -245,7 +247,7 @@
 	// The request may have been held up on its way, and its time counts from the sending.
 	delay := f.transit.Delay(r.Sender, r.SentAt, now.Sub(f.started))
 	r.Timeout, r.SoftTimeout = r.Timeout-delay, r.SoftTimeout-delay
-	if s.Routing == nil || len(r.Shards) == 0 || r.Timeout <= 0 {
+	if s.Routing == nil || len(r.Shards) == 0 || r.Timeout <= 0 || f.stopRefusal(s.Stop, now.Add(r.Timeout), now) != nil {
 		return declined
 	}
 	if n := int64(len(r.Shards)); f.owned.Add(n) > int64(f.settings.MaxOwnedSends) && f.settings.MaxOwnedSends > 0 {
