Groups of shards are cut to the records that the asking instance needs

Cause: the owner of a group matched the request in its own version of the routing and cut the group to that route's number of records; the asking instance then merged groups that had been cut for another route. Ruled out: parts of other shards and doubled signatures, which are checked, and parts that targets answer wrongly (held without the changes).

Now the request to the owner says the number of records. It is optional on the wire, so that older processes are understood.

--- a/sibling/owners.go
+++ b/sibling/owners.go
@@ -181,6 +181,9 @@
 	Shards                  []string
 	// MaxAttempts bounds the targets of each shard that may run the request.
 	MaxAttempts int
+	// TopRecords is the number of records in the answer by the routing of the asking instance, 0 for all; the owner may have
+	// another version of the routing. It is UnknownTopRecords in a message of an older process.
+	TopRecords int
 	// Timeout is the time until the request ends. After SoftTimeout, missing parts are not awaited if the coverage of the
 	// shards suffices.
 	Timeout, SoftTimeout time.Duration
@@ -189,6 +192,9 @@
 	SentAt time.Duration
 }
 
+// UnknownTopRecords means that the asking instance did not say how many records it needs.
+const UnknownTopRecords = -1
+
 // GatherReply is the reply of an owner.
 type GatherReply struct {
 	// Declined means that nothing ran: the owner does not know the route or the shards, or has too much to do.
--- a/sibling/siblinggrpc/gather.go
+++ b/sibling/siblinggrpc/gather.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"dogwooddrift.org/drift/sibling"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
@@ -35,7 +36,10 @@
 		Header: make(map[string][]string, len(m.GetHeader())), Body: m.GetBody(), Organisation: m.GetOrganisation(), KeyDigest: m.GetKeyDigest(),
 		Shards: m.GetShards(), MaxAttempts: int(m.GetMaxAttempts()),
 		Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, SoftTimeout: time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond,
-		Sender: m.GetSender(), SentAt: time.Duration(m.GetSentAtUs()) * time.Microsecond,
+		Sender: m.GetSender(), SentAt: time.Duration(m.GetSentAtUs()) * time.Microsecond, TopRecords: sibling.UnknownTopRecords,
+	}
+	if m.TopRecords != nil {
+		r.TopRecords = int(m.GetTopRecords())
 	}
 	for _, f := range m.GetHeader() {
 		r.Header[f.GetName()] = f.GetValues()
@@ -56,6 +60,9 @@
 		TimeoutUs: r.Timeout.Microseconds(), SoftTimeoutUs: r.SoftTimeout.Microseconds(),
 		Sender: r.Sender, SentAtUs: r.SentAt.Microseconds(),
 	}
+	if r.TopRecords != sibling.UnknownTopRecords {
+		m.TopRecords = proto.Uint32(uint32(r.TopRecords))
+	}
 	for name, values := range r.Header {
 		m.Header = append(m.Header, &siblingpb.HeaderField{Name: name, Values: values})
 	}
--- a/sibling/siblinggrpc/gather_test.go
+++ b/sibling/siblinggrpc/gather_test.go
@@ -41,12 +41,18 @@
 	sent := sibling.GatherRequest{
 		RequestID: "id", Method: "POST", RequestURI: "/a?b", Path: "/a", Host: "h", Header: map[string][]string{"X-Own": {"1", "2"}}, Body: []byte("body"),
 		Organisation: "o", KeyDigest: "digest", Shards: []string{"s", "t"}, MaxAttempts: 2, Timeout: 300 * time.Millisecond,
-		SoftTimeout: -2 * time.Millisecond, Sender: "edge-1/x", SentAt: 5 * time.Second,
+		SoftTimeout: -2 * time.Millisecond, Sender: "edge-1/x", SentAt: 5 * time.Second, TopRecords: 20,
 	}
 	got, err := client.GatherShards(t.Context(), listener.Addr().String(), sent)
 	if err != nil || !reflect.DeepEqual(got, f.reply) || !reflect.DeepEqual(f.got, sent) {
 		t.Errorf("request %+v\nreply %+v, %v", f.got, got, err)
 	}
+	for _, records := range []int{0, sibling.UnknownTopRecords} {
+		sent.TopRecords = records
+		if _, err := client.GatherShards(t.Context(), listener.Addr().String(), sent); err != nil || f.got.TopRecords != records {
+			t.Errorf("%d records arrive as %d, %v", records, f.got.TopRecords, err)
+		}
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	if _, err := client.GatherShards(ctx, "127.0.0.1:1", sent); !errors.Is(err, sibling.ErrNotSent) {
--- a/traffic/forward.go
+++ b/traffic/forward.go
@@ -230,6 +230,7 @@
 	d := &dispatchRun{
 		forwarder: f, ctx: ctx, request: r, keyDigest: keyDigest, route: route, account: account, organisation: organisation, snapshot: s,
 		deadline: deadline, fingerprint: fingerprint, record: record, services: route.Shards, answerBy: f.answerBy(r, route, deadline),
+		topRecords: route.TopRecords,
 	}
 	if !route.Sharded() {
 		d.services = []string{route.PickService(rand.Float64())}
@@ -331,8 +332,10 @@
 	isGroup bool
 	// attemptLimit bounds the attempts below the limit of the route; 0 means that the route's limit applies.
 	attemptLimit int
-	fingerprint  targets.Fingerprint
-	record       *Record
+	// topRecords is the number of records in a gathered answer, 0 for all.
+	topRecords  int
+	fingerprint targets.Fingerprint
+	record      *Record
 
 	prepared   PreparedRequest
 	routeStats *routeStats
@@ -479,7 +482,7 @@
 			outcome, reply.Reason = targets.LegNoReply, "duplicate or missing signature"
 		default:
 			d.signatures[reply.Signature] = true
-			if n := d.route.TopRecords; n > 0 && len(reply.Body) > trimFactor*n*targets.RecordSize {
+			if n := d.topRecords; n > 0 && len(reply.Body) > trimFactor*n*targets.RecordSize {
 				// The rest of the part cannot be in the answer, so its memory is given back at once.
 				reply.Body = targets.GreatestRecords([][]byte{reply.Body}, n)
 				reply.Held.Release()
@@ -672,7 +675,7 @@
 		g.Signatures = append(g.Signatures, reply.Signature)
 		parts = append(parts, reply.Body)
 	}
-	g.Body = targets.GreatestRecords(parts, d.route.TopRecords)
+	g.Body = targets.GreatestRecords(parts, d.topRecords)
 	return g
 }
 
--- a/traffic/split.go
+++ b/traffic/split.go
@@ -56,7 +56,7 @@
 		select {
 		case r := <-results:
 			pending--
-			merged.add(r, d.route.TopRecords)
+			merged.add(r)
 			d.recordTries(r.tries)
 		case <-timer.C:
 			late = true
@@ -79,7 +79,7 @@
 	}
 	d.record.Covered = len(merged.order)
 	return ForwardResult{Gathered: &GatheredAnswer{
-		Signatures: merged.order, MissingParts: len(d.services) - len(merged.order), Body: targets.GreatestRecords(merged.bodies, d.route.TopRecords),
+		Signatures: merged.order, MissingParts: len(d.services) - len(merged.order), Body: targets.GreatestRecords(merged.bodies, d.topRecords),
 	}}
 }
 
@@ -99,7 +99,7 @@
 
 // add adds the result of a group. A group with a signature that was received before is left out whole: its records cannot
 // be told apart.
-func (m *mergedGroups) add(r groupResult, topRecords int) {
+func (m *mergedGroups) add(r groupResult) {
 	m.mayHaveRun = m.mayHaveRun || r.mayHaveRun
 	m.restLeft = max(m.restLeft, r.restLeft)
 	for _, s := range r.signatures {
@@ -163,7 +163,7 @@
 	return &dispatchRun{
 		forwarder: d.forwarder, ctx: ctx, request: d.request, keyDigest: d.keyDigest, route: d.route, account: d.account,
 		organisation: d.organisation, snapshot: d.snapshot, deadline: d.deadline, services: shards, answerBy: d.answerBy, isGroup: true,
-		fingerprint: d.fingerprint, record: &Record{ID: d.record.ID, Received: d.record.Received},
+		topRecords: d.topRecords, fingerprint: d.fingerprint, record: &Record{ID: d.record.ID, Received: d.record.Received},
 	}
 }
 
@@ -177,7 +177,7 @@
 	r := d.request
 	reply, err := d.forwarder.settings.Siblings.GatherShards(ctx, o.Address, sibling.GatherRequest{
 		RequestID: r.ID, Method: r.Method, RequestURI: r.RequestURI, Path: r.Path, Host: r.Host, Header: r.Header, Body: r.Body,
-		Organisation: d.organisation, KeyDigest: d.keyDigest, Shards: shards, MaxAttempts: d.maxAttempts(),
+		Organisation: d.organisation, KeyDigest: d.keyDigest, Shards: shards, MaxAttempts: d.maxAttempts(), TopRecords: d.topRecords,
 		Timeout: d.deadline.Sub(sentAt) - groupReplyMargin, SoftTimeout: d.answerBy.Sub(sentAt) - groupReplyMargin,
 		Sender: d.forwarder.process, SentAt: sentAt.Sub(d.forwarder.started),
 	})
@@ -274,7 +274,10 @@
 	d := &dispatchRun{
 		forwarder: f, ctx: ctx, request: request, keyDigest: r.KeyDigest, route: route, account: account, organisation: r.Organisation,
 		snapshot: s, deadline: now.Add(r.Timeout), services: r.Shards, answerBy: now.Add(r.SoftTimeout), isGroup: true,
-		attemptLimit: r.MaxAttempts, fingerprint: fingerprintOf(route, request, r.Organisation), record: record,
+		attemptLimit: r.MaxAttempts, topRecords: route.TopRecords, fingerprint: fingerprintOf(route, request, r.Organisation), record: record,
+	}
+	if r.TopRecords != sibling.UnknownTopRecords {
+		d.topRecords = r.TopRecords
 	}
 	result := d.run(now)
 	record.completeForwarded(result, ctx.Err() != nil, time.Now())
--- a/traffic/split_test.go
+++ b/traffic/split_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -240,12 +241,55 @@
 	}
 }
 
+// Guards against an answer without some of its greatest records because the owner of a group has another version of the
+// routing, in which another route to the same shards matches the request and has fewer records.
+func TestGroupsHoldTheRecordsThatTheAskingInstanceNeeds(t *testing.T) {
+	const own, other = 20, 5
+	f := newSplitFleet(t, func(x *targets.Target) TargetReply {
+		reply := signedReply(x)
+		for n := range byte(own) {
+			record := make([]byte, targets.RecordSize)
+			copy(record, x.Service)
+			record[targets.RecordSize-1] = n
+			reply.Body = append(reply.Body, record...)
+		}
+		return reply
+	})
+	routing := f.target.snapshot.Routing
+	routing.Routes[0].TopRecords = own
+	newer := *f.target.snapshot
+	newerRouting := &document.Routing{Version: 2, Routes: slices.Clone(routing.Routes)}
+	added := routing.Routes[0]
+	added.Name, added.Prefix, added.TopRecords = "added", "/x/", other
+	newerRouting.Routes = append(newerRouting.Routes, added)
+	if err := newerRouting.Index(); err != nil {
+		t.Fatal(err)
+	}
+	newer.Routing = newerRouting
+	owners := &wishFleet{snapshot: &newer, reply: f.target.reply, sends: map[string]int{}}
+	for address := range f.owners {
+		f.owners[address] = NewForwarder(ForwarderSettings{Siblings: f, Instance: address[:3], MaxOwnedSends: 100}, owners, owners, discard{})
+	}
+	now := time.Now()
+	d := f.entry.Forward(context.Background(), &Request{ID: "id", Method: "GET", RequestURI: "/x/y", Path: "/x/y", Host: "h", Received: now, Deadline: now.Add(2 * time.Second)})
+	if d.Gathered == nil || len(d.Gathered.Signatures) != splitShards {
+		t.Fatalf("answer %+v", d)
+	}
+	var parts [][]byte
+	for _, shard := range routing.Routes[0].Shards {
+		parts = append(parts, f.target.reply(&targets.Target{Service: shard}).Body)
+	}
+	if want := targets.GreatestRecords(parts, own); !bytes.Equal(d.Gathered.Body, want) {
+		t.Errorf("%d records that are not the %d greatest of all parts", len(d.Gathered.Body)/targets.RecordSize, own)
+	}
+}
+
 // Guards against a part that two groups bring in, or whose signature is missing.
 func TestGroupsWithSharedSignaturesAreLeftOut(t *testing.T) {
 	merged := mergedGroups{signatures: map[string]bool{}}
-	merged.add(groupResult{signatures: []string{"a", "b"}, body: []byte("x")}, 3)
-	merged.add(groupResult{signatures: []string{"c", "b"}, body: []byte("y")}, 3)
-	merged.add(groupResult{signatures: []string{"", "d"}, body: []byte("z"), mayHaveRun: true}, 3)
+	merged.add(groupResult{signatures: []string{"a", "b"}, body: []byte("x")})
+	merged.add(groupResult{signatures: []string{"c", "b"}, body: []byte("y")})
+	merged.add(groupResult{signatures: []string{"", "d"}, body: []byte("z"), mayHaveRun: true})
 	if len(merged.order) != 2 || len(merged.bodies) != 1 || !merged.mayHaveRun {
 		t.Errorf("merged %+v", merged)
 	}
