Readers of the store are replaced within the deployment's bounds

Cause: an instance reads the store itself only when its reader's contact is older than 2 s of waiting, the pause, and 1.2 s for gossip, 3.25 s in all, whatever the deployment's bounds, which were not read.

Now the shortest bound for changes limits the wait of a read, and the time-out follows from the wait.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -70,7 +70,7 @@
 	OmitValues bool
 }
 
-// Bounds are the tolerances of limits that hold for all instances together.
+// Bounds are limits that hold for all instances together, with their tolerances.
 type Bounds struct {
 	// In any RetryBudgetWindow, the retries and hedged sends of a service, over all instances, are at most
 	// RetryBudgetRatio times its requests plus RetryBudgetConstant.
@@ -80,6 +80,9 @@
 	// and burst allow in a window; with zero for both the rate is strict. The tolerance covers the time until every
 	// instance knows that demand has moved.
 	RateOverage, RateSlack float64
+	// ChangeLimit is the time from the platform's acknowledgement of a change of its values until the change must be in force
+	// at each instance that reaches the platform, 0 if there is no such limit.
+	ChangeLimit time.Duration
 }
 
 // InstanceConfig is the identity and the initial settings of an instance.
--- a/routing/state.go
+++ b/routing/state.go
@@ -23,9 +23,11 @@
 const (
 	// tickInterval is the longest time between two steps, so that time limits are checked this often.
 	tickInterval = 100 * time.Millisecond
-	// storeWait is how long the store may hold a read open until there are changes. A platform that does not answer is
-	// noticed after this time and the timeout of the reply. A longer wait causes fewer reads, each of which has a cost.
-	storeWait = 2 * time.Second
+	// minStoreWait and maxStoreWait bound the time for which the store may hold a read open until there are changes. A platform
+	// that does not answer is noticed after this time and the timeout of the reply. A longer wait causes fewer reads, each
+	// of which has a cost.
+	minStoreWait = 250 * time.Millisecond
+	maxStoreWait = 2 * time.Second
 	// readPause and, for each member, readPausePerMember are the time between two reads, so that one read gathers
 	// changes that follow each other quickly. A larger fleet has more targets and is allowed more time until changes
 	// are in force.
@@ -36,6 +38,9 @@
 	// readerSlack is the time beyond a waiting read and the pause after it until a reader's contact with the store is known
 	// to its zone: the reply and rounds of gossip.
 	readerSlack = 1200 * time.Millisecond
+	// takeoverTime is the time from the moment at which an instance notices that its readers have lost the store until the
+	// changes that it then reads itself are in force: a tick, a read, and a publication of the snapshot, on a busy processor.
+	takeoverTime = 500 * time.Millisecond
 	// minOutage is the time without store contact after which a returning store may lack registrations that expired
 	// meanwhile.
 	minOutage = 1500 * time.Millisecond
@@ -259,7 +264,7 @@
 	}
 	if !s.reading && !now.Before(s.nextRead) && s.shouldReadStore(now) {
 		s.reading = true
-		read := ReadStore{After: s.values.completeTo, Wait: storeWait, Full: s.values.completeTo == 0 || s.readFailures < 0}
+		read := ReadStore{After: s.values.completeTo, Wait: s.storeWait(), Full: s.values.completeTo == 0 || s.readFailures < 0}
 		result.Effects = append(result.Effects, read)
 	}
 	result.WakeAt = now.Add(tickInterval)
@@ -417,7 +422,22 @@
 
 // readerTimeout returns the age of the store contact of a zone's reader above which the next instance in rank reads too.
 func (s *State) readerTimeout() time.Duration {
-	return storeWait + s.readPause() - readPause + readerSlack
+	return s.storeWait() + s.contactDelay()
+}
+
+// storeWait returns how long the store may hold a read open. It is so short that an instance whose readers lose the store right
+// after an answer has the next change in force within Bounds.ChangeLimit.
+func (s *State) storeWait() time.Duration {
+	limit := s.config.Bounds.ChangeLimit
+	if limit <= 0 {
+		return maxStoreWait
+	}
+	return min(max(limit-takeoverTime-s.contactDelay(), minStoreWait), maxStoreWait)
+}
+
+// contactDelay returns the time beyond the wait of a read until the reader's contact with the store is known to its zone.
+func (s *State) contactDelay() time.Duration {
+	return s.readPause() - readPause + readerSlack
 }
 
 // markLapsed marks the removals of targets that an outage of the platform may have caused.
