Reproduce the requests cut off by stops in series, with real processes

Reproduced: stops of two of three instances of a zone, a second apart, make the balancer use all instances of the zone, also those that are about to end; they passed the requests on and cut them 5.3 s after SIGTERM.

--- a/cmd/dogwooddrift/edge_stop_test.go
+++ b/cmd/dogwooddrift/edge_stop_test.go
@@ -32,31 +32,31 @@
 	reader *bufio.Reader
 }
 
-func openKeptConnection(t *testing.T, address string) *keptConnection {
-	t.Helper()
+func dialKept(address string) (*keptConnection, error) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	t.Cleanup(func() { _ = c.Close() })
-	return &keptConnection{Conn: c, reader: bufio.NewReader(c)}
+	return &keptConnection{Conn: c, reader: bufio.NewReader(c)}, nil
 }
 
-// do sends a request and returns the status of its complete answer.
-func (c *keptConnection) do(method, path, attempt string, deadline time.Duration) (int, error) {
+// send sends a request. It returns the status of its complete answer, and whether the instance closes the connection after it.
+func (c *keptConnection) send(method, path, attempt string, deadline time.Duration) (status int, closing bool, err error) {
 	r, err := platformtest.CallerRequest(method, c.RemoteAddr().String(), edgeHost, path, attempt, edgeKey, deadline, "text")
 	if err != nil {
-		return 0, err
+		return 0, true, err
 	}
 	if err := r.Write(c); err != nil {
-		return 0, err
+		return 0, true, err
 	}
 	response, err := http.ReadResponse(c.reader, r)
 	if err != nil {
-		return 0, err
+		return 0, true, err
+	}
+	if _, err = io.Copy(io.Discard, response.Body); err != nil {
+		return 0, true, err
 	}
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
+	return response.StatusCode, response.Close, nil
 }
 
 // Guards against a planned stop that passes on a request of a kept connection late in the grace time and then closes the
@@ -77,8 +77,12 @@
 	}
 	var connections []*keptConnection
 	for n := range lateSends {
-		c := openKeptConnection(t, e.callersAddress)
-		if status, err := c.do(http.MethodGet, "/many/x", fmt.Sprint("before-", n), stopDeadline); err != nil || status != http.StatusOK {
+		c, err := dialKept(e.callersAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if status, _, err := c.send(http.MethodGet, "/many/x", fmt.Sprint("before-", n), stopDeadline); err != nil || status != http.StatusOK {
 			t.Fatalf("request before the stop: status %d, error %v", status, err)
 		}
 		connections = append(connections, c)
@@ -95,7 +99,7 @@
 			after := time.Duration(n) * lateSendGap
 			time.Sleep(time.Until(signalled.Add(after)))
 			attempt := fmt.Sprint("late-", n)
-			status, err := c.do(http.MethodPost, "/one/x", attempt, stopDeadline)
+			status, _, err := c.send(http.MethodPost, "/one/x", attempt, stopDeadline)
 			ended := time.Since(signalled)
 			mu.Lock()
 			defer mu.Unlock()
--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -35,14 +35,16 @@
 
 // edgeProcess is a `dogwooddrift edge` process.
 type edgeProcess struct {
+	zone                                           string
 	settingsPath, callersAddress, readinessAddress string
+	notice                                         time.Duration // how long it serves on after SIGTERM
 	process                                        *exec.Cmd
 	ready                                          atomic.Bool
 }
 
 func (e *edgeProcess) start(t *testing.T) {
 	t.Helper()
-	e.process = exec.Command(os.Args[0], "edge", "--metrics-port", "0", "--notice", edgeNotice.String())
+	e.process = exec.Command(os.Args[0], "edge", "--metrics-port", "0", "--notice", e.notice.String())
 	// The race detector would sleep for a second at the end of the process.
 	e.process.Env = append(os.Environ(), mainVariable+"=1", nodefile.PathVariable+"="+e.settingsPath, "GORACE=atexit_sleep_ms=0")
 	log, err := os.OpenFile(e.settingsPath+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -67,28 +69,36 @@
 	e.ready.Store(response.StatusCode == http.StatusOK)
 }
 
-// startEdgeFleet starts a store, targets and instances. cores is the part of a core that the instances' settings state.
+// startEdgeFleet starts a store, targets and instances in one zone. cores is the part of a core that the instances' settings
+// state.
 func startEdgeFleet(t *testing.T, cores float64) ([]*edgeProcess, []*platformtest.Target) {
+	return startEdges(t, edgeCount, []string{"z"}, cores, edgeNotice)
+}
+
+// startEdges starts a store, targets and count instances in the zones, which serve on for the notice time after SIGTERM.
+func startEdges(t *testing.T, count int, zones []string, cores float64, notice time.Duration) ([]*edgeProcess, []*platformtest.Target) {
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
 	shards := []string{"s0", "s1", "s2", "s3"}
-	targets := platformtest.StartTargets(append([]string{"one"}, shards...), 2, []string{"z"}, 5*time.Millisecond)
+	targets := platformtest.StartTargets(append([]string{"one"}, shards...), 2, zones, 5*time.Millisecond)
 	for _, x := range targets {
 		t.Cleanup(x.Close)
 		x.Register(store, x.Address())
 	}
 	store.Put("op/config", platformtest.Configuration(1, edgeHost, edgeKey, shards, "one"))
-	addresses, err := soak.FreeAddresses(3 * edgeCount)
+	addresses, err := soak.FreeAddresses(3 * count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out []*edgeProcess
-	for n := range edgeCount {
+	for n := range count {
 		a := addresses[3*n : 3*n+3]
-		e := &edgeProcess{settingsPath: filepath.Join(t.TempDir(), "boot.toml"), callersAddress: a[0], readinessAddress: a[1]}
+		e := &edgeProcess{
+			zone: zones[n%len(zones)], settingsPath: filepath.Join(t.TempDir(), "boot.toml"), callersAddress: a[0], readinessAddress: a[1], notice: notice,
+		}
 		text := platformtest.NodeFile(platformtest.Node{
-			Name: fmt.Sprint("edge-", n), Zone: "z", CallersAddress: a[0], ReadinessAddress: a[1], SiblingsAddress: a[2],
+			Name: fmt.Sprint("edge-", n), Zone: e.zone, CallersAddress: a[0], ReadinessAddress: a[1], SiblingsAddress: a[2],
 			Cores: cores, StoreAddress: strings.TrimPrefix(server.URL, "http://"), Seeds: []string{addresses[2], addresses[5], addresses[8]},
 		})
 		if err := os.WriteFile(e.settingsPath, []byte(text), 0o600); err != nil {
