A stopping instance keeps its share of the rates until it admits nothing more

Cause: the others divided the share of an instance that announced its stop at once, while it went on spending it. In larger fleets also: new instances divided the rates by the few members they knew, and the own demand was compared with older demand of others.

Now a stopping instance says how long it may still admit requests, and when it admits nothing more; messages say how many share the limits; the lag of the comparison grows with the fleet; and what demand leaves of a rate is divided evenly, since new instances otherwise refuse below the rate.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -292,6 +292,7 @@
 	n.awaitIdle(running)
 	shutdown.AwaitQuiet(running, n.handler.LastArrival)
 	n.forwarder.RefuseAll()
+	n.post(ctx, routing.Drained{})
 	n.awaitIdle(running)
 	if left := n.handler.InFlight() + n.forwarder.OwnedSends(); left > 0 {
 		n.log.Warn().Int64("running", left).Msg("edge: requests end with the grace time")
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -65,6 +65,9 @@
 	MemberStates []sibling.MemberState
 	Update       Update
 	Notices      targets.Notices
+	// LimitSharers is the number of instances that the sender divides the fleet's limits among, itself included; 0 in a message
+	// of an older process.
+	LimitSharers int
 	// OmitValues is set in a request whose reply should contain no values, because the sender gets them from another
 	// sibling.
 	OmitValues bool
@@ -154,6 +157,9 @@
 	}
 	// Leaving begins the planned stop: the instance reports unready and announces by gossip that it leaves.
 	Leaving struct{ Stop caller.Stop }
+	// Drained reports, during a planned stop, that the instance admits no more requests. The others may divide its part of the
+	// limits.
+	Drained struct{}
 	// TakeDump requests a dump of the state. Reply must have room for one value.
 	TakeDump struct{ Reply chan<- Dump }
 )
@@ -170,6 +176,7 @@
 func (TargetResting) event()           {}
 func (Reconfigured) event()            {}
 func (Leaving) event()                 {}
+func (Drained) event()                 {}
 func (TakeDump) event()                {}
 
 // Effect is an action that State requests; the caller of Step executes it.
--- /dev/null
+++ b/routing/fleet_test.go
@@ -0,0 +1,195 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dogwooddrift.org/drift/document"
+)
+
+// storeFleet is a fleet of instances that read a store and gossip, on a virtual clock. The store answers a read when it has
+// changes or the wait of the read has passed.
+type storeFleet struct {
+	now     time.Time
+	bounds  Bounds
+	events  []fleetEvent // in the order of their times
+	members []*fleetMember
+	changes []Change // of the store, in the order of their revisions
+	reads   int
+}
+
+// fleetEvent is something that happens at a time.
+type fleetEvent struct {
+	at time.Time
+	do func()
+}
+
+// fleetMember is one instance of a storeFleet.
+type fleetMember struct {
+	fleet *storeFleet
+	index int
+	// state is nil while no process of the instance runs.
+	state *State
+	wake  time.Time
+	// waiting is the read that the store holds open, nil if there is none.
+	waiting *ReadStore
+	// cut reports that the instance and the store do not reach each other.
+	cut bool
+}
+
+const (
+	storeLatency  = 4 * time.Millisecond
+	gossipLatency = time.Millisecond
+	// readTimeout is how long after the wait of a read its client gives up.
+	readTimeout = 1200 * time.Millisecond
+	fleetStep   = 5 * time.Millisecond
+)
+
+func newStoreFleet(n, zones int, b Bounds) *storeFleet {
+	f := &storeFleet{now: time.Unix(1000, 0), bounds: b}
+	f.write(routes(1))
+	for i := range n {
+		m := &fleetMember{fleet: f, index: i}
+		f.members = append(f.members, m)
+		m.start(zones, true)
+	}
+	return f
+}
+
+// start starts a process of the instance.
+func (m *fleetMember) start(zones int, first bool) {
+	m.wake, m.waiting = m.fleet.now, nil
+	m.state = NewState(InstanceConfig{
+		ID: m.address(), Zone: fmt.Sprint("z", m.index%zones), Address: m.address(), Seeds: []string{"i000", "i001", "i002"}, Bounds: m.fleet.bounds, FirstStart: first,
+		Generation: uint64(m.fleet.now.UnixMilli()),
+	}, rand.New(rand.NewPCG(uint64(m.fleet.now.UnixNano()), uint64(m.index))), m.fleet.now)
+}
+
+// stop ends the process.
+func (m *fleetMember) stop() { m.state, m.waiting = nil, nil }
+
+func (f *storeFleet) after(d time.Duration, do func()) {
+	e := fleetEvent{f.now.Add(d), do}
+	i, _ := slices.BinarySearchFunc(f.events, e, func(x, e fleetEvent) int {
+		if x.at.After(e.at) {
+			return 1
+		}
+		return -1 // after those of the same time
+	})
+	f.events = slices.Insert(f.events, i, e)
+}
+
+// after does something later if the same process still runs.
+func (m *fleetMember) after(d time.Duration, do func()) {
+	process := m.state
+	m.fleet.after(d, func() {
+		if m.state == process {
+			do()
+		}
+	})
+}
+
+// run advances the clock by d.
+func (f *storeFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(fleetStep)
+		for len(f.events) > 0 && !f.events[0].at.After(f.now) {
+			e := f.events[0]
+			f.events = f.events[1:]
+			e.do()
+		}
+		for _, m := range f.members {
+			if m.state != nil && !m.wake.After(f.now) {
+				m.step(Tick{})
+			}
+		}
+	}
+}
+
+func (f *storeFleet) revision() document.Revision { return document.Revision(len(f.changes)) }
+
+// write writes a value to the store.
+func (f *storeFleet) write(c Change) {
+	c.Revision = f.revision() + 1
+	if c.Routing != nil {
+		if err := c.Routing.Index(); err != nil {
+			panic(err)
+		}
+	}
+	f.changes = append(f.changes, c)
+	for _, m := range f.members {
+		if r := m.waiting; r != nil {
+			m.answer(*r)
+		}
+	}
+}
+
+func (m *fleetMember) step(e Event) {
+	result := m.state.Step(e, m.fleet.now)
+	m.wake = result.WakeAt
+	for _, effect := range result.Effects {
+		switch effect := effect.(type) {
+		case ReadStore:
+			m.fleet.reads++
+			m.after(storeLatency/2, func() { m.read(effect) })
+		case SendGossip:
+			m.gossip(effect)
+		}
+	}
+}
+
+// read is the arrival of a read at the store.
+func (m *fleetMember) read(r ReadStore) {
+	switch {
+	case m.cut:
+		m.fail(r)
+	case r.Full || r.After < m.fleet.revision():
+		m.answer(r)
+	default:
+		m.waiting = &r
+		m.after(r.Wait, func() {
+			if m.waiting == &r {
+				m.answer(r)
+			}
+		})
+	}
+}
+
+// answer sends the store's answer to a read. It is lost if the instance is cut off.
+func (m *fleetMember) answer(r ReadStore) {
+	m.waiting = nil
+	if m.cut {
+		m.fail(r)
+		return
+	}
+	u := Update{FromRevision: r.After, ToRevision: m.fleet.revision(), Full: r.Full, Changes: slices.Clone(m.fleet.changes[r.After:])}
+	if r.Full {
+		u.Changes = slices.Clone(m.fleet.changes)
+	}
+	m.after(storeLatency/2, func() { m.step(StoreRead{Update: u}) })
+}
+
+// fail lets a read time out.
+func (m *fleetMember) fail(r ReadStore) {
+	m.after(r.Wait+readTimeout, func() { m.step(StoreRead{Err: errors.New("no reply")}) })
+}
+
+func (m *fleetMember) gossip(g SendGossip) {
+	i := slices.IndexFunc(m.fleet.members, func(o *fleetMember) bool { return o.address() == g.Address })
+	m.after(gossipLatency, func() {
+		to := m.fleet.members[i]
+		if to.state == nil {
+			m.after(gossipLatency, func() { m.step(GossipFailed{Address: g.Address, Err: errors.New("refused")}) })
+			return
+		}
+		reply := make(chan GossipMessage, 1)
+		to.step(GossipReceived{Message: g.Message, Reply: reply})
+		m.after(gossipLatency, func() { m.step(GossipReceived{Message: <-reply}) })
+	})
+}
+
+// address returns the address of an instance, which is its ID.
+func (m *fleetMember) address() string { return fmt.Sprintf("i%03d", m.index) }
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -12,13 +12,16 @@
 	// demandSampleWeight is the weight of one sample in the smoothed demand; with shareInterval the smoothed demand
 	// follows a change within a second.
 	demandSampleWeight = 0.25
-	// demandHistory is how many divisions old this instance's demand is when it is compared with the demand of others,
-	// which took two rounds of gossip to arrive. With a newer value, a surge at all instances would give each of them
-	// too large a share.
-	demandHistory = 2
-	// evenFraction is the fraction of a rate that is divided evenly among the instances, regardless of demand, so that
-	// an instance can admit the first requests of an organisation at once.
-	evenFraction = 0.15
+	// minDemandLag is how many divisions old this instance's demand is when it is compared with the demand of others, which
+	// took two rounds of gossip to arrive. With a newer value, a surge at all instances would give each of them too large a
+	// share. Beyond demandLagInstances instances a message holds only a part of the states, and the lag grows with their
+	// number, up to maxDemandLag.
+	minDemandLag       = 2
+	maxDemandLag       = 40
+	demandLagInstances = 36
+	// minEvenFraction is the smallest fraction of a rate that is divided evenly among the instances, regardless of demand, so
+	// that an instance can admit the first requests of an organisation at once.
+	minEvenFraction = 0.15
 	// assumedInstances is the number of instances assumed while no sibling is known.
 	assumedInstances = 8
 	// rateToleranceFraction and burstToleranceFraction are the fractions of the stated tolerance that widen the rate and
@@ -53,10 +56,12 @@
 	first := s.lastDivision.IsZero()
 	s.lastDivision = now
 	demand := s.siblingDemand(now)
-	instances := demand.members + 1
+	instances := s.limitSharers(now)
 	if demand.members == 0 {
-		instances = assumedInstances
+		instances = max(instances, assumedInstances)
 	}
+	// A new instance knows only some of the members at first. The others have even parts for all that it can tell.
+	knownPart := min(float64(demand.members+1)/float64(instances), 1)
 	s.ownDemand = make(map[string]float64, len(s.ownDemand))
 	known := make(map[string]bool, len(s.routing.Accounts))
 	for i := range s.routing.Accounts {
@@ -64,7 +69,8 @@
 		known[a.Name] = true
 		state := s.limiters[a.Name]
 		if state == nil {
-			state = &limiterState{limiter: caller.NewRateLimiter(s.rateLimits(a, 1/float64(instances), instances, false), now)}
+			belowRate := demand.fresh[a.Name] <= s.belowRateThreshold(a)
+			state = &limiterState{limiter: caller.NewRateLimiter(s.rateLimits(a, 1/float64(instances), instances, belowRate), now)}
 			s.limiters[a.Name] = state
 			s.changed = true
 		}
@@ -77,10 +83,11 @@
 		if state.demand >= minReportedDemand {
 			s.ownDemand[a.Name] = round(state.demand)
 		}
-		own := state.recordDemand()
+		own := state.recordDemand(demandLag(instances))
 		total := own + demand.fresh[a.Name]
-		free := state.freeFraction(demand, a.Name, total, instances)
-		state.share = min(free, 1) * share(own, total, demand.members-demand.stale+1)
+		even := evenFraction(total, a.Rate)
+		free := state.freeFraction(demand, a.Name, total, even, instances)
+		state.share = min(free, 1) * knownPart * share(own, total, even, demand.members-demand.stale+1)
 		if demand.members == 0 {
 			state.share = 1 / float64(instances)
 		}
@@ -104,6 +111,25 @@
 	}
 }
 
+// sharersMemory is how long a reported number of limit sharers counts, unless a larger one follows.
+const sharersMemory = time.Second
+
+// recordReportedSharers records how many instances a sibling divides the limits among.
+func (s *State) recordReportedSharers(n int, now time.Time) {
+	if n >= s.reportedSharers || now.Sub(s.sharersReportedAt) >= sharersMemory {
+		s.reportedSharers, s.sharersReportedAt = n, now
+	}
+}
+
+// limitSharers returns the number of instances that the limits are divided among, this one included.
+func (s *State) limitSharers(now time.Time) int {
+	known := s.gossip.LimitSharerCount(now) + 1
+	if now.Sub(s.sharersReportedAt) >= 2*sharersMemory {
+		return known
+	}
+	return max(known, s.reportedSharers)
+}
+
 // siblingDemand is the demand at the members that share the limits, by organisation. Its maps hold only organisations that
 // some member has demand for, so that a division costs as much as there are demands, not organisations times members.
 type siblingDemand struct {
@@ -127,7 +153,7 @@
 			case fresh:
 				d.fresh[organisation] += demand
 			case l != nil && l.agreedTotal > 0:
-				d.staleParts[organisation] += (1 - evenFraction) * demand / l.agreedTotal
+				d.staleParts[organisation] += (1 - l.agreedEven) * demand / l.agreedTotal
 			}
 		}
 	}
@@ -137,11 +163,11 @@
 // freeFraction returns the fraction of the rate that this instance and the members with a fresh state divide among
 // them. The other members may be cut off and continue to spend; they keep the share that was computed when the states
 // of all members were last fresh. total is the demand at this instance and the members with a fresh state, and instances
-// the number that rates are divided by.
-func (l *limiterState) freeFraction(demand siblingDemand, organisation string, total float64, instances int) float64 {
+// the number that rates are divided by. even is the fraction of the rate that is divided evenly.
+func (l *limiterState) freeFraction(demand siblingDemand, organisation string, total, even float64, instances int) float64 {
 	switch {
 	case demand.stale == 0:
-		l.agreedTotal, l.agreedInstances = total, instances
+		l.agreedTotal, l.agreedEven, l.agreedInstances = total, even, instances
 		return 1
 	case l.agreedInstances == 0:
 		return 1
@@ -150,15 +176,22 @@
 	if l.agreedTotal <= 0 {
 		return max(1-stale, 0)
 	}
-	return max(1-evenFraction*stale-demand.staleParts[organisation], 0)
+	return max(1-l.agreedEven*stale-demand.staleParts[organisation], 0)
 }
 
-// recordDemand records the current demand and returns the demand of demandHistory divisions ago.
-func (l *limiterState) recordDemand() float64 {
-	old := l.history[0]
-	copy(l.history[:], l.history[1:])
-	l.history[demandHistory-1] = l.demand
-	return old
+// demandLag returns how many divisions the demand of others is old when it arrives.
+func demandLag(instances int) int {
+	return min(max(minDemandLag, minDemandLag*instances/demandLagInstances), maxDemandLag)
+}
+
+// recordDemand records the current demand and returns the demand of lag divisions ago, 0 before the first.
+func (l *limiterState) recordDemand(lag int) float64 {
+	l.history[l.divisions%len(l.history)] = l.demand
+	l.divisions++
+	if l.divisions <= lag {
+		return 0
+	}
+	return l.history[(l.divisions-1-lag)%len(l.history)]
 }
 
 // belowRateThreshold returns the demand, in requests a second, up to which an organisation counts as below its rate.
@@ -166,13 +199,22 @@
 	return belowRateFraction*a.Rate + s.config.Bounds.RateSlack*rateToleranceFraction/slackWindow.Seconds()
 }
 
-// share returns an instance's fraction of a rate for its own demand and the total demand of all instances.
-func share(own, total float64, instances int) float64 {
-	even := 1 / float64(instances)
+// evenFraction returns the fraction of a rate that is divided evenly: what the demand leaves of it, so that an instance to
+// which demand moves has room until the others know.
+func evenFraction(total, rate float64) float64 {
+	if rate <= 0 {
+		return minEvenFraction
+	}
+	return max(1-total/rate, minEvenFraction)
+}
+
+// share returns an instance's fraction of a rate for its own demand and the total demand of all instances. even is the
+// fraction that is divided evenly.
+func share(own, total, even float64, instances int) float64 {
 	if total <= 0 {
-		return even
+		return 1 / float64(instances)
 	}
-	return evenFraction*even + (1-evenFraction)*own/total
+	return even/float64(instances) + (1-even)*own/total
 }
 
 // rateLimits returns the limits for a fraction of an organisation's rate, widened by the tolerance of the bounds. While
--- a/routing/state.go
+++ b/routing/state.go
@@ -67,6 +67,10 @@
 	started     time.Time
 	lastStep    time.Time
 	memberCount int // at the last division of the rates
+	// reportedSharers is the largest number of instances that siblings lately reported to divide the limits among, first
+	// reported at sharersReportedAt.
+	reportedSharers   int
+	sharersReportedAt time.Time
 
 	// liveAddresses holds the addresses of the siblings that were live at membersCheckedAt, by ID.
 	liveAddresses    map[string]string
@@ -116,12 +120,14 @@
 	limiter  *caller.RateLimiter
 	requests int64   // total at the last division
 	demand   float64 // smoothed, in requests a second
-	// history holds the smoothed demand at the last divisions, oldest first.
-	history [demandHistory]float64
-	share   float64 // this instance's fraction of the rate
-	// agreedTotal is the demand at all instances and agreedInstances their number when the states of all members were last
-	// up to date; agreedInstances is 0 before that.
+	// history holds the smoothed demand at the last divisions, that of division n at n modulo its length.
+	history   [maxDemandLag + 1]float64
+	divisions int
+	share     float64 // this instance's fraction of the rate
+	// agreedTotal is the demand at all instances, agreedEven the fraction that is divided evenly, and agreedInstances the
+	// number of instances, when the states of all members were last up to date; agreedInstances is 0 before that.
 	agreedTotal     float64
+	agreedEven      float64
 	agreedInstances int
 	limits          caller.RateLimits
 }
@@ -180,7 +186,9 @@
 		s.lastDivision = time.Time{}
 	case Leaving:
 		s.stop, s.changed = &e.Stop, true
-		s.gossip.Leave()
+		s.gossip.Leave(e.Stop.Ends)
+	case Drained:
+		s.gossip.Release(now)
 	case TakeDump:
 		e.Reply <- s.dump(now)
 	}
@@ -354,7 +362,7 @@
 		s.notices = targets.Notices{Crashes: append(newestCrashes(s.notices.Crashes), n.Crashes...), Quarantined: n.Quarantined, Departures: s.departures.Notices(now)}
 		s.noticesAt = now
 	}
-	return GossipMessage{MemberStates: s.gossip.MemberStates(now), Notices: s.notices}
+	return GossipMessage{MemberStates: s.gossip.MemberStates(now), Notices: s.notices, LimitSharers: s.limitSharers(now)}
 }
 
 // maxCrashNotices is the maximum number of earlier crash notices that a message repeats.
@@ -367,6 +375,7 @@
 func (s *State) receiveGossip(e GossipReceived, now time.Time) {
 	s.recordContact(e.Message.MemberStates, now)
 	s.gossip.Merge(e.Message.MemberStates, now)
+	s.recordReportedSharers(e.Message.LimitSharers, now)
 	for _, m := range e.Message.MemberStates[:min(1, len(e.Message.MemberStates))] {
 		delete(s.gossipErrors, m.Address)
 	}
@@ -594,7 +603,7 @@
 // Snapshot returns the view that traffic reads.
 func (s *State) Snapshot() *Snapshot {
 	now := s.lastStep
-	members := s.gossip.LimitSharerCount(now) + 1
+	members := s.limitSharers(now)
 	out := &Snapshot{
 		RoutingSince: s.routingSince, Services: map[string]*Service{}, RateLimiters: map[string]*caller.RateLimiter{},
 		Regions: s.config.Regions, Quarantined: s.crashes.Quarantined(), Revision: s.values.completeTo, MemberCount: members,
@@ -729,7 +738,7 @@
 )
 
 func (s *State) retryBudgetLimits(now time.Time) targets.RetryBudgetLimits {
-	fraction, instances := budgetFraction, s.gossip.LimitSharerCount(now)+1+unknownJoiners
+	fraction, instances := budgetFraction, s.limitSharers(now)+unknownJoiners
 	if now.Sub(s.started) < s.config.Bounds.RetryBudgetWindow {
 		fraction, instances = restartFraction, max(instances, assumedInstances)
 	}
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -22,8 +22,10 @@
 	Generation, Sequence uint64
 	// Cores is the part of a processor core that the instance has, 0 if unknown.
 	Cores float64
-	// Leaving is set once the instance is shutting down.
-	Leaving bool
+	// Leaving is set once the instance is shutting down. For SpendsFor it may still admit requests and so spends its part of
+	// the limits that are divided among the instances.
+	Leaving   bool
+	SpendsFor time.Duration
 	// CompleteTo is the newest revision up to which the instance has all of the platform's values.
 	CompleteTo document.Revision
 	// PlatformAge is the time since the instance itself last reached the platform, NoContact if it never did.
@@ -76,6 +78,7 @@
 	MemberState
 	receivedAt      time.Time // when the newest state was received
 	platformContact time.Time // when the instance itself last reached the platform, zero if never
+	spendsUntil     time.Time // when the instance admits no more requests, if it is leaving
 	recency         *list.Element
 }
 
@@ -85,6 +88,7 @@
 	self            MemberState
 	platformContact time.Time
 	outsideContact  time.Time
+	spendsUntil     time.Time // when this instance admits no more requests, if it is leaving
 	seeds           []string
 	members         map[string]*member
 	// byID holds the members ordered by ID, byRecency with the most recently received state first.
@@ -121,8 +125,12 @@
 	return n > smallZone
 }
 
-// Leave marks this instance as shutting down.
-func (g *Gossip) Leave() { g.self.Leaving = true }
+// Leave marks this instance as shutting down. It may admit requests until spendsUntil.
+func (g *Gossip) Leave(spendsUntil time.Time) { g.self.Leaving, g.spendsUntil = true, spendsUntil }
+
+// Release marks this instance, which is shutting down, as admitting no more requests. The siblings hear of it in a round
+// that is due at once.
+func (g *Gossip) Release(now time.Time) { g.spendsUntil, g.next = now, now }
 
 // NextRound returns when the next round is due.
 func (g *Gossip) NextRound() time.Time { return g.next }
@@ -245,7 +253,7 @@
 			g.byID = slices.Insert(g.byID, i, m)
 		}
 		g.byRecency.MoveToFront(m.recency)
-		m.MemberState, m.receivedAt, m.platformContact = state, now, time.Time{}
+		m.MemberState, m.receivedAt, m.platformContact, m.spendsUntil = state, now, time.Time{}, now.Add(state.SpendsFor)
 		if state.PlatformAge != NoContact {
 			m.platformContact = now.Add(-state.PlatformAge)
 		}
@@ -258,6 +266,7 @@
 func (g *Gossip) MemberStates(now time.Time) []MemberState {
 	own := g.self
 	own.PlatformAge, own.OutsideAge = ageOf(g.platformContact, now), ageOf(g.outsideContact, now)
+	own.SpendsFor = max(g.spendsUntil.Sub(now), 0)
 	out := make([]MemberState, 1, min(len(g.byID)+1, maxMemberStates))
 	out[0] = own
 	add := func(m *member) {
@@ -288,6 +297,7 @@
 func (m *member) state(now time.Time) MemberState {
 	state := m.MemberState
 	state.PlatformAge = ageOf(m.platformContact, now)
+	state.SpendsFor = max(m.spendsUntil.Sub(now), 0)
 	return state
 }
 
@@ -314,13 +324,11 @@
 
 // Live returns the other instances that are neither silent for memberTimeout nor shutting down, ordered by ID.
 func (g *Gossip) Live(now time.Time) []MemberState {
-	return g.receivedWithin(now, g.memberTimeout())
+	return states(g.within(now, g.memberTimeout()), now)
 }
 
 // LimitSharers returns the other instances that share the fleet's limits with this one, ordered by ID.
-func (g *Gossip) LimitSharers(now time.Time) []MemberState {
-	return g.receivedWithin(now, limitSharerTimeout)
-}
+func (g *Gossip) LimitSharers(now time.Time) []MemberState { return states(g.limitSharers(now), now) }
 
 // EachLimitSharer iterates over the other instances that share the fleet's limits with this one, ordered by ID. It tells of
 // each whether its state was received within freshLimit, which is scaled up in a large fleet as memberTimeout is. The states
@@ -328,7 +336,7 @@
 func (g *Gossip) EachLimitSharer(now time.Time, freshLimit time.Duration) iter.Seq2[*MemberState, bool] {
 	freshLimit = time.Duration(float64(freshLimit) * float64(g.memberTimeout()) / float64(memberTimeoutMin))
 	return func(yield func(*MemberState, bool) bool) {
-		for m := range g.within(now, limitSharerTimeout) {
+		for m := range g.limitSharers(now) {
 			if !yield(&m.MemberState, now.Sub(m.receivedAt) < freshLimit) {
 				return
 			}
@@ -339,7 +347,7 @@
 // LimitSharerCount returns the number of instances that EachLimitSharer yields.
 func (g *Gossip) LimitSharerCount(now time.Time) int {
 	n := 0
-	for range g.within(now, limitSharerTimeout) {
+	for range g.limitSharers(now) {
 		n++
 	}
 	return n
@@ -357,10 +365,10 @@
 	}
 }
 
-// receivedWithin returns the states of the members of within.
-func (g *Gossip) receivedWithin(now time.Time, limit time.Duration) []MemberState {
+// states returns the states of members.
+func states(members iter.Seq[*member], now time.Time) []MemberState {
 	var out []MemberState
-	for m := range g.within(now, limit) {
+	for m := range members {
 		out = append(out, m.state(now))
 	}
 	return out
@@ -369,9 +377,22 @@
 // within iterates over the other instances whose state was received within the limit and that are not shutting down,
 // ordered by ID.
 func (g *Gossip) within(now time.Time, limit time.Duration) iter.Seq[*member] {
+	return g.filter(func(m *member) bool { return now.Sub(m.receivedAt) < limit && !m.Leaving })
+}
+
+// limitSharers iterates over the other instances that may spend a part of the fleet's limits, ordered by ID: a silent one may
+// be partitioned, and one that is shutting down still serves requests for a time.
+func (g *Gossip) limitSharers(now time.Time) iter.Seq[*member] {
+	return g.filter(func(m *member) bool {
+		return now.Sub(m.receivedAt) < limitSharerTimeout && (!m.Leaving || now.Before(m.spendsUntil))
+	})
+}
+
+// filter iterates over the members that are accepted, ordered by ID.
+func (g *Gossip) filter(accept func(*member) bool) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
 		for _, m := range g.byID {
-			if now.Sub(m.receivedAt) < limit && !m.Leaving && !yield(m) {
+			if accept(m) && !yield(m) {
 				return
 			}
 		}
--- a/sibling/gossip_test.go
+++ b/sibling/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -251,3 +252,48 @@
 		t.Errorf("after zones %v lost the platform, zones %v read it, want %d", before, after, readerZones)
 	}
 }
+
+// Guards against an instance that is shutting down and whose part of the limits others divide while it still spends it, and
+// against a part that stays unused after the instance said that it admits nothing more.
+func TestLeavingInstanceSharesLimitsWhileItSpends(t *testing.T) {
+	now := time.Unix(1000, 0)
+	gossip := func(id string) *Gossip {
+		return NewGossip(MemberState{ID: id, Zone: "z", Address: id, Generation: 1, PlatformAge: NoContact}, nil, rand.New(rand.NewPCG(1, 1)), now)
+	}
+	leaving, direct, hearsay := gossip("a"), gossip("b"), gossip("c")
+	tell := func(from, to *Gossip) { to.Merge(from.MemberStates(now), now) }
+	check := func(at string, want int) {
+		t.Helper()
+		for name, g := range map[string]*Gossip{"direct": direct, "hearsay": hearsay} {
+			sharers := slices.ContainsFunc(g.LimitSharers(now), func(m MemberState) bool { return m.ID == "a" })
+			live := slices.ContainsFunc(g.Live(now), func(m MemberState) bool { return m.ID == "a" })
+			if sharers != (want == 1) || live {
+				t.Errorf("%s, %s: shares limits %v, live %v", at, name, sharers, live)
+			}
+		}
+	}
+	leaving.Leave(now.Add(5 * time.Second))
+	leaving.Round(now, false)
+	tell(leaving, direct)
+	now = now.Add(time.Second)
+	tell(direct, hearsay)
+	check("1 s later", 1)
+	now = now.Add(3900 * time.Millisecond)
+	check("just before the end", 1)
+	now = now.Add(200 * time.Millisecond)
+	check("after the end", 0)
+
+	leaving, direct, hearsay = gossip("a"), gossip("b"), gossip("c")
+	leaving.Leave(now.Add(5 * time.Second))
+	leaving.Round(now, false)
+	tell(leaving, direct)
+	now = now.Add(time.Second)
+	leaving.Release(now)
+	if leaving.NextRound().After(now) {
+		t.Error("no round is due when the instance admits nothing more")
+	}
+	leaving.Round(now, false)
+	tell(leaving, direct)
+	tell(direct, hearsay)
+	check("released", 0)
+}
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -70,7 +70,7 @@
 }
 
 func encodeGossipMessage(message routing.GossipMessage) (*siblingpb.GossipMessage, error) {
-	out := &siblingpb.GossipMessage{NoValues: message.OmitValues, Notices: encodeNotices(message.Notices), Update: &siblingpb.Update{
+	out := &siblingpb.GossipMessage{NoValues: message.OmitValues, LimitSharers: uint32(max(message.LimitSharers, 0)), Notices: encodeNotices(message.Notices), Update: &siblingpb.Update{
 		FromRevision: uint64(message.Update.FromRevision), ToRevision: uint64(message.Update.ToRevision), Full: message.Update.Full,
 	}}
 	out.Organisations = organisations(message.MemberStates)
@@ -105,7 +105,7 @@
 	out := &siblingpb.MemberState{
 		Id: state.ID, Zone: state.Zone, Address: state.Address, Generation: state.Generation, Sequence: state.Sequence, Leaving: state.Leaving,
 		Cores: float32(state.Cores), CompleteTo: uint64(state.CompleteTo), StoreAgeMs: encodeAge(state.PlatformAge),
-		OutsideAgeMs: encodeAge(state.OutsideAge),
+		OutsideAgeMs: encodeAge(state.OutsideAge), SpendsForMs: uint64((max(state.SpendsFor, 0) + time.Millisecond - 1) / time.Millisecond),
 	}
 	for i, name := range organisations {
 		if demand := state.Demand[name]; demand > 0 {
@@ -120,14 +120,14 @@
 // following all other values for as long as the odd one exists.
 func decodeGossipMessage(m *siblingpb.GossipMessage) (routing.GossipMessage, error) {
 	u := m.GetUpdate()
-	out := routing.GossipMessage{OmitValues: m.GetNoValues(), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
+	out := routing.GossipMessage{OmitValues: m.GetNoValues(), LimitSharers: decodeSharers(m.GetLimitSharers()), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
 		FromRevision: document.Revision(u.GetFromRevision()), ToRevision: document.Revision(u.GetToRevision()), Full: u.GetFull(),
 	}}
 	for _, b := range m.GetMemberStates() {
 		state := sibling.MemberState{
 			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetGeneration(), Sequence: b.GetSequence(),
 			Leaving: b.GetLeaving(), CompleteTo: document.Revision(b.GetCompleteTo()), PlatformAge: decodeAge(b.StoreAgeMs),
-			OutsideAge: decodeAge(b.OutsideAgeMs), Cores: decodeCores(b.GetCores()), Demand: make(map[string]float64, len(b.GetDemand())),
+			OutsideAge: decodeAge(b.OutsideAgeMs), SpendsFor: decodeSpendsFor(b.GetSpendsForMs()), Cores: decodeCores(b.GetCores()), Demand: make(map[string]float64, len(b.GetDemand())),
 		}
 		for i, index := range b.GetDemandOf() {
 			if int64(index) >= int64(len(m.GetOrganisations())) || i >= len(b.GetDemand()) {
@@ -155,6 +155,19 @@
 	return out, nil
 }
 
+// maxSharers and maxSpendsFor bound what an odd message can claim: the parts of this instance would shrink, or those of one
+// that is gone stay unused.
+const (
+	maxSharers   = 10_000
+	maxSpendsFor = time.Minute
+)
+
+func decodeSharers(n uint32) int { return int(min(n, maxSharers)) }
+
+func decodeSpendsFor(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxSpendsFor/time.Millisecond))) * time.Millisecond
+}
+
 // decodeCores returns 0, unknown, for a value that is no part of a core.
 func decodeCores(cores float32) float64 {
 	if c := float64(cores); c >= 0 && !math.IsInf(c, 0) {
--- a/sibling/siblinggrpc/gossip_test.go
+++ b/sibling/siblinggrpc/gossip_test.go
@@ -18,10 +18,11 @@
 // Guards against member states and changes that differ after encoding and decoding.
 func TestExchangeSurvivesTheWire(t *testing.T) {
 	sent := routing.GossipMessage{
+		LimitSharers: 86,
 		MemberStates: []sibling.MemberState{
 			{ID: "a", Zone: "z", Address: "10.0.0.1:1", Generation: 7, Sequence: 9, CompleteTo: 12, PlatformAge: 20 * time.Millisecond,
 				Demand: map[string]float64{"o": 1.5, "p": 2}},
-			{ID: "b", Zone: "y", Address: "10.0.0.2:1", Leaving: true, PlatformAge: sibling.NoContact, Demand: map[string]float64{"q": 0.25}},
+			{ID: "b", Zone: "y", Address: "10.0.0.2:1", Leaving: true, SpendsFor: 2500 * time.Millisecond, PlatformAge: sibling.NoContact, Demand: map[string]float64{"q": 0.25}},
 		},
 		Update: routing.Update{FromRevision: 3, ToRevision: 12, Full: true, Changes: []routing.Change{
 			{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: &targets.Registration{
