A target that is back under its ID after a crash counts as lost

Cause: a target counted as lost only when its entry went away or a connection to it was refused; an entry with another incarnation merely replaced it.

--- a/routing/state.go
+++ b/routing/state.go
@@ -542,7 +542,7 @@
 		s.routing, s.routingSince = c.Routing, now
 		s.lastDivision = time.Time{}
 	case k.kind == KindTarget && c.Target != nil:
-		s.putTarget(k.name, c.Target, changedAt)
+		s.putTarget(k.name, c.Target, changedAt, now)
 	case k.kind == KindTarget:
 		if t := s.targets[k.name]; t != nil {
 			s.crashes.RecordTargetLost(k.name, t.target.Incarnation, now)
@@ -574,9 +574,13 @@
 	}
 }
 
-// putTarget adds or replaces the target of a registration. A new incarnation or address gets new statistics.
-func (s *State) putTarget(id string, r *targets.Registration, since time.Time) {
+// putTarget adds or replaces the target of a registration that changed at since. A new incarnation or address gets new
+// statistics; with a new incarnation the earlier one is lost.
+func (s *State) putTarget(id string, r *targets.Registration, since, now time.Time) {
 	old := s.targets[id]
+	if old != nil && old.target.Incarnation != r.Incarnation {
+		s.crashes.RecordTargetLost(id, old.target.Incarnation, now)
+	}
 	t := &targets.Target{
 		ID: id, Service: r.Service, Zone: r.Zone, Address: r.Address, Incarnation: r.Incarnation, Slots: r.Slots,
 		Stats: &targets.TargetStats{},
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -336,6 +336,37 @@
 	}
 }
 
+// Guards against a request that crashes targets and is never refused because each of them is back under its ID before
+// anything else shows that it was lost.
+func TestTargetBackUnderItsIDCountsAsLost(t *testing.T) {
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	entry := func(i, incarnation int) Change {
+		c := target(fmt.Sprint("i", i), "s", "z")
+		c.Target.Incarnation = fmt.Sprint(incarnation)
+		return c
+	}
+	x.read(true, entry(0, 1), entry(1, 1), entry(2, 1), routes(1))
+	poison, other := targets.FingerprintOf("r", "poison"), targets.FingerprintOf("r", "other")
+	for i := range 3 {
+		x.step(TargetConnectionBroken{TargetID: fmt.Sprint("i", i), Fingerprint: poison})
+		x.run(2 * time.Second)
+		x.read(false, entry(i, 2))
+		x.run(4 * time.Second)
+	}
+	if _, ok := x.published.Quarantined[poison]; !ok {
+		t.Error("a request that crashed three targets, which are back under their IDs, is not refused")
+	}
+	// Connections that broke long before the target was replaced prove nothing.
+	for i := range 3 {
+		x.step(TargetConnectionBroken{TargetID: fmt.Sprint("i", i), Fingerprint: other})
+		x.run(12 * time.Second)
+		x.read(false, entry(i, 3))
+	}
+	if _, ok := x.published.Quarantined[other]; ok {
+		t.Error("a request is refused whose connections broke long before the targets were replaced")
+	}
+}
+
 // gossipRequests returns the gossip requests among the effects.
 func gossipRequests(effects []Effect) (out []SendGossip) {
 	for _, e := range effects {
