An entry that the target wrote earlier does not replace a later one

Cause: only the store's revision ordered two entries; the target's own count of its writes was thrown away. Now it orders the entries of one incarnation, also after a removal. An outdated entry is not believed for 10 s and never undoes the target's own word.

Before (comparison taken out): the new test found the target in use and no longer leaving.

--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,40 @@
 		})
 	}
 }
+
+// Guards against a target that is used too long because it was removed just after a reader returned from a cut: the reader
+// takes the removal for one that an outage of the store caused, and believes it later.
+func TestRemovalIsInForceInTimeAfterAReaderReturns(t *testing.T) {
+	const limit = 3 * time.Second
+	worst := time.Duration(0)
+	for round := range 24 {
+		f := newStoreFleet(9, 3, Bounds{RetryBudgetWindow: 10 * time.Second, ChangeLimit: limit})
+		f.write(target("i1", "s", "z0"))
+		f.run(6 * time.Second)
+		var readers, others []*fleetMember
+		for _, m := range f.members {
+			if m.state.gossip.ShouldReadPlatform(f.now, m.state.readerTimeout()) {
+				readers = append(readers, m)
+				m.cut = true
+			} else {
+				others = append(others, m)
+			}
+		}
+		f.run(5500 * time.Millisecond)
+		for _, m := range readers {
+			m.cut = false
+		}
+		f.run(time.Duration(round) * 150 * time.Millisecond)
+		f.write(Change{Kind: KindTarget, Name: "i1", Removed: true})
+		removed := f.now
+		inUse := func(m *fleetMember) bool { return len(m.state.Snapshot().Candidates("s")) > 0 }
+		for slices.ContainsFunc(others, inUse) && f.now.Sub(removed) < 2*limit {
+			f.run(10 * time.Millisecond)
+		}
+		worst = max(worst, f.now.Sub(removed))
+	}
+	t.Logf("out of use at the instances in touch after %v at the most", worst)
+	if worst > limit {
+		t.Errorf("out of use after %v, want %v", worst, limit)
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -486,14 +486,16 @@
 		return
 	}
 	for _, c := range applied {
-		s.logChange(c, source)
+		s.logChange(c, s.values.entries[key{c.Kind, c.Name}].outdated, source)
 		s.applyValue(key{c.Kind, c.Name}, now)
 	}
 }
 
-func (s *State) logChange(c Change, source string) {
+func (s *State) logChange(c Change, outdated bool, source string) {
 	state := "present"
 	switch {
+	case outdated:
+		state = "older than known"
 	case c.Removed && c.Lapsed:
 		state = "lapsed"
 	case c.Removed:
@@ -532,9 +534,10 @@
 	s.changed = true
 	var c Change
 	var changedAt time.Time
+	outdated := false
 	if e := s.values.entries[k]; e != nil {
 		c, _ = e.current(now)
-		changedAt = e.changedAt
+		changedAt, outdated = e.changedAt, e.outdated
 	}
 	switch {
 	case k.kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
@@ -542,7 +545,7 @@
 		s.routing, s.routingSince = c.Routing, now
 		s.lastDivision = time.Time{}
 	case k.kind == KindTarget && c.Target != nil:
-		s.putTarget(k.name, c.Target, changedAt, now)
+		s.putTarget(k.name, c.Target, changedAt, outdated, now)
 	case k.kind == KindTarget:
 		if t := s.targets[k.name]; t != nil {
 			s.crashes.RecordTargetLost(k.name, t.target.Incarnation, now)
@@ -575,8 +578,8 @@
 }
 
 // putTarget adds or replaces the target of a registration that changed at since. A new incarnation or address gets new
-// statistics; with a new incarnation the earlier one is lost.
-func (s *State) putTarget(id string, r *targets.Registration, since, now time.Time) {
+// statistics; with a new incarnation the earlier one is lost. An outdated registration was written before an earlier change.
+func (s *State) putTarget(id string, r *targets.Registration, since time.Time, outdated bool, now time.Time) {
 	old := s.targets[id]
 	if old != nil && old.target.Incarnation != r.Incarnation {
 		s.crashes.RecordTargetLost(id, old.target.Incarnation, now)
@@ -595,7 +598,7 @@
 		if old.coldUntil.After(next.coldUntil) {
 			next.coldUntil = old.coldUntil
 		}
-		if old.draining && !r.Draining {
+		if old.draining && !r.Draining && !outdated {
 			// Any other entry that calls the target ready may have been written before the target said that it leaves.
 			s.departures.Cancel(t)
 		}
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -336,6 +336,69 @@
 	}
 }
 
+// Guards against a target that is leaving and is used again because the platform carries out an earlier write of its entry
+// late, and against that entry undoing what the target itself said.
+func TestOlderEntryBringsBackNoLeavingTarget(t *testing.T) {
+	entry := func(sequence uint64, draining bool) Change {
+		c := target("i1", "s", "z")
+		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
+		return c
+	}
+	removed := Change{Kind: KindTarget, Name: "i1", Removed: true}
+	for name, changes := range map[string][]Change{
+		"it reported that it is draining": {entry(7, true), entry(6, false)},
+		"its entry was removed":           {entry(7, true), removed, entry(6, false)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			x.read(true, routes(1), entry(5, false))
+			before := x.state.Snapshot().Candidates("s")[0]
+			x.step(TargetLeaving{Target: before})
+			for _, c := range changes {
+				x.read(false, c)
+				x.run(time.Second)
+			}
+			if n := x.usable("s"); n != 0 {
+				t.Errorf("%d usable targets after a late write of an earlier entry", n)
+			}
+			x.run(2 * outdatedTime)
+			for _, c := range x.state.Snapshot().Candidates("s") {
+				if !c.Stats.Leaving() {
+					t.Error("the late write undid what the target itself said")
+				}
+			}
+			x.read(false, entry(8, true), entry(9, false))
+			if n := x.usable("s"); n != 1 {
+				t.Errorf("%d usable targets after the target is ready again, want 1", n)
+			}
+		})
+	}
+	// A process that starts again begins to count anew.
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	x.read(true, routes(1), entry(7, true))
+	next := entry(1, false)
+	next.Target.Incarnation = "2"
+	x.read(false, next)
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable targets after a restart, want 1", n)
+	}
+}
+
+// Guards against an entry that another writer left with a high sequence and that hides the target's own entries for good.
+func TestOutdatedEntryIsBelievedInTheEnd(t *testing.T) {
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	entry := func(sequence uint64, service string) Change {
+		c := target("i1", service, "z")
+		c.Target.Incarnation, c.Target.Sequence = "1", sequence
+		return c
+	}
+	x.read(true, routes(1), entry(5, "s"), entry(1<<53, "t"), entry(6, "s"))
+	x.run(outdatedTime + time.Second)
+	if n := x.usable("s"); n != 1 {
+		t.Errorf("%d usable targets, want 1", n)
+	}
+}
+
 // Guards against a request that crashes targets and is never refused because each of them is back under its ID before
 // anything else shows that it was lost.
 func TestTargetBackUnderItsIDCountsAsLost(t *testing.T) {
--- a/routing/values.go
+++ b/routing/values.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/targets"
 )
 
 // key identifies a value.
@@ -16,15 +17,23 @@
 type entry struct {
 	Change
 	changedAt time.Time
-	// lapsedUntil is when a lapsed value goes out of use; until then lastContent is used.
-	lapsedUntil time.Time
-	lastContent Change // the value before it lapsed
+	// Until earlierUntil, earlier is in use in the place of the value, or no value if earlier is nil: a value that lapsed may
+	// return, and one that is outdated is likely to be replaced.
+	earlierUntil time.Time
+	earlier      *Change
+	// newest is the registration of a target that was written last, also after its removal. The value is outdated if it is a
+	// registration that the target wrote before newest.
+	newest   *targets.Registration
+	outdated bool
 }
 
 const (
 	// lapseTime is how long a value that is missing after an outage of the platform remains in use: live targets
 	// register again within about two seconds.
 	lapseTime = 2 * time.Second
+	// outdatedTime is how long an outdated registration is not believed: a live target writes again much sooner. After that the
+	// sequence is considered wrong.
+	outdatedTime = 10 * time.Second
 	// removalRetention is how long removals are kept for siblings that have not received them.
 	removalRetention = 2 * time.Minute
 )
@@ -79,23 +88,40 @@
 	if e != nil && !c.Revision.Supersedes(e.Revision) {
 		return false
 	}
-	next := &entry{Change: c, changedAt: now}
-	if e != nil && c.Removed && c.Lapsed && !e.Removed {
-		next.lastContent, next.lapsedUntil = e.Change, now.Add(lapseTime)
+	next := &entry{Change: c, changedAt: now, newest: c.Target}
+	if e != nil {
+		next.outdated = c.Target != nil && c.Target.Precedes(e.newest)
+		if next.outdated || c.Target == nil {
+			next.newest = e.newest
+		}
+		switch {
+		case next.outdated:
+			next.keep(e, now, outdatedTime)
+		case c.Removed && c.Lapsed && !e.Removed:
+			next.keep(e, now, lapseTime)
+		}
 	}
 	v.entries[k] = next
 	return true
 }
 
+// keep keeps what is in use of the entry that e replaces in use for d.
+func (e *entry) keep(replaced *entry, now time.Time, d time.Duration) {
+	e.earlierUntil = now.Add(d)
+	if c, ok := replaced.current(now); ok {
+		e.earlier = &c
+	}
+}
+
 // current returns the content of an entry that is in use at now, and false if there is none.
 func (e *entry) current(now time.Time) (Change, bool) {
-	if !e.Removed {
-		return e.Change, true
-	}
-	if now.Before(e.lapsedUntil) {
-		return e.lastContent, true
+	switch {
+	case now.Before(e.earlierUntil) && e.earlier != nil:
+		return *e.earlier, true
+	case now.Before(e.earlierUntil), e.Removed:
+		return Change{}, false
 	}
-	return Change{}, false
+	return e.Change, true
 }
 
 // updateAfter returns the changes that a sibling with every change up to completeTo lacks.
@@ -112,7 +138,7 @@
 	return u
 }
 
-// expire deletes old removals and reports whether a lapsed value went out of use.
+// expire deletes old removals and reports whether an earlier value went out of use.
 func (v *values) expire(now time.Time) bool {
 	if now.Before(v.nextExpiry) {
 		return false
@@ -120,8 +146,8 @@
 	v.nextExpiry = now.Add(expiryInterval)
 	expired := false
 	for k, e := range v.entries {
-		if !e.lapsedUntil.IsZero() && !now.Before(e.lapsedUntil) {
-			e.lapsedUntil, e.lastContent = time.Time{}, Change{}
+		if !e.earlierUntil.IsZero() && !now.Before(e.earlierUntil) {
+			e.earlierUntil, e.earlier = time.Time{}, nil
 			expired = true
 		}
 		if e.Removed && now.Sub(e.changedAt) > removalRetention {
--- a/targets/registration.go
+++ b/targets/registration.go
@@ -22,10 +22,18 @@
 	Draining bool `json:"draining,omitempty"`
 	// Incarnation distinguishes successive processes of a target with the same ID.
 	Incarnation string `json:"incarnation,omitempty"`
+	// Sequence rises with each entry that the incarnation writes.
+	Sequence uint64 `json:"sequence,omitempty"`
 	// ColdFor is how long the target remains cold, from the time at which the entry was written.
 	ColdFor time.Duration `json:"cold_for,omitempty"`
 }
 
+// Precedes reports whether the target wrote r before o. The list may carry out a write late, after a later one. Entries of
+// different incarnations are not compared: the clock of a target may jump.
+func (r *Registration) Precedes(o *Registration) bool {
+	return o != nil && r.Incarnation == o.Incarnation && r.Sequence < o.Sequence
+}
+
 // ErrInvalidRegistration means that a registration names no target that could get requests.
 var ErrInvalidRegistration = errors.New("invalid target registration")
 
