Bytes of callers and targets that are no UTF-8 pass between instances

Cause: the message to the owner of a group declared them as text, and encoding it failed. They are bytes now, which is the same on the wire.

Before: the new test failed (string field contains invalid UTF-8). After: it passes.

--- a/sibling/siblinggrpc/gather.go
+++ b/sibling/siblinggrpc/gather.go
@@ -32,7 +32,8 @@
 // Gather gathers the parts of the shards in the request.
 func (s *gathererServer) Gather(ctx context.Context, m *siblingpb.GatherRequest) (*siblingpb.GatherReply, error) {
 	r := sibling.GatherRequest{
-		RequestID: m.GetRequestId(), Method: m.GetMethod(), RequestURI: m.GetRequestUri(), Path: m.GetPath(), Host: m.GetHost(),
+		RequestID: string(m.GetRequestId()), Method: string(m.GetMethod()), RequestURI: string(m.GetRequestUri()), Path: string(m.GetPath()),
+		Host:   string(m.GetHost()),
 		Header: make(map[string][]string, len(m.GetHeader())), Body: m.GetBody(), Organisation: m.GetOrganisation(), KeyDigest: m.GetKeyDigest(),
 		Shards: m.GetShards(), MaxAttempts: int(m.GetMaxAttempts()),
 		Timeout: time.Duration(m.GetTimeoutUs()) * time.Microsecond, SoftTimeout: time.Duration(m.GetSoftTimeoutUs()) * time.Microsecond,
@@ -42,11 +43,11 @@
 		r.TopRecords = int(m.GetTopRecords())
 	}
 	for _, f := range m.GetHeader() {
-		r.Header[f.GetName()] = f.GetValues()
+		r.Header[string(f.GetName())] = decodeTexts(f.GetValues())
 	}
 	reply := s.gatherer.GatherShards(ctx, r)
 	return &siblingpb.GatherReply{
-		Declined: reply.Declined, Signatures: reply.Signatures, Body: reply.Body, MayHaveRun: reply.MayHaveRun,
+		Declined: reply.Declined, Signatures: encodeTexts(reply.Signatures), Body: reply.Body, MayHaveRun: reply.MayHaveRun,
 		RestLeftMs: reply.RestLeft.Milliseconds(),
 	}, nil
 }
@@ -55,7 +56,7 @@
 // certainly did not receive the request.
 func (c *Client) GatherShards(ctx context.Context, address string, r sibling.GatherRequest) (sibling.GatherReply, error) {
 	m := &siblingpb.GatherRequest{
-		RequestId: r.RequestID, Method: r.Method, RequestUri: r.RequestURI, Path: r.Path, Host: r.Host, Body: r.Body,
+		RequestId: []byte(r.RequestID), Method: []byte(r.Method), RequestUri: []byte(r.RequestURI), Path: []byte(r.Path), Host: []byte(r.Host), Body: r.Body,
 		Organisation: r.Organisation, KeyDigest: r.KeyDigest, Shards: r.Shards, MaxAttempts: uint32(max(r.MaxAttempts, 0)),
 		TimeoutUs: r.Timeout.Microseconds(), SoftTimeoutUs: r.SoftTimeout.Microseconds(),
 		Sender: r.Sender, SentAtUs: r.SentAt.Microseconds(),
@@ -64,7 +65,7 @@
 		m.TopRecords = proto.Uint32(uint32(r.TopRecords))
 	}
 	for name, values := range r.Header {
-		m.Header = append(m.Header, &siblingpb.HeaderField{Name: name, Values: values})
+		m.Header = append(m.Header, &siblingpb.HeaderField{Name: []byte(name), Values: encodeTexts(values)})
 	}
 	reply, err := callTracked(ctx, c, address, func(ctx context.Context, conn grpc.ClientConnInterface) (*siblingpb.GatherReply, error) {
 		return siblingpb.NewGathererClient(conn).Gather(ctx, m)
@@ -73,7 +74,21 @@
 		return sibling.GatherReply{}, err
 	}
 	return sibling.GatherReply{
-		Declined: reply.GetDeclined(), Signatures: reply.GetSignatures(), Body: reply.GetBody(), MayHaveRun: reply.GetMayHaveRun(),
+		Declined: reply.GetDeclined(), Signatures: decodeTexts(reply.GetSignatures()), Body: reply.GetBody(), MayHaveRun: reply.GetMayHaveRun(),
 		RestLeft: time.Duration(reply.GetRestLeftMs()) * time.Millisecond,
 	}, nil
 }
+
+func encodeTexts(texts []string) (out [][]byte) {
+	for _, s := range texts {
+		out = append(out, []byte(s))
+	}
+	return out
+}
+
+func decodeTexts(texts [][]byte) (out []string) {
+	for _, b := range texts {
+		out = append(out, string(b))
+	}
+	return out
+}
--- a/sibling/siblinggrpc/gather_test.go
+++ b/sibling/siblinggrpc/gather_test.go
@@ -24,10 +24,9 @@
 	return f.reply
 }
 
-// Guards against requests to owners and their replies that differ after encoding and decoding, and against a request that
-// counts as perhaps run although no connection was made.
-func TestGatherSurvivesTheWire(t *testing.T) {
-	f := &fakeGatherer{reply: sibling.GatherReply{Signatures: []string{"a", "b"}, Body: []byte("records"), MayHaveRun: true, RestLeft: 250 * time.Millisecond}}
+// startGatherer serves a gatherer and returns its address and a client.
+func startGatherer(t *testing.T, f *fakeGatherer) (string, *Client) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -38,18 +37,26 @@
 	t.Cleanup(server.Stop)
 	client := NewClient()
 	t.Cleanup(client.Close)
+	return listener.Addr().String(), client
+}
+
+// Guards against requests to owners and their replies that differ after encoding and decoding, and against a request that
+// counts as perhaps run although no connection was made.
+func TestGatherSurvivesTheWire(t *testing.T) {
+	f := &fakeGatherer{reply: sibling.GatherReply{Signatures: []string{"a", "b"}, Body: []byte("records"), MayHaveRun: true, RestLeft: 250 * time.Millisecond}}
+	address, client := startGatherer(t, f)
 	sent := sibling.GatherRequest{
 		RequestID: "id", Method: "POST", RequestURI: "/a?b", Path: "/a", Host: "h", Header: map[string][]string{"X-Own": {"1", "2"}}, Body: []byte("body"),
 		Organisation: "o", KeyDigest: "digest", Shards: []string{"s", "t"}, MaxAttempts: 2, Timeout: 300 * time.Millisecond,
 		SoftTimeout: -2 * time.Millisecond, Sender: "edge-1/x", SentAt: 5 * time.Second, TopRecords: 20,
 	}
-	got, err := client.GatherShards(t.Context(), listener.Addr().String(), sent)
+	got, err := client.GatherShards(t.Context(), address, sent)
 	if err != nil || !reflect.DeepEqual(got, f.reply) || !reflect.DeepEqual(f.got, sent) {
 		t.Errorf("request %+v\nreply %+v, %v", f.got, got, err)
 	}
 	for _, records := range []int{0, sibling.UnknownTopRecords} {
 		sent.TopRecords = records
-		if _, err := client.GatherShards(t.Context(), listener.Addr().String(), sent); err != nil || f.got.TopRecords != records {
+		if _, err := client.GatherShards(t.Context(), address, sent); err != nil || f.got.TopRecords != records {
 			t.Errorf("%d records arrive as %d, %v", records, f.got.TopRecords, err)
 		}
 	}
@@ -59,3 +66,18 @@
 		t.Errorf("no listener: %v, want %v", err, sibling.ErrNotSent)
 	}
 }
+
+// Guards against a request that a sibling cannot gather because a caller or a target sent bytes that are no UTF-8.
+func TestGatherPassesBytesOn(t *testing.T) {
+	const odd = "M\xfcller\xff"
+	f := &fakeGatherer{reply: sibling.GatherReply{Signatures: []string{odd}}}
+	address, client := startGatherer(t, f)
+	sent := sibling.GatherRequest{
+		RequestID: odd, Method: "GET", RequestURI: "/" + odd, Path: "/" + odd, Host: odd, Header: map[string][]string{"X-Own": {odd, "2"}},
+		Shards: []string{"s"}, Timeout: time.Second, Sender: "edge-1/x",
+	}
+	got, err := client.GatherShards(t.Context(), address, sent)
+	if err != nil || !reflect.DeepEqual(got, f.reply) || !reflect.DeepEqual(f.got, sent) {
+		t.Errorf("request %+v\nreply %+v, %v", f.got, got, err)
+	}
+}
