Listeners with one address are refused by name

`dogwooddrift edge` with one address for two listeners ended by a panic: the listeners were kept by address, so that one of them stayed nil. The settings file is refused now with the names of both settings, and the port of the metrics, which is a flag, with those of both listeners.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -206,16 +206,26 @@
 }
 
 func (n *Node) listen() error {
-	addresses := map[string]*net.Listener{
-		n.settings.CallersAddress: &n.callersListener, n.settings.ReadinessAddress: &n.readinessListener, n.settings.SiblingsAddress: &n.siblingsListener,
+	type address struct {
+		name, address string
+		listener      *net.Listener
+	}
+	addresses := []address{
+		{"callers", n.settings.CallersAddress, &n.callersListener}, {"readiness", n.settings.ReadinessAddress, &n.readinessListener},
+		{"siblings", n.settings.SiblingsAddress, &n.siblingsListener},
 	}
 	if n.config.MetricsPort != 0 {
-		addresses[net.JoinHostPort(n.settings.HostIP, strconv.Itoa(n.config.MetricsPort))] = &n.operatorsListener
+		addresses = append(addresses, address{"metrics", net.JoinHostPort(n.settings.HostIP, strconv.Itoa(n.config.MetricsPort)), &n.operatorsListener})
 	}
-	for address, listener := range addresses {
+	for i, x := range addresses {
+		for _, other := range addresses[:i] {
+			if other.address == x.address {
+				return oops.In("edge").Wrapf(ErrListen, "%s and %s share the address %s", other.name, x.name, x.address)
+			}
+		}
 		var err error
-		if *listener, err = net.Listen("tcp", address); err != nil {
-			return oops.In("edge").Wrapf(ErrListen, "%s: %v", address, err)
+		if *x.listener, err = net.Listen("tcp", x.address); err != nil {
+			return oops.In("edge").Wrapf(ErrListen, "%s %s: %v", x.name, x.address, err)
 		}
 	}
 	return nil
