--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -447,10 +447,18 @@
 // readerKey is the rendezvous hashing key for the rank of a zone's instances as readers of the platform.
 const readerKey = "reader"
 
-// IsOwner reports whether this instance ranks first for a key among the live instances.
+// IsOwner reports whether this instance ranks first for a key among the live instances. One that is shutting down owns nothing
+// while another one is live, since the others do not count it.
 func (g *Gossip) IsOwner(key string, now time.Time) bool {
+	candidates := g.within(now, g.memberTimeout())
+	if g.self.Leaving {
+		if !g.HasNoLiveSiblings(now) {
+			return false
+		}
+		candidates = g.limitSharers(now)
+	}
 	mine := rendezvous(key, g.self.ID)
-	for m := range g.within(now, g.memberTimeout()) {
+	for m := range candidates {
 		if rendezvous(key, m.ID) > mine {
 			return false
 		}
--- a/sibling/gossip_test.go
+++ b/sibling/gossip_test.go
@@ -297,3 +297,44 @@
 	tell(direct, hearsay)
 	check("released", 0)
 }
+
+// Guards against two owners of a cold target, which together send it more than it tolerates: an instance that is shutting down
+// and the one that the others take for the owner.
+func TestLeavingInstanceOwnsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var all []*Gossip
+	for _, id := range []string{"a", "b", "c"} {
+		all = append(all, NewGossip(MemberState{ID: id, Zone: "z", Address: id, Generation: 1, PlatformAge: NoContact}, nil, rand.New(rand.NewPCG(1, 1)), now))
+	}
+	exchange := func() {
+		for _, from := range all {
+			from.Round(now, false)
+			for _, to := range all {
+				to.Merge(from.MemberStates(now)[:1], now)
+			}
+		}
+		now = now.Add(GossipInterval)
+	}
+	owners := func(key string) (n int) {
+		for _, g := range all {
+			if g.IsOwner(key, now) {
+				n++
+			}
+		}
+		return n
+	}
+	exchange()
+	for n, leaving := range all {
+		for i := range 20 {
+			if key := fmt.Sprint("target-", i); owners(key) != 1 {
+				t.Errorf("%d instances are leaving: %d owners of %s, want 1", n, owners(key), key)
+			}
+		}
+		if n == len(all)-1 {
+			break // the last one goes on owning: nobody else could send
+		}
+		leaving.Leave(now.Add(5 * time.Second))
+		exchange()
+		exchange()
+	}
+}
