TestNotRunReachesTheWitnessAfterALoss waits for the delivery of the second message

The test ended the home once the second message to the witness had been sent, which may be before its delivery; then the witness rightly says that the change may have run. It now waits until the called instance has carried it out; what it asserts is unchanged.

--- a/traffic/change_test.go
+++ b/traffic/change_test.go
@@ -292,11 +292,17 @@
 	var calls atomic.Int64
 	f.mu.Lock()
 	f.loseCall = func(method string) (bool, bool) { return method == "HandOver" && calls.Add(1) == 1, false }
+	deliveredBefore := f.delivered["HandOver"]
 	f.mu.Unlock()
 	if _, refusal := f.change("a", key, time.Second); refusal == nil || refusal.Ran != caller.RanNo {
 		t.Fatalf("refusal is %v, want one that did not run", refusal)
 	}
-	f.eventually(func() bool { return calls.Load() >= 2 })
+	// The second message must have arrived, not just been sent, when the home ends.
+	f.eventually(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return calls.Load() >= 2 && f.delivered["HandOver"] > deliveredBefore
+	})
 	busy.Stats.Finish(0)
 	f.nodes["a"].kill()
 	f.publishList("b", "c")
--- a/traffic/harness_test.go
+++ b/traffic/harness_test.go
@@ -32,6 +32,8 @@
 	mu   sync.Mutex
 	list *document.InstanceList
 	runs map[string]int // by idempotency key
+	// delivered counts the calls that the called instance has carried out, by method.
+	delivered map[string]int
 	// loseCall decides for each call of a method whether the request or the reply is lost.
 	loseCall func(method string) (request, reply bool)
 }
@@ -105,7 +107,7 @@
 // newStartingFleet returns a fleet whose instances know their list but may still wait for each other's records.
 func newStartingFleet(t *testing.T, ids ...string) *fleet {
 	f := &fleet{
-		t: t, nodes: map[string]*testNode{}, runs: map[string]int{}, list: &document.InstanceList{},
+		t: t, nodes: map[string]*testNode{}, runs: map[string]int{}, delivered: map[string]int{}, list: &document.InstanceList{},
 		loseCall: func(string) (bool, bool) { return false, false },
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -270,6 +272,11 @@
 	done := make(chan result, 1)
 	go func() {
 		v, err := call(to)
+		if err == nil {
+			from.fleet.mu.Lock()
+			from.fleet.delivered[method]++
+			from.fleet.mu.Unlock()
+		}
 		done <- result{v, err}
 	}()
 	select {
