Instances report only how many sharers of the limits they know themselves

Found by reading the diff: each instance reported the larger of its own number and the one that siblings had reported, so that a number went round for ever after instances had left, and a part of each rate stayed unused.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -65,8 +65,8 @@
 	MemberStates []sibling.MemberState
 	Update       Update
 	Notices      targets.Notices
-	// LimitSharers is the number of instances that the sender divides the fleet's limits among, itself included; 0 in a message
-	// of an older process.
+	// LimitSharers is the number of instances that share the fleet's limits as far as the sender knows, itself included; 0 in a
+	// message of an older process.
 	LimitSharers int
 	// OmitValues is set in a request whose reply should contain no values, because the sender gets them from another
 	// sibling.
--- a/routing/rolling_test.go
+++ b/routing/rolling_test.go
@@ -147,3 +147,21 @@
 		})
 	}
 }
+
+// Guards against a number of instances that siblings report to each other for ever after some of them have left, so that a
+// part of each limit stays unused.
+func TestLimitsAreDividedAmongThoseThatAreLeft(t *testing.T) {
+	f := newStoreFleet(6, 2, rateBounds)
+	f.run(5 * time.Second)
+	for _, m := range f.members[2:] {
+		m.step(Leaving{Stop: caller.Stop{NoticeEnds: f.now.Add(rollingNotice), Ends: f.now.Add(rollingEnds)}})
+		m.after(rollingNotice, func() { m.step(Drained{}) })
+		m.after(rollingNotice+exitTime, m.stop)
+	}
+	f.run(rollingNotice + 5*time.Second)
+	for _, m := range f.members[:2] {
+		if n := m.state.limitSharers(f.now); n != 2 {
+			t.Errorf("%s divides limits among %d instances, want 2", m.address(), n)
+		}
+	}
+}
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -123,13 +123,16 @@
 
 // limitSharers returns the number of instances that the limits are divided among, this one included.
 func (s *State) limitSharers(now time.Time) int {
-	known := s.gossip.LimitSharerCount(now) + 1
 	if now.Sub(s.sharersReportedAt) >= 2*sharersMemory {
-		return known
+		return s.knownSharers(now)
 	}
-	return max(known, s.reportedSharers)
+	return max(s.knownSharers(now), s.reportedSharers)
 }
 
+// knownSharers returns the number of instances that share the limits as far as this one knows by itself. Only that is reported
+// to siblings: numbers that others reported would go round for ever.
+func (s *State) knownSharers(now time.Time) int { return s.gossip.LimitSharerCount(now) + 1 }
+
 // siblingDemand is the demand at the members that share the limits, by organisation. Its maps hold only organisations that
 // some member has demand for, so that a division costs as much as there are demands, not organisations times members.
 type siblingDemand struct {
--- a/routing/state.go
+++ b/routing/state.go
@@ -362,7 +362,7 @@
 		s.notices = targets.Notices{Crashes: append(newestCrashes(s.notices.Crashes), n.Crashes...), Quarantined: n.Quarantined, Departures: s.departures.Notices(now)}
 		s.noticesAt = now
 	}
-	return GossipMessage{MemberStates: s.gossip.MemberStates(now), Notices: s.notices, LimitSharers: s.limitSharers(now)}
+	return GossipMessage{MemberStates: s.gossip.MemberStates(now), Notices: s.notices, LimitSharers: s.knownSharers(now)}
 }
 
 // maxCrashNotices is the maximum number of earlier crash notices that a message repeats.
