--- a/routing/state.go
+++ b/routing/state.go
@@ -40,7 +40,7 @@
 	readerSlack = 1200 * time.Millisecond
 	// takeoverTime is the time from the moment at which an instance notices that its readers have lost the store until the
 	// changes that it then reads itself are in force: a tick, a read, and a publication of the snapshot, on a busy processor.
-	takeoverTime = 500 * time.Millisecond
+	takeoverTime = 400 * time.Millisecond
 	// minOutage is the time without store contact after which a returning store may lack registrations that expired
 	// meanwhile.
 	minOutage = 1500 * time.Millisecond
