--- a/cmd/dogwooddrift/edge_series_test.go
+++ b/cmd/dogwooddrift/edge_series_test.go
@@ -84,11 +84,7 @@
 	b := &balancer{fleet: fleet, missed: map[*edgeProcess]int{}}
 	background.Go(func() { b.run(ctx) })
 	for _, e := range fleet {
-		for limit := time.Now().Add(20 * time.Second); !e.ready.Load(); time.Sleep(readinessInterval) {
-			if time.Now().After(limit) {
-				t.Fatal("an instance did not become ready in 20 s")
-			}
-		}
+		e.awaitReady(t)
 	}
 	for n, x := range targets {
 		if x.Service == "one" {
--- a/cmd/dogwooddrift/edge_stop_test.go
+++ b/cmd/dogwooddrift/edge_stop_test.go
@@ -64,12 +64,7 @@
 func TestEdgeStopAnswersEachRequestItPassesOn(t *testing.T) {
 	fleet, targets := startEdgeFleet(t, 0)
 	e := fleet[0]
-	for limit := time.Now().Add(20 * time.Second); !e.ready.Load(); time.Sleep(readinessInterval) {
-		if time.Now().After(limit) {
-			t.Fatal("the instance did not become ready in 20 s")
-		}
-		e.checkReadiness()
-	}
+	e.awaitReady(t)
 	for _, x := range targets {
 		if x.Service == "one" {
 			x.SetFaults(platformtest.Faults{Slow: stopWorkTime})
--- a/cmd/dogwooddrift/edge_test.go
+++ b/cmd/dogwooddrift/edge_test.go
@@ -69,6 +69,17 @@
 	e.ready.Store(response.StatusCode == http.StatusOK)
 }
 
+// awaitReady waits until the instance is ready.
+func (e *edgeProcess) awaitReady(t *testing.T) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); !e.ready.Load(); time.Sleep(readinessInterval) {
+		if time.Now().After(limit) {
+			t.Fatal("an instance did not become ready in 20 s")
+		}
+		e.checkReadiness()
+	}
+}
+
 // startEdgeFleet starts a store, targets and instances in one zone. cores is the part of a core that the instances' settings
 // state.
 func startEdgeFleet(t *testing.T, cores float64) ([]*edgeProcess, []*platformtest.Target) {
@@ -132,16 +143,8 @@
 			}
 		})
 	}
-	awaitReady := func(e *edgeProcess) {
-		t.Helper()
-		for limit := time.Now().Add(20 * time.Second); !e.ready.Load(); time.Sleep(readinessInterval) {
-			if time.Now().After(limit) {
-				t.Fatal("an instance did not become ready in 20 s")
-			}
-		}
-	}
 	for _, e := range fleet {
-		awaitReady(e)
+		e.awaitReady(t)
 	}
 	var sent, changes atomic.Int64
 	for w := range workers {
@@ -178,7 +181,7 @@
 		}
 		e.ready.Store(false)
 		e.start(t)
-		awaitReady(e)
+		e.awaitReady(t)
 	}
 	stop()
 	background.Wait()
