The soak keeps its check of the runs that targets counted

Found by reading the diff: the soak's own checks for changes that ran twice, or ran after a promise that they had not, were dropped when the history took over, but the history lacks attempts of which net/http did not report the sending, or reported it after the answer. Both checks are back as they were.

No product code.

--- a/cmd/internal/soak/edge.go
+++ b/cmd/internal/soak/edge.go
@@ -252,7 +252,13 @@
 		for _, t := range e.targets {
 			runs += t.Runs(attempt)
 		}
-		if runs == 0 && status == http.StatusOK {
+		// The history lacks attempts of which net/http did not report the sending.
+		switch {
+		case runs > 1:
+			c.soak.addFinding("attempt %s ran %d times", attempt, runs)
+		case runs > 0 && platformtest.PromisesNotRun(status):
+			c.soak.addFinding("attempt %s ran although status %d promised that it had not", attempt, status)
+		case runs == 0 && status == http.StatusOK:
 			c.soak.addFinding("attempt %s was answered and did not run", attempt)
 		}
 	}
