Log and metrics of how late control acts, who reads the store, and how long an instance was behind

The hypotheses of docs/incidents/configuration-late.md could not be told apart from the logs: they said when a version was applied and from whom it came, not whether the instance could have had it before.

- control_wait, control_step and the line 'control: late': the longest time that an event waited for the control goroutine, and that a step with its publication took (hypothesis B).
- 'behind siblings for' in the line of a new routing: since when the instance knew that others have newer values (C).
- 'platform read by': when an instance begins to read the store itself, and when it stops (A).

No decision changes.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -99,6 +99,9 @@
 	softMemoryLimitFraction = 0.7
 	// housekeepingInterval is the period of closing idle connections, setting the gauges and reading the settings file.
 	housekeepingInterval = time.Second
+	// loggedControlDelay is the delay of the control goroutine from which it is logged: a gossip round, after which siblings
+	// notice it.
+	loggedControlDelay = 250 * time.Millisecond
 	// exitReserve is the end of the shutdown grace time that is reserved for the last answers, which take closeTime at most,
 	// and the exit of the process.
 	exitReserve = 700 * time.Millisecond
@@ -430,6 +433,7 @@
 	scope.Gauge(metricLogOmitted).Update(float64(n.recorder.Omitted()))
 	scope.Gauge(metricLogLinesDropped).Update(float64(n.out.Dropped()))
 	scope.Gauge(metricLoopEventsDropped).Update(float64(n.loop.Dropped()))
+	n.reportControlDelays()
 	scope.Gauge(metricReplyBytesHeld).Update(float64(n.replyMemory.Used()))
 	scope.Gauge(metricBodyBytesHeld).Update(float64(n.bodyMemory.Used()))
 	scope.Gauge(metricUnreadAnswers).Update(float64(n.handler.UnreadAnswers()))
@@ -461,6 +465,16 @@
 	}
 }
 
+// reportControlDelays sets the gauges of how late the control goroutine acted since the last call, and logs long delays.
+func (n *Node) reportControlDelays() {
+	d := n.loop.Delays()
+	n.metrics.Scope.Gauge(metricControlWait).Update(d.Wait.Seconds())
+	n.metrics.Scope.Gauge(metricControlStep).Update(d.Step.Seconds())
+	if max(d.Wait, d.Step) >= loggedControlDelay {
+		n.log.Warn().Int64("wait_ms", d.Wait.Milliseconds()).Int64("step_ms", d.Step.Milliseconds()).Msg("control: late")
+	}
+}
+
 // meanLoadAge returns the mean age of the load reports of the targets that reported their load lately, and their number.
 func meanLoadAge(all []*targets.Target, now time.Time) (mean time.Duration, reporting int) {
 	var sum time.Duration
--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -50,6 +50,8 @@
 	metricHeadsClosed       = "heads_closed"
 	metricHeadsRefused      = "heads_refused"
 	metricGroupsDeclined    = "groups_declined"
+	metricControlWait       = "control_wait"
+	metricControlStep       = "control_step"
 )
 
 const (
--- a/control/loop/loop.go
+++ b/control/loop/loop.go
@@ -38,15 +38,31 @@
 // Loop runs a State on one goroutine.
 type Loop[E, F, S any] struct {
 	state    State[E, F, S]
-	events   chan E
+	events   chan queued[E]
 	snapshot atomic.Pointer[S]
 	dropped  atomic.Int64
-	done     chan struct{}
+	// longestWait and longestStep are those since the last call of Delays, in nanoseconds.
+	longestWait, longestStep atomic.Int64
+	done                     chan struct{}
+}
+
+// queued is an event in the queue.
+type queued[E any] struct {
+	event E
+	at    time.Time // when it was queued
+}
+
+// Delays tells how late the control goroutine acts.
+type Delays struct {
+	// Wait is the longest time that an event waited in the queue, or that a timer fired late.
+	Wait time.Duration
+	// Step is the longest time of a step with the publication of its snapshot, without its effects.
+	Step time.Duration
 }
 
 // New returns a loop that owns state, which must not be used elsewhere afterwards.
 func New[E, F, S any](state State[E, F, S]) *Loop[E, F, S] {
-	l := &Loop[E, F, S]{state: state, events: make(chan E, queueLength), done: make(chan struct{})}
+	l := &Loop[E, F, S]{state: state, events: make(chan queued[E], queueLength), done: make(chan struct{})}
 	l.snapshot.Store(state.Snapshot())
 	return l
 }
@@ -56,31 +72,50 @@
 	defer close(l.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	wakeAt := time.Now()
 	for {
-		var event E
+		var next queued[E]
 		select {
 		case <-ctx.Done():
 			return
-		case event = <-l.events:
+		case next = <-l.events:
 		case <-timer.C:
-			event = l.state.Tick()
+			next = queued[E]{l.state.Tick(), wakeAt}
 		}
-		result := l.state.Step(event, time.Now())
+		now := time.Now()
+		raise(&l.longestWait, now.Sub(next.at))
+		result := l.state.Step(next.event, now)
 		if result.SnapshotChanged {
 			l.snapshot.Store(l.state.Snapshot())
 		}
+		raise(&l.longestStep, time.Since(now))
 		for _, effect := range result.Effects {
 			executor.Execute(effect)
 		}
-		timer.Reset(time.Until(result.WakeAt))
+		wakeAt = result.WakeAt
+		timer.Reset(time.Until(wakeAt))
 	}
 }
 
+// raise sets a maximum to d if that is larger.
+func raise(longest *atomic.Int64, d time.Duration) {
+	for old := longest.Load(); int64(d) > old; old = longest.Load() {
+		if longest.CompareAndSwap(old, int64(d)) {
+			return
+		}
+	}
+}
+
+// Delays returns the longest delays since its last call.
+func (l *Loop[E, F, S]) Delays() Delays {
+	return Delays{Wait: time.Duration(l.longestWait.Swap(0)), Step: time.Duration(l.longestStep.Swap(0))}
+}
+
 // Post queues an event without blocking. It reports false, and counts the event as dropped, when the queue is
 // full.
 func (l *Loop[E, F, S]) Post(e E) bool {
 	select {
-	case l.events <- e:
+	case l.events <- queued[E]{e, time.Now()}:
 		return true
 	default:
 		l.dropped.Add(1)
@@ -100,7 +135,7 @@
 	var zero T
 	reply := make(chan T, 1)
 	select {
-	case l.events <- event(reply):
+	case l.events <- queued[E]{event(reply), time.Now()}:
 	case <-l.done:
 		return zero, ErrStopped
 	case <-ctx.Done():
--- a/routing/state.go
+++ b/routing/state.go
@@ -103,7 +103,10 @@
 	// confirmed is set once the values may be used; see confirmValues.
 	confirmed bool
 
-	reading          bool // a read of the store is in flight
+	reading bool // a read of the store is in flight
+	reader  bool // this instance reads the store, as last logged
+	// behindSince is since when a live sibling is known to have newer values, zero if none is.
+	behindSince      time.Time
 	nextRead         time.Time
 	storeContact     time.Time // last successful read by this instance
 	outsideContact   time.Time // last gossip of this zone with another one
@@ -300,7 +303,7 @@
 		s.sendGossip(s.pullAddress, s.shouldRequestValues(s.pullAddress, now), now, result)
 		s.pullAddress = ""
 	}
-	if !s.reading && !now.Before(s.nextRead) && s.shouldReadStore(now) {
+	if !s.reading && !now.Before(s.nextRead) && s.decideReader(now) {
 		s.reading = true
 		read := ReadStore{After: s.values.completeTo, Wait: s.storeWait(), Full: s.values.completeTo == 0 || s.readFailures < 0}
 		result.Effects = append(result.Effects, read)
@@ -362,6 +365,34 @@
 	}
 }
 
+// decideReader reports whether this instance reads the store, and logs when that changes.
+func (s *State) decideReader(now time.Time) bool {
+	reader := s.shouldReadStore(now)
+	if reader != s.reader {
+		s.reader = reader
+		before, after := "siblings", "this instance"
+		if !reader {
+			before, after = after, before
+		}
+		s.logState("platform read by", "", before, after, "own contact "+ageText(s.storeContact, now)+" ago")
+	}
+	return reader
+}
+
+// updateBehind notes since when siblings are known to have newer values.
+func (s *State) updateBehind(now time.Time) {
+	behind := false
+	for m := range s.gossip.EachLive(now) {
+		behind = behind || m.CompleteTo > s.values.completeTo
+	}
+	switch {
+	case !behind:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = now
+	}
+}
+
 // shouldReadStore reports whether this instance reads the store. While an instance has no values, it lets the first in
 // rank of its zone read and waits for the values from a sibling, up to a timeout: reads have a cost, and the instances
 // of a fleet start at the same time.
@@ -444,6 +475,7 @@
 func (s *State) receiveGossip(e GossipReceived, now time.Time) {
 	s.recordContact(e.Message.MemberStates, now)
 	s.gossip.Merge(e.Message.MemberStates, now)
+	s.updateBehind(now)
 	s.recordReportedSharers(e.Message.LimitSharers, now)
 	for _, m := range e.Message.MemberStates[:min(1, len(e.Message.MemberStates))] {
 		delete(s.gossipErrors, m.Address)
@@ -555,12 +587,13 @@
 		return
 	}
 	for _, c := range applied {
-		s.logChange(c, s.values.entries[key{c.Kind, c.Name}].outdated, source)
+		s.logChange(c, s.values.entries[key{c.Kind, c.Name}].outdated, source, now)
 		s.applyValue(key{c.Kind, c.Name}, now)
 	}
+	s.updateBehind(now)
 }
 
-func (s *State) logChange(c Change, outdated bool, source string) {
+func (s *State) logChange(c Change, outdated bool, source string, now time.Time) {
 	state := statePresent
 	switch {
 	case outdated:
@@ -580,7 +613,11 @@
 		s.logRegistration(c, state, source)
 		return
 	}
-	s.logState(string(c.Kind), c.Name, "", state, source+" revision "+strconv.FormatUint(uint64(c.Revision), 10))
+	source += " revision " + strconv.FormatUint(uint64(c.Revision), 10)
+	if !s.behindSince.IsZero() {
+		source += ", behind siblings for " + ageText(s.behindSince, now)
+	}
+	s.logState(string(c.Kind), c.Name, "", state, source)
 }
 
 // logRegistration logs a change of a target's registration, before it is applied.
