Test: a change reaches busy instances in time although their readers lose the store (fails)

On a virtual clock, 67 instances in four zones; the readers and 35% of the others lose the store right after an answer, and the configuration changes.

--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -19,6 +19,8 @@
 	members []*fleetMember
 	changes []Change // of the store, in the order of their revisions
 	reads   int
+	// handling returns how long what arrives at an instance waits for its processor, nil if it does not wait.
+	handling func() time.Duration
 }
 
 // fleetEvent is something that happens at a time.
@@ -38,6 +40,8 @@
 	waiting *ReadStore
 	// cut reports that the instance and the store do not reach each other.
 	cut bool
+	// handledAt is when the instance handles what arrived last.
+	handledAt time.Time
 }
 
 const (
@@ -92,6 +96,24 @@
 	})
 }
 
+// arrive lets the instance handle an event that arrives now, after those that arrived before. then, if not nil, is called after it.
+func (m *fleetMember) arrive(e Event, then func()) {
+	handle := func() {
+		m.step(e)
+		if then != nil {
+			then()
+		}
+	}
+	if m.fleet.handling == nil {
+		handle()
+		return
+	}
+	if at := m.fleet.now.Add(m.fleet.handling()); at.After(m.handledAt) {
+		m.handledAt = at
+	}
+	m.after(m.handledAt.Sub(m.fleet.now), handle)
+}
+
 // run advances the clock by d.
 func (f *storeFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -169,7 +191,7 @@
 	if r.Full {
 		u.Changes = slices.Clone(m.fleet.changes)
 	}
-	m.after(storeLatency/2, func() { m.step(StoreRead{Update: u}) })
+	m.after(storeLatency/2, func() { m.arrive(StoreRead{Update: u}, nil) })
 }
 
 // fail lets a read time out.
@@ -186,8 +208,9 @@
 			return
 		}
 		reply := make(chan GossipMessage, 1)
-		to.step(GossipReceived{Message: g.Message, Reply: reply})
-		m.after(gossipLatency, func() { m.step(GossipReceived{Message: <-reply}) })
+		to.arrive(GossipReceived{Message: g.Message, Reply: reply}, func() {
+			m.after(gossipLatency, func() { m.arrive(GossipReceived{Message: <-reply}, nil) })
+		})
 	})
 }
 
--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -64,6 +65,61 @@
 	}
 }
 
+// Guards against a configuration that is in force too late at instances on small cores, in zones with and without an instance that
+// reads the store, because those that read it lose it together with many others right after an answer: the time until the others
+// notice must leave enough of the limit for the way of the change through the fleet.
+func TestChangeReachesBusyInstancesInTimeWithoutItsReaders(t *testing.T) {
+	for _, c := range []struct {
+		instances, zones int
+		limit            time.Duration
+		lost             float64 // fraction of the instances that lose the store beside the readers
+	}{{67, 4, 5 * time.Second, 0.35}, {67, 4, 5 * time.Second, 0.85}, {9, 3, 3 * time.Second, 0.35}} {
+		t.Run(fmt.Sprintf("%d instances in %d zones, %v lose the store", c.instances, c.zones, c.lost), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(1, uint64(c.instances)))
+			f := newStoreFleet(c.instances, c.zones, Bounds{RetryBudgetWindow: 10 * time.Second, ChangeLimit: c.limit})
+			f.handling = func() time.Duration { return time.Duration(random.Int64N(int64(busyHandling))) }
+			f.run(12 * time.Second)
+			worst := time.Duration(0)
+			for round := range 5 {
+				f.write(routes(document.Revision(2 + 2*round)))
+				f.run(time.Duration(150+20*round) * time.Millisecond)
+				for _, m := range f.members {
+					m.cut = m.state.gossip.ShouldReadPlatform(f.now, m.state.readerTimeout()) || random.Float64() < c.lost
+				}
+				version := document.Revision(3 + 2*round)
+				f.write(routes(version))
+				worst = max(worst, f.timeInForce(version, 2*c.limit))
+				for _, m := range f.members {
+					m.cut = false
+				}
+				f.run(9 * time.Second)
+			}
+			t.Logf("in force at the others after %v at the most", worst)
+			if worst > c.limit {
+				t.Errorf("in force after %v, want %v", worst, c.limit)
+			}
+		})
+	}
+}
+
+// busyHandling is the longest time until a busy instance on a fifth of a core handles what arrives: a routing of 50 KB takes some 5 ms
+// of a core, and requests take their turn.
+const busyHandling = 100 * time.Millisecond
+
+// timeInForce advances the clock until a version is in force at all instances that reach the store, for at most limit.
+func (f *storeFleet) timeInForce(version document.Revision, limit time.Duration) time.Duration {
+	start := f.now
+	behind := func(m *fleetMember) bool {
+		r := m.state.Snapshot().Routing
+		return !m.cut && (r == nil || r.Version != version)
+	}
+	for slices.ContainsFunc(f.members, behind) && f.now.Sub(start) < limit {
+		f.run(10 * time.Millisecond)
+	}
+	return f.now.Sub(start)
+}
+
 // Guards against a target that is used too long because it was removed just after a reader returned from a cut: the reader
 // takes the removal for one that an outage of the store caused, and believes it later.
 func TestRemovalIsInForceInTimeAfterAReaderReturns(t *testing.T) {
