A zone without a reader of the store notices in time that the readers of other zones have lost it

Cause: only the readers of three zones read the store; a fourth zone hears from them. In a fleet of that size a gossip message holds a part of the states, chosen by when they were received and at random, so that the state of a reader reached other zones seconds late. Therefore the zone waited a quarter of the member timeout longer (1 s at 67 instances, 4.4 s at 295) before it read itself, and that was in no account of the limit. On top of it instances took readers for lost that were not, and read beside them.

Fix: each message holds, for each zone, the state of the instance that reached the store last, as far as the sender knows. The contact of a reader is then known within rounds that grow with the logarithm of the fleet, and a zone without a reader waits 0.5 s longer than the others (FarContactDelay).

TestContactOfReadersIsKnownInTime is new: before, 30 of 67 instances took readers for lost within 10 s and there were 14 reads (12 allowed); none after.

--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/sibling"
 )
 
 // Guards against instances that reach the store and learn of a change too late because the instances that read it for them
@@ -103,6 +104,44 @@
 	}
 }
 
+// Guards against instances that take the readers of the store for lost, or notice their loss late, since what they know of them is
+// old: in a fleet whose messages hold only a part of the states, the contact of the readers must be known everywhere in time.
+func TestContactOfReadersIsKnownInTime(t *testing.T) {
+	f := newStoreFleet(67, 4, Bounds{RetryBudgetWindow: 10 * time.Second, ChangeLimit: 5 * time.Second})
+	f.run(15 * time.Second)
+	late, reads := map[string]int{}, f.reads
+	const checks = 40
+	for range checks {
+		f.run(250 * time.Millisecond)
+		for _, m := range f.members {
+			newest := map[string]time.Duration{} // age of the newest contact with the store by zone, as this instance knows it
+			for _, l := range m.state.gossip.Live(f.now) {
+				if age, known := newest[l.Zone]; l.PlatformAge >= 0 && (!known || l.PlatformAge < age) {
+					newest[l.Zone] = l.PlatformAge
+				}
+			}
+			for _, r := range f.members {
+				zone := r.state.config.Zone
+				limit := m.state.readerTimeout()
+				if zone != m.state.config.Zone {
+					limit += sibling.FarContactDelay
+				}
+				if r.state.reader && r != m && r.state.gossip.IsFirstReader(f.now) && newest[zone] > limit {
+					late[m.address()]++
+				}
+			}
+		}
+	}
+	if len(late) > 0 {
+		t.Errorf("instances that took readers for lost: %v", late)
+	}
+	// Each of three readers reads again after the wait and the pause.
+	m := f.members[0].state
+	if most := 3 * int(checks*250*time.Millisecond/(m.storeWait()+m.readPause())+1); f.reads-reads > most {
+		t.Errorf("%d reads, want %d at most", f.reads-reads, most)
+	}
+}
+
 // busyHandling is the longest time until a busy instance on a fifth of a core handles what arrives: a routing of 50 KB takes some 5 ms
 // of a core, and requests take their turn.
 const busyHandling = 100 * time.Millisecond
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -65,6 +65,8 @@
 	crossZoneExchanges = 3
 	// readerZones is the number of zones whose readers read the platform while they reach it. The others hear from them.
 	readerZones = 3
+	// FarContactDelay is by how much the contact of a zone's reader with the platform is known later in other zones than in its own.
+	FarContactDelay = 500 * time.Millisecond
 	// maxMemberStates bounds the states of one message, so that its size does not grow with the fleet.
 	maxMemberStates = 24
 	// minLiveSiblings is the number of live siblings below which the seeds are contacted in every round.
@@ -260,9 +262,10 @@
 	}
 }
 
-// MemberStates returns the states to send in an exchange: this instance's own state and those of others. Half of the
-// message holds the most recently received states, which makes changes spread fast; the other half is a random
-// choice, so that every member's state is sent at some time.
+// MemberStates returns the states to send in an exchange: this instance's own state and those of others. Each message holds
+// the states of the instances that read the platform, so that their zones notice in time when they lose it. Half of
+// the message holds the most recently received states, which makes changes spread fast; the rest is a random choice, so that
+// every member's state is sent at some time.
 func (g *Gossip) MemberStates(now time.Time) []MemberState {
 	own := g.self
 	own.PlatformAge, own.OutsideAge = ageOf(g.platformContact, now), ageOf(g.outsideContact, now)
@@ -284,6 +287,12 @@
 		chosen[m] = true
 		add(m)
 	}
+	for _, m := range g.lastReaders(now) {
+		if !chosen[m] && len(chosen) < maxMemberStates-1 {
+			chosen[m] = true
+			add(m)
+		}
+	}
 	for len(chosen) < min(len(g.byID), maxMemberStates-1) {
 		if m := g.byID[g.rng.IntN(len(g.byID))]; !chosen[m] {
 			chosen[m] = true
@@ -293,6 +302,24 @@
 	return out
 }
 
+// lastReaders returns, of each zone, the live instance that reached the platform last, as far as this instance knows.
+func (g *Gossip) lastReaders(now time.Time) []*member {
+	var out []*member
+	for m := range g.within(now, g.memberTimeout()) {
+		if m.platformContact.IsZero() {
+			continue
+		}
+		i := slices.IndexFunc(out, func(o *member) bool { return o.Zone == m.Zone })
+		switch {
+		case i < 0:
+			out = append(out, m)
+		case m.platformContact.After(out[i].platformContact):
+			out[i] = m
+		}
+	}
+	return out
+}
+
 // state returns the state of the member with the present age of its contact with the platform.
 func (m *member) state(now time.Time) MemberState {
 	state := m.MemberState
@@ -401,10 +428,10 @@
 
 // ShouldReadPlatform reports whether this instance reads the platform for its zone: it does unless a live instance of
 // the zone with a higher rank reached the platform within the limit, or instances of readerZones zones with a higher rank
-// did. The states of other zones may be older, by a part of the time after which a member is not live.
+// did. The states of other zones may be older.
 func (g *Gossip) ShouldReadPlatform(now time.Time, limit time.Duration) bool {
 	mine, zone := rendezvous(readerKey, g.self.ID), rendezvous(readerKey, g.self.Zone)
-	farLimit := limit + g.memberTimeout()/4
+	farLimit := limit + FarContactDelay
 	var read map[string]bool
 	for m := range g.within(now, g.memberTimeout()) {
 		if age := ageOf(m.platformContact, now); m.Zone != g.self.Zone && age != NoContact && age <= farLimit && rendezvous(readerKey, m.Zone) > zone {
