The limit for changes leaves time for the way of a change through the fleet

Cause: the wait of a read was derived so that an instance which reads the store itself has a change within the limit. What comes after that, the way of the change to those that do not read, and the longer wait of a zone without a reader, was in no account: at 67 instances nearly 3.6 of 5 s passed until anybody noticed that the readers were lost.

Fix: State.storeWait takes off spreadTime, 0.2 s for each doubling of the number of instances, and FarContactDelay where there are more zones than read. At 67 instances in four zones the wait is 1.35 s instead of 2 s, at 9 in three 0.72 s instead of 1.36 s, at 25 in three still 2 s.

--- a/routing/state.go
+++ b/routing/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -41,6 +42,9 @@
 	// takeoverTime is the time from the moment at which an instance notices that its readers have lost the store until the
 	// changes that it then reads itself are in force: a tick, a read, and a publication of the snapshot, on a busy processor.
 	takeoverTime = 400 * time.Millisecond
+	// spreadPerDoubling is the time that a change takes from instance to instance, for each doubling of the number of instances: an
+	// exchange that brings the news and one that brings the values, at busy instances on a small part of a core.
+	spreadPerDoubling = 200 * time.Millisecond
 	// minOutage is the time without store contact after which a returning store may lack registrations that expired
 	// meanwhile.
 	minOutage = 1500 * time.Millisecond
@@ -535,14 +539,23 @@
 	return s.storeWait() + s.contactDelay()
 }
 
-// storeWait returns how long the store may hold a read open. It is so short that an instance whose readers lose the store right
-// after an answer has the next change in force within Bounds.ChangeLimit.
+// storeWait returns how long the store may hold a read open. It is so short that all instances whose readers lose the store right
+// after an answer have the next change in force within Bounds.ChangeLimit.
 func (s *State) storeWait() time.Duration {
 	limit := s.config.Bounds.ChangeLimit
 	if limit <= 0 {
 		return maxStoreWait
 	}
-	return min(max(limit-takeoverTime-s.contactDelay(), minStoreWait), maxStoreWait)
+	noticed := s.contactDelay()
+	if len(s.config.Regions) > sibling.ReaderZones {
+		noticed += sibling.FarContactDelay
+	}
+	return min(max(limit-noticed-takeoverTime-s.spreadTime(), minStoreWait), maxStoreWait)
+}
+
+// spreadTime returns the time that a change takes from one instance to all others.
+func (s *State) spreadTime() time.Duration {
+	return time.Duration(math.Log2(float64(max(s.memberCount, 1))) * float64(spreadPerDoubling))
 }
 
 // contactDelay returns the time beyond the wait of a read until the reader's contact with the store is known to its zone.
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -63,8 +63,8 @@
 	// round: bytes between zones are dear, and what one instance hears soon reaches the others of its zone.
 	smallZone          = 8
 	crossZoneExchanges = 3
-	// readerZones is the number of zones whose readers read the platform while they reach it. The others hear from them.
-	readerZones = 3
+	// ReaderZones is the number of zones whose readers read the platform while they reach it. The others hear from them.
+	ReaderZones = 3
 	// FarContactDelay is by how much the contact of a zone's reader with the platform is known later in other zones than in its own.
 	FarContactDelay = 500 * time.Millisecond
 	// maxMemberStates bounds the states of one message, so that its size does not grow with the fleet.
@@ -434,7 +434,7 @@
 }
 
 // ShouldReadPlatform reports whether this instance reads the platform for its zone: it does unless a live instance of
-// the zone with a higher rank reached the platform within the limit, or instances of readerZones zones with a higher rank
+// the zone with a higher rank reached the platform within the limit, or instances of ReaderZones zones with a higher rank
 // did. The states of other zones may be older.
 func (g *Gossip) ShouldReadPlatform(now time.Time, limit time.Duration) bool {
 	mine, zone := rendezvous(readerKey, g.self.ID), rendezvous(readerKey, g.self.Zone)
@@ -448,7 +448,7 @@
 			read[m.Zone] = true
 		}
 	}
-	if len(read) >= readerZones {
+	if len(read) >= ReaderZones {
 		return false
 	}
 	for m := range g.within(now, g.memberTimeout()) {
