Overdue values are asked of any sibling that has them

Cause: requests for values went to the random partners of a round. One that has nothing newer held up further requests until it replied, and a sibling of another zone was not asked at all while a member of the own zone counted as having the values, also if that one was gone: up to the member timeout, 4 s at 67 instances.

Fix: a request holds up others only if the sibling is known to be ahead. Once an instance has been behind for the time of a request (0.4 s), it asks a random sibling of any zone that is ahead, and after another 0.4 s a different one.

Evidence: TestValuesAreRequestedElsewhereIfTheirHolderIsGone fails before (no request within 1 s) and passes after.

--- a/routing/state.go
+++ b/routing/state.go
@@ -120,6 +120,7 @@
 	// pullDeadline is the time until which no other sibling gets a request for values, because one is in flight.
 	pullDeadline time.Time
 	pullAddress  string // sibling with newer values that gets the next request for values
+	lastPulled   string // address of the sibling with newer values that got a request for them last
 	lastDivision time.Time
 	// ownDemand is the demand that this instance reports to siblings, as of lastDivision. It is not modified.
 	ownDemand  map[string]float64
@@ -303,6 +304,9 @@
 	for _, address := range s.gossip.Round(now, s.seeksOutsideContact(now)) {
 		s.sendGossip(address, s.shouldRequestValues(address, now), now, result)
 	}
+	if s.pullAddress == "" && s.overdue(now) && !now.Before(s.pullDeadline) {
+		s.pullAddress = s.holder(now)
+	}
 	if s.pullAddress != "" {
 		s.sendGossip(s.pullAddress, s.shouldRequestValues(s.pullAddress, now), now, result)
 		s.pullAddress = ""
@@ -428,31 +432,54 @@
 	pullTimeout = 400 * time.Millisecond
 )
 
-// shouldRequestValues reports whether gossip to the sibling at address requests the values that this instance lacks.
-// Once a live sibling is known to have newer values, only one such request is in flight at a time, since several would
-// bring the same values. A sibling of another zone gets no such request if one of the own zone has values as new.
+// shouldRequestValues reports whether gossip to the sibling at address requests the values that this instance lacks. Only one
+// request to a sibling that is known to have newer values is in flight at a time, since several would bring the same values.
+// A sibling of another zone gets no such request if one of the own zone has values as new, unless this instance is overdue.
 func (s *State) shouldRequestValues(address string, now time.Time) bool {
 	if now.Before(s.pullDeadline) {
 		return false
 	}
-	newest, newestInZone := document.Revision(0), document.Revision(0)
+	newest, newestInZone, theirs := document.Revision(0), document.Revision(0), document.Revision(0)
 	otherZone := false
 	for m := range s.gossip.EachLive(now) {
 		newest = max(newest, m.CompleteTo)
 		if m.Zone == s.config.Zone {
 			newestInZone = max(newestInZone, m.CompleteTo)
 		}
-		otherZone = otherZone || m.Address == address && m.Zone != s.config.Zone
+		if m.Address == address {
+			theirs, otherZone = m.CompleteTo, m.Zone != s.config.Zone
+		}
 	}
-	if otherZone && newestInZone >= newest && s.values.completeTo != 0 {
+	if otherZone && newestInZone >= newest && s.values.completeTo != 0 && !s.overdue(now) {
 		return false
 	}
-	if newest > s.values.completeTo {
-		s.pullDeadline = now.Add(pullTimeout)
+	if theirs > s.values.completeTo {
+		s.pullDeadline, s.lastPulled = now.Add(pullTimeout), address
 	}
 	return true
 }
 
+// overdue reports whether siblings have had newer values for so long that they should have arrived: the siblings that have
+// them may be gone, and others are asked directly.
+func (s *State) overdue(now time.Time) bool {
+	return !s.behindSince.IsZero() && now.Sub(s.behindSince) >= pullTimeout
+}
+
+// holder returns the address of a live sibling that has newer values, chosen at random, "" if there is none other than the one that
+// was asked last.
+func (s *State) holder(now time.Time) string {
+	var addresses []string
+	for m := range s.gossip.EachLive(now) {
+		if m.CompleteTo > s.values.completeTo && m.Address != s.lastPulled {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[s.rng.IntN(len(addresses))]
+}
+
 func (s *State) sendGossip(address string, requestValues bool, now time.Time, result *StepResult) {
 	message := s.buildGossip(now)
 	message.OmitValues = !requestValues
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -484,6 +485,33 @@
 	}
 }
 
+// Guards against an instance that is behind for seconds because the sibling of its zone that told of newer values is gone: it must
+// ask a sibling elsewhere that has them within the goal for changes.
+func TestValuesAreRequestedElsewhereIfTheirHolderIsGone(t *testing.T) {
+	const goal = time.Second
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	x.read(true, routes(1))
+	x.run(time.Second)
+	x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{
+		memberState("c", "z", 1, x.revision), memberState("gone", "z", 1, x.revision+1), memberState("far", "y", 1, x.revision+1),
+	}}})
+	for start := x.now; x.now.Sub(start) < goal; {
+		x.now = x.now.Add(50 * time.Millisecond)
+		requests := gossipRequests(x.step(Tick{}))
+		for i := 0; i < len(requests); i++ {
+			switch e := requests[i]; {
+			case e.Address == "far:1" && !e.Message.OmitValues:
+				return
+			case e.Address != "gone:1":
+				// The reply has nothing new.
+				reply := GossipMessage{MemberStates: []sibling.MemberState{memberState(strings.TrimSuffix(e.Address, ":1"), "z", 0, 0)}}
+				requests = append(requests, gossipRequests(x.step(GossipReceived{Message: reply}))...)
+			}
+		}
+	}
+	t.Errorf("the sibling of another zone that has newer values was not asked for them within %v", goal)
+}
+
 // Guards against reads of the store by every instance when a fleet starts.
 func TestFirstInRankReadsTheStoreAtTheStart(t *testing.T) {
 	const instances = 9
