The pause between reads of the store fits into the limit for changes in a large fleet

With the way of a change in the account, the waits add up to 5.47 s at 295 instances in six zones and 5.50 s at 300 in four, before any instance handles a message; the shortest bound is 5 s there.

Fix: the part of the pause that grows with the fleet is what the limit leaves for it (State.timeForReads), 1.26 s instead of 1.73 s at 295. Fleets of 86 and fewer keep their waits and pauses.

Evidence: TestWaitsFitIntoTheLimitForChanges fails before with the figures above and passes after.

--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// Guards against a limit for changes that the waits of a large fleet exceed before any instance handles a message: the time until
+// lost readers are noticed everywhere, the takeover and the way of the change must fit into it.
+func TestWaitsFitIntoTheLimitForChanges(t *testing.T) {
+	for _, c := range []struct {
+		instances, zones int
+		limit            time.Duration
+	}{{7, 3, 3 * time.Second}, {9, 3, 3 * time.Second}, {25, 3, 5 * time.Second}, {86, 3, 5 * time.Second}, {67, 4, 5 * time.Second}, {295, 6, 5 * time.Second}, {300, 4, 5 * time.Second}} {
+		s := newStateTest(t, Bounds{RetryBudgetWindow: time.Second, ChangeLimit: c.limit}).state
+		s.config.Regions, s.memberCount = regionsOf(c.zones), c.instances
+		worst := s.readerTimeout() + takeoverTime + s.spreadTime()
+		if c.zones > sibling.ReaderZones {
+			worst += sibling.FarContactDelay
+		}
+		t.Logf("%d instances in %d zones: wait %v, pause %v, worst %v", c.instances, c.zones, s.storeWait(), s.readPause(), worst)
+		if worst > c.limit {
+			t.Errorf("%d instances in %d zones: %v, want %v", c.instances, c.zones, worst, c.limit)
+		}
+	}
+}
+
 // Guards against a configuration that reaches the instances of a large fleet one round of gossip after the other: the goal of the
 // design is a second.
 func TestChangeReachesALargeFleetWithinTheGoal(t *testing.T) {
--- a/routing/state.go
+++ b/routing/state.go
@@ -556,9 +556,13 @@
 	s.applyUpdate(e.Update, "platform", now)
 }
 
-// readPause returns the time between two reads of the store.
+// readPause returns the time between two reads of the store. It grows with the fleet as far as Bounds.ChangeLimit leaves time for it.
 func (s *State) readPause() time.Duration {
-	return readPause + time.Duration(s.memberCount)*readPausePerMember
+	perMembers := time.Duration(s.memberCount) * readPausePerMember
+	if s.config.Bounds.ChangeLimit > 0 {
+		perMembers = max(min(perMembers, s.timeForReads()-minStoreWait), 0)
+	}
+	return readPause + perMembers
 }
 
 // readerTimeout returns the age of the store contact of a zone's reader above which the next instance in rank reads too.
@@ -569,15 +573,26 @@
 // storeWait returns how long the store may hold a read open. It is so short that all instances whose readers lose the store right
 // after an answer have the next change in force within Bounds.ChangeLimit.
 func (s *State) storeWait() time.Duration {
-	limit := s.config.Bounds.ChangeLimit
-	if limit <= 0 {
+	if s.config.Bounds.ChangeLimit <= 0 {
 		return maxStoreWait
 	}
-	noticed := s.contactDelay()
+	return min(max(s.timeForReads()-(s.readPause()-readPause), minStoreWait), maxStoreWait)
+}
+
+// contactDelay returns the time beyond the wait of a read until the reader's contact with the store is known to its zone.
+func (s *State) contactDelay() time.Duration {
+	return s.readPause() - readPause + readerSlack
+}
+
+// timeForReads returns the part of Bounds.ChangeLimit that is left for the wait of a read and for the pause before it beyond readPause.
+// The others pass until the contact of a reader is known, until an instance whose readers are lost has the change, and on the
+// way of the change to all others.
+func (s *State) timeForReads() time.Duration {
+	left := s.config.Bounds.ChangeLimit - readerSlack - takeoverTime - s.spreadTime()
 	if len(s.config.Regions) > sibling.ReaderZones {
-		noticed += sibling.FarContactDelay
+		left -= sibling.FarContactDelay
 	}
-	return min(max(limit-noticed-takeoverTime-s.spreadTime(), minStoreWait), maxStoreWait)
+	return left
 }
 
 // spreadTime returns the time that a change takes from one instance to all others.
@@ -585,11 +600,6 @@
 	return time.Duration(math.Log2(float64(max(s.memberCount, 1))) * float64(spreadPerDoubling))
 }
 
-// contactDelay returns the time beyond the wait of a read until the reader's contact with the store is known to its zone.
-func (s *State) contactDelay() time.Duration {
-	return s.readPause() - readPause + readerSlack
-}
-
 // markLapsed marks the removals of targets that an outage of the platform may have caused.
 func markLapsed(changes []Change) {
 	for i := range changes {
