--- a/routing/state.go
+++ b/routing/state.go
@@ -107,16 +107,16 @@
 	// confirmed is set once the values may be used; see confirmValues.
 	confirmed bool
 
-	reading bool // a read of the store is in flight
-	reader  bool // this instance reads the store, as last logged
-	// behindSince is since when a live sibling is known to have newer values, zero if none is.
-	behindSince      time.Time
+	reading          bool // a read of the store is in flight
+	reader           bool // this instance reads the store, as last logged
 	nextRead         time.Time
 	storeContact     time.Time // last successful read by this instance
 	outsideContact   time.Time // last gossip of this zone with another one
 	isolated         bool      // cut off from other zones and unable to serve some route
 	storeRecoveredAt time.Time // first successful read after an outage
 	readFailures     int       // in a row; -1 if the next read must be a full one
+	// behindSince is since when a live sibling is known to have newer values, zero if none is.
+	behindSince time.Time
 	// pullDeadline is the time until which no other sibling gets a request for values, because one is in flight.
 	pullDeadline time.Time
 	pullAddress  string // sibling with newer values that gets the next request for values
@@ -382,7 +382,7 @@
 		if !reader {
 			before, after = after, before
 		}
-		s.logState("platform read by", "", before, after, "own contact "+ageText(s.storeContact, now)+" ago")
+		s.logState("platform read by", "", before, after, "time since the last own read: "+ageText(s.storeContact, now))
 	}
 	return reader
 }
@@ -584,9 +584,9 @@
 	return s.readPause() - readPause + readerSlack
 }
 
-// timeForReads returns the part of Bounds.ChangeLimit that is left for the wait of a read and for the pause before it beyond readPause.
-// The others pass until the contact of a reader is known, until an instance whose readers are lost has the change, and on the
-// way of the change to all others.
+// timeForReads returns the part of Bounds.ChangeLimit that is left for the wait of a read and for the part of the pause beyond
+// readPause. The rest of the limit passes until the contact of a reader is known, until an instance whose readers are lost has
+// the change, and on the way of the change to all others.
 func (s *State) timeForReads() time.Duration {
 	left := s.config.Bounds.ChangeLimit - readerSlack - takeoverTime - s.spreadTime()
 	if len(s.config.Regions) > sibling.ReaderZones {
