--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -312,8 +312,10 @@
 // lastReaders returns, of each zone, the live instance that reached the platform last, as far as this instance knows.
 func (g *Gossip) lastReaders(now time.Time) []*member {
 	var out []*member
-	for m := range g.within(now, g.memberTimeout()) {
-		if m.platformContact.IsZero() {
+	timeout := g.memberTimeout()
+	for _, m := range g.byID {
+		// Most members never read the platform.
+		if m.platformContact.IsZero() || m.Leaving || now.Sub(m.receivedAt) >= timeout {
 			continue
 		}
 		i := slices.IndexFunc(out, func(o *member) bool { return o.Zone == m.Zone })
