Log and metrics of the transfers of values between siblings

A line a second says so if one failed or took a quarter of a second; value_bytes_received and value_transfer_time are new metrics.

--- a/cmd/internal/edge/docs_test.go
+++ b/cmd/internal/edge/docs_test.go
@@ -18,7 +18,7 @@
 		metricReplyBytesHeld, metricBodyBytesHeld, metricUnreadAnswers,
 		metricLoadReportAge, metricTargetsReporting, metricInvalidLoads,
 		metricWaitingStarts, metricWaitingParts, metricAdmissionRefused, metricAdmissionCut,
-		metricConnections, metricConnectionsClosed, metricHeadBytesHeld, metricMessageBytesHeld, metricHeadsClosed, metricHeadsRefused, metricGroupsDeclined, metricControlWait, metricControlStep,
+		metricConnections, metricConnectionsClosed, metricHeadBytesHeld, metricMessageBytesHeld, metricHeadsClosed, metricHeadsRefused, metricGroupsDeclined, metricControlWait, metricControlStep, metricValueBytes, metricTransferTime,
 	} {
 		if !strings.Contains(string(page), "| `"+name+"` |") {
 			t.Errorf("metrics.md does not describe %q", name)
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -142,6 +142,7 @@
 	replyMemory, bodyMemory *traffic.ByteBudget
 	store                   *store.Client
 	metrics                 *metrics.Metrics
+	transfers               transferLog
 	recorder                *recorder
 	handler                 *front.Handler
 	guard                   *front.Guard
@@ -173,6 +174,7 @@
 		siblings: siblinggrpc.NewClient(), replyMemory: byteBudget(c.ReplyMemoryMB, s.MemoryLimitMB, replyMemoryFraction),
 		bodyMemory: byteBudget(c.BodyMemoryMB, s.MemoryLimitMB, bodyMemoryFraction),
 	}
+	n.transfers.bytes = n.metrics.Scope.Counter(metricValueBytes)
 	n.searcher = searcher.New(dialer.DialContext, searcher.Limits{MaxBodyBytes: c.MaxReplyBytes, Memory: n.replyMemory})
 	n.recorder = newRecorder(requestlog.New(out, n.log, c.LogLimits), n.metrics)
 	storeTransport := &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxStoreHeaderBytes}
@@ -434,6 +436,7 @@
 	scope.Gauge(metricLogLinesDropped).Update(float64(n.out.Dropped()))
 	scope.Gauge(metricLoopEventsDropped).Update(float64(n.loop.Dropped()))
 	n.reportControlDelays()
+	n.reportTransfers()
 	scope.Gauge(metricReplyBytesHeld).Update(float64(n.replyMemory.Used()))
 	scope.Gauge(metricBodyBytesHeld).Update(float64(n.bodyMemory.Used()))
 	scope.Gauge(metricUnreadAnswers).Update(float64(n.handler.UnreadAnswers()))
@@ -537,7 +540,11 @@
 func (x *executor) exchangeGossip(e routing.SendGossip) {
 	ctx, cancel := context.WithTimeout(x.ctx, siblinggrpc.GossipTimeout)
 	defer cancel()
+	started := time.Now()
 	reply, err := x.node.siblings.ExchangeGossip(ctx, e.Address, e.Message)
+	if took := time.Since(started); err != nil || reply.Update.EncodedBytes > 0 || took >= loggedTransferTime {
+		x.node.transfers.record(reply.Update.EncodedBytes, took, err)
+	}
 	if err != nil {
 		x.node.post(x.ctx, routing.GossipFailed{Address: e.Address, Err: err})
 		return
--- a/cmd/internal/edge/log.go
+++ b/cmd/internal/edge/log.go
@@ -52,6 +52,8 @@
 	metricGroupsDeclined    = "groups_declined"
 	metricControlWait       = "control_wait"
 	metricControlStep       = "control_step"
+	metricValueBytes        = "value_bytes_received"
+	metricTransferTime      = "value_transfer_time"
 )
 
 const (
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -56,6 +56,8 @@
 	// Full is set if the update contains every existing value: a value that it does not contain does not exist.
 	Full    bool
 	Changes []Change
+	// EncodedBytes is the size of the changes as a sibling sent them, 0 for an update of this instance or the platform.
+	EncodedBytes int
 }
 
 // GossipMessage is the content of a gossip request or reply between two instances. Only replies contain values: the
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -140,6 +140,7 @@
 		}
 		out.MemberStates = append(out.MemberStates, state)
 	}
+	out.Update.EncodedBytes = len(u.GetChanges())
 	if len(u.GetChanges()) == 0 {
 		return out, nil
 	}
--- a/sibling/siblinggrpc/gossip_test.go
+++ b/sibling/siblinggrpc/gossip_test.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	sent.Update.EncodedBytes = len(m.GetUpdate().GetChanges())
 	if !reflect.DeepEqual(got, sent) {
 		t.Errorf("got  %+v\nwant %+v", got, sent)
 	}
