--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -21,6 +21,8 @@
 	reads   int
 	// handling returns how long what arrives at an instance waits for its processor, nil if it does not wait.
 	handling func() time.Duration
+	// routeCost returns how long an instance takes to decode a route that arrives, nil if it takes no time.
+	routeCost func(m *fleetMember) time.Duration
 }
 
 // fleetEvent is something that happens at a time.
@@ -49,7 +51,9 @@
 	gossipLatency = time.Millisecond
 	// readTimeout is how long after the wait of a read its client gives up.
 	readTimeout = 1200 * time.Millisecond
-	fleetStep   = 5 * time.Millisecond
+	// exchangeTimeout is how long an instance waits for the reply to a gossip request.
+	exchangeTimeout = 600 * time.Millisecond
+	fleetStep       = 5 * time.Millisecond
 )
 
 func newStoreFleet(n, zones int, b Bounds) *storeFleet {
@@ -120,9 +124,34 @@
 	if at := m.fleet.now.Add(m.fleet.handling()); at.After(m.handledAt) {
 		m.handledAt = at
 	}
+	if m.fleet.routeCost != nil {
+		m.handledAt = m.handledAt.Add(time.Duration(routesIn(e)) * m.fleet.routeCost(m))
+	}
 	m.after(m.handledAt.Sub(m.fleet.now), handle)
 }
 
+// routesIn returns the number of routes that an instance decodes to handle an event.
+func routesIn(e Event) int {
+	switch e := e.(type) {
+	case GossipReceived:
+		return routesOf(e.Message.Update)
+	case StoreRead:
+		return routesOf(e.Update)
+	}
+	return 0
+}
+
+// routesOf returns the number of routes that an update holds.
+func routesOf(u Update) int {
+	n := 0
+	for _, c := range u.Changes {
+		if c.Routing != nil {
+			n += len(c.Routing.Routes)
+		}
+	}
+	return n
+}
+
 // run advances the clock by d.
 func (f *storeFleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -217,8 +246,20 @@
 			return
 		}
 		reply := make(chan GossipMessage, 1)
+		ended := false
+		m.after(exchangeTimeout, func() {
+			if !ended {
+				ended = true
+				m.step(GossipFailed{Address: g.Address, Err: errors.New("no reply in time")})
+			}
+		})
 		to.arrive(GossipReceived{Message: g.Message, Reply: reply}, func() {
-			m.after(gossipLatency, func() { m.arrive(GossipReceived{Message: <-reply}, nil) })
+			m.after(gossipLatency, func() {
+				if !ended {
+					ended = true
+					m.arrive(GossipReceived{Message: <-reply}, nil)
+				}
+			})
 		})
 	})
 }
--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -190,17 +190,37 @@
 
 // timeInForce advances the clock until a version is in force at all instances that reach the store, for at most limit.
 func (f *storeFleet) timeInForce(version document.Revision, limit time.Duration) time.Duration {
+	return f.timeUntil(func() bool {
+		return !slices.ContainsFunc(f.members, func(m *fleetMember) bool { return !m.cut && !m.hasVersion(version) })
+	}, limit)
+}
+
+// timeUntil advances the clock until reached returns true, for at most limit.
+func (f *storeFleet) timeUntil(reached func() bool, limit time.Duration) time.Duration {
 	start := f.now
-	behind := func(m *fleetMember) bool {
-		r := m.state.Snapshot().Routing
-		return !m.cut && (r == nil || r.Version != version)
-	}
-	for slices.ContainsFunc(f.members, behind) && f.now.Sub(start) < limit {
+	for !reached() && f.now.Sub(start) < limit {
 		f.run(10 * time.Millisecond)
 	}
 	return f.now.Sub(start)
 }
 
+// inForce returns the number of instances at which a version is in force.
+func (f *storeFleet) inForce(version document.Revision) int {
+	n := 0
+	for _, m := range f.members {
+		if m.hasVersion(version) {
+			n++
+		}
+	}
+	return n
+}
+
+// hasVersion reports whether a version of the routing is in force at the instance.
+func (m *fleetMember) hasVersion(version document.Revision) bool {
+	r := m.state.Snapshot().Routing
+	return r != nil && r.Version == version
+}
+
 // Guards against a target that is used too long because it was removed just after a reader returned from a cut: the reader
 // takes the removal for one that an outage of the store caused, and believes it later.
 func TestRemovalIsInForceInTimeAfterAReaderReturns(t *testing.T) {
