--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -280,6 +280,7 @@
 	}
 	peers := grpc.NewServer(append(siblinggrpc.ServerOptions(), siblingLimits(n.settings, n.guard)...)...)
 	siblinggrpc.RegisterGossip(peers, n.loop)
+	siblinggrpc.RegisterValues(peers, n.loop)
 	siblinggrpc.RegisterGatherer(peers, n.forwarder)
 
 	group.Go(func() error { n.loop.Run(work, &executor{ctx: work, node: n}); return nil })
@@ -525,6 +526,8 @@
 		go x.readStore(e)
 	case routing.SendGossip:
 		go x.exchangeGossip(e)
+	case routing.FetchValues:
+		go x.fetchValues(e)
 	case routing.LogStateChange:
 		x.node.recorder.LogStateChange(e.Subject, e.Name, e.Service, e.Old, e.New, e.Source)
 	case routing.LogTargetChanges:
@@ -540,11 +543,7 @@
 func (x *executor) exchangeGossip(e routing.SendGossip) {
 	ctx, cancel := context.WithTimeout(x.ctx, siblinggrpc.GossipTimeout)
 	defer cancel()
-	started := time.Now()
 	reply, err := x.node.siblings.ExchangeGossip(ctx, e.Address, e.Message)
-	if took := time.Since(started); err != nil || reply.Update.EncodedBytes > 0 || took >= loggedTransferTime {
-		x.node.transfers.record(reply.Update.EncodedBytes, took, err)
-	}
 	if err != nil {
 		x.node.post(x.ctx, routing.GossipFailed{Address: e.Address, Err: err})
 		return
@@ -552,6 +551,18 @@
 	x.node.post(x.ctx, routing.GossipReceived{Message: reply})
 }
 
+// fetchValues fetches values from a sibling and decodes them, so that control only has to put them in force.
+func (x *executor) fetchValues(e routing.FetchValues) {
+	started := time.Now()
+	update, err := x.node.siblings.FetchValues(x.ctx, e, func() { x.node.loop.Post(routing.ValuesProgressed{Address: e.Address}) })
+	x.node.transfers.record(update.EncodedBytes, time.Since(started), err)
+	if err != nil {
+		x.node.post(x.ctx, routing.ValuesFailed{Address: e.Address, Err: err})
+		return
+	}
+	x.node.post(x.ctx, routing.ValuesReceived{Address: e.Address, Update: update})
+}
+
 // post queues an event that must not be lost, and retries while the queue is full: control starts the next read of the store
 // only after the outcome of the previous read, and a stop must begin.
 func (n *Node) post(ctx context.Context, e routing.Event) {
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -47,6 +47,9 @@
 	// Routing and Target hold the value; both are nil if the value is invalid.
 	Routing *document.Routing     `json:"routing,omitempty"`
 	Target  *targets.Registration `json:"target,omitempty"`
+	// Differences lead to Routing from the version that the receiver of an update has, or from nothing. They are empty if only the
+	// whole routing is known.
+	Differences []document.RoutingDifference `json:"-"`
 }
 
 // Update is a set of changes.
@@ -60,19 +63,15 @@
 	EncodedBytes int
 }
 
-// GossipMessage is the content of a gossip request or reply between two instances. Only replies contain values: the
-// sender of a request does not know which of them the receiver lacks.
+// GossipMessage is the content of a gossip request or reply between two instances. Values are fetched apart from it, from a sibling
+// whose state shows that it has newer ones.
 type GossipMessage struct {
 	// MemberStates starts with the state of the sender.
 	MemberStates []sibling.MemberState
-	Update       Update
 	Notices      targets.Notices
 	// LimitSharers is the number of instances that share the fleet's limits as far as the sender knows, itself included; 0 in a
 	// message of an older process.
 	LimitSharers int
-	// OmitValues is set in a request whose reply should contain no values, because the sender gets them from another
-	// sibling.
-	OmitValues bool
 }
 
 // Bounds are limits that hold for all instances together, with their tolerances.
@@ -129,6 +128,24 @@
 		Address string
 		Err     error
 	}
+	// ValuesRequested asks for the changes that a sibling lacks, which has all values up to After and a version of the routing, 0
+	// if it needs the whole one. Reply must have room for one value.
+	ValuesRequested struct {
+		After, RoutingVersion document.Revision
+		Reply                 chan<- Update
+	}
+	// ValuesProgressed reports that a FetchValues effect goes on.
+	ValuesProgressed struct{ Address string }
+	// ValuesReceived is the outcome of a FetchValues effect.
+	ValuesReceived struct {
+		Address string
+		Update  Update
+	}
+	// ValuesFailed reports a FetchValues effect that failed.
+	ValuesFailed struct {
+		Address string
+		Err     error
+	}
 	// TargetConnectionBroken reports that the connection to a target broke while the target may have been running a
 	// request.
 	TargetConnectionBroken struct {
@@ -172,6 +189,10 @@
 func (StoreRead) event()               {}
 func (GossipReceived) event()          {}
 func (GossipFailed) event()            {}
+func (ValuesRequested) event()         {}
+func (ValuesProgressed) event()        {}
+func (ValuesReceived) event()          {}
+func (ValuesFailed) event()            {}
 func (TargetConnectionBroken) event()  {}
 func (TargetConnectionRefused) event() {}
 func (TargetMisdirected) event()       {}
@@ -203,6 +224,15 @@
 		Address string
 		Message GossipMessage
 	}
+	// FetchValues fetches the values that this instance lacks from a sibling.
+	FetchValues struct {
+		Address string
+		// After is the revision up to which this instance has all values, and Routing its newest routing, nil if it has none.
+		After   document.Revision
+		Routing *document.Routing
+		// Self is the state of this instance, which an older process is asked with.
+		Self sibling.MemberState
+	}
 	// LogStateChange logs a change of the state that this instance assumes for itself, a sibling, a target or the
 	// platform.
 	LogStateChange struct {
@@ -247,6 +277,7 @@
 
 func (ReadStore) effect()      {}
 func (SendGossip) effect()     {}
+func (FetchValues) effect()    {}
 func (LogStateChange) effect() {}
 
 func (LogTargetChanges) effect() {}
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -53,7 +53,9 @@
 	readTimeout = 1200 * time.Millisecond
 	// exchangeTimeout is how long an instance waits for the reply to a gossip request.
 	exchangeTimeout = 600 * time.Millisecond
-	fleetStep       = 5 * time.Millisecond
+	// stallLimit is how long an instance waits for a transfer of values that brings nothing.
+	stallLimit = 3 * time.Second
+	fleetStep  = 5 * time.Millisecond
 )
 
 func newStoreFleet(n, zones int, b Bounds) *storeFleet {
@@ -133,21 +135,26 @@
 // routesIn returns the number of routes that an instance decodes to handle an event.
 func routesIn(e Event) int {
 	switch e := e.(type) {
-	case GossipReceived:
-		return routesOf(e.Message.Update)
+	case ValuesReceived:
+		return routesOf(e.Update)
 	case StoreRead:
 		return routesOf(e.Update)
 	}
 	return 0
 }
 
-// routesOf returns the number of routes that an update holds.
+// routesOf returns the number of routes that an update holds: all of them, or those that differ from what the receiver has.
 func routesOf(u Update) int {
 	n := 0
 	for _, c := range u.Changes {
-		if c.Routing != nil {
+		if c.Routing != nil && len(c.Differences) == 0 {
 			n += len(c.Routing.Routes)
 		}
+		for _, d := range c.Differences {
+			for _, p := range d.Routes {
+				n += len(p.Added)
+			}
+		}
 	}
 	return n
 }
@@ -197,6 +204,8 @@
 			m.after(storeLatency/2, func() { m.read(effect) })
 		case SendGossip:
 			m.gossip(effect)
+		case FetchValues:
+			m.fetch(effect)
 		}
 	}
 }
@@ -264,5 +273,55 @@
 	})
 }
 
+// fetch transfers values from a sibling.
+func (m *fleetMember) fetch(f FetchValues) {
+	i := slices.IndexFunc(m.fleet.members, func(o *fleetMember) bool { return o.address() == f.Address })
+	ended := false
+	fail := func() {
+		if !ended {
+			ended = true
+			m.step(ValuesFailed{Address: f.Address, Err: errors.New("no values in time")})
+		}
+	}
+	version := document.Revision(0)
+	if f.Routing != nil {
+		version = f.Routing.Version
+	}
+	m.after(gossipLatency, func() {
+		to := m.fleet.members[i]
+		if to.state == nil {
+			m.after(gossipLatency, fail)
+			return
+		}
+		m.after(stallLimit, fail)
+		reply := make(chan Update, 1)
+		to.arrive(ValuesRequested{After: f.After, RoutingVersion: version, Reply: reply}, func() {
+			m.after(gossipLatency, func() {
+				if ended {
+					return
+				}
+				ended = true
+				m.step(ValuesProgressed{Address: f.Address})
+				m.arrive(ValuesReceived{Address: f.Address, Update: received(<-reply, f.Routing)}, nil)
+			})
+		})
+	})
+}
+
+// received returns an update as its receiver decodes it, which has the base.
+func received(u Update, base *document.Routing) Update {
+	u.Changes = slices.Clone(u.Changes)
+	for i := range u.Changes {
+		if c := &u.Changes[i]; len(c.Differences) > 0 {
+			next, err := document.ApplyRouting(base, c.Differences)
+			if err != nil {
+				panic(err)
+			}
+			c.Routing = next
+		}
+	}
+	return u
+}
+
 // address returns the address of an instance, which is its ID.
 func (m *fleetMember) address() string { return fmt.Sprintf("i%03d", m.index) }
--- a/routing/large_test.go
+++ b/routing/large_test.go
@@ -98,10 +98,17 @@
 	begun := []time.Time{}
 	follow := func(effects []Effect) {
 		for _, e := range effects {
-			if g, ok := e.(SendGossip); ok {
-				begun = append(begun, x.now)
-				running = append(running, pending{x.now.Add(exchangeTimeout), GossipFailed{Address: g.Address, Err: errors.New("no reply in time")}})
+			var failure Event
+			switch e := e.(type) {
+			case SendGossip:
+				failure = GossipFailed{Address: e.Address, Err: errors.New("no reply in time")}
+			case FetchValues:
+				failure = ValuesFailed{Address: e.Address, Err: errors.New("no reply in time")}
+			default:
+				continue
 			}
+			begun = append(begun, x.now)
+			running = append(running, pending{x.now.Add(exchangeTimeout), failure})
 		}
 	}
 	for i := range 20 * 20 {
--- a/routing/state.go
+++ b/routing/state.go
@@ -87,13 +87,8 @@
 	isolated         bool      // cut off from other zones and unable to serve some route
 	storeRecoveredAt time.Time // first successful read after an outage
 	readFailures     int       // in a row; -1 if the next read must be a full one
-	// behindSince is since when a live sibling is known to have newer values, zero if none is.
-	behindSince time.Time
-	// pullDeadline is the time until which no other sibling gets a request for values, because one is in flight.
-	pullDeadline time.Time
-	pullAddress  string // sibling with newer values that gets the next request for values
-	lastPulled   string // address of the sibling with newer values that got a request for them last
-	lastDivision time.Time
+	transfers        *transfers
+	lastDivision     time.Time
 	// ownDemand is the demand that this instance reports to siblings, as of lastDivision. It is not modified.
 	ownDemand  map[string]float64
 	changed    bool // the snapshot is out of date
@@ -125,7 +120,7 @@
 		config: config, rng: rng, started: now, lastStep: now, values: newValues(), gossip: sibling.NewGossip(self, config.Seeds, rng, now),
 		crashes: targets.NewCrashLog(), departures: targets.NewDepartures(), targets: map[string]*targetState{}, retryBudgets: map[string]*targets.RetryBudget{},
 		limiters: map[string]*limiterState{}, blamedAt: map[targets.Fingerprint]time.Time{}, gossipErrors: map[string]error{},
-		targetLog: newTargetLog(),
+		targetLog: newTargetLog(), transfers: newTransfers(rng),
 	}
 }
 
@@ -142,10 +137,18 @@
 	case GossipReceived:
 		s.receiveGossip(e, now)
 	case GossipFailed:
-		s.pullDeadline = time.Time{}
 		// The error is logged only if the sibling leaves the live members, that is if no other instance has had a newer
 		// state from it either.
 		s.gossipErrors[e.Address] = e.Err
+	case ValuesRequested:
+		e.Reply <- s.values.updateAfter(e.After, e.RoutingVersion)
+	case ValuesProgressed:
+		s.transfers.progress(e.Address, now)
+	case ValuesReceived:
+		s.transfers.end(e.Address, now)
+		s.applyUpdate(e.Update, "sibling", now)
+	case ValuesFailed:
+		s.transfers.end(e.Address, now)
 	case TargetConnectionBroken:
 		s.recordBrokenConnection(e, now)
 	case TargetConnectionRefused:
@@ -274,15 +277,9 @@
 	s.updateIsolation(now)
 	s.gossip.UpdateSelf(s.values.completeTo, s.storeContact, s.outsideContact, s.ownDemand)
 	for _, address := range s.gossip.Round(now, s.seeksOutsideContact(now)) {
-		s.sendGossip(address, s.shouldRequestValues(address, now), now, result)
-	}
-	if s.pullAddress == "" && s.overdue(now) && !now.Before(s.pullDeadline) {
-		s.pullAddress = s.holder(now)
-	}
-	if s.pullAddress != "" {
-		s.sendGossip(s.pullAddress, s.shouldRequestValues(s.pullAddress, now), now, result)
-		s.pullAddress = ""
+		result.Effects = append(result.Effects, SendGossip{Address: address, Message: s.buildGossip(now)})
 	}
+	s.fetchValues(now, result)
 	s.readStore(now, result)
 	result.WakeAt = now.Add(tickInterval)
 	if next := s.gossip.NextRound(); next.Before(result.WakeAt) {
@@ -341,75 +338,15 @@
 	}
 }
 
-// updateBehind notes since when siblings are known to have newer values.
-func (s *State) updateBehind(now time.Time) {
-	behind := false
-	for m := range s.gossip.EachLive(now) {
-		behind = behind || m.CompleteTo > s.values.completeTo
-	}
-	switch {
-	case !behind:
-		s.behindSince = time.Time{}
-	case s.behindSince.IsZero():
-		s.behindSince = now
-	}
-}
-
-// pullTimeout is how long a request for values may be in flight before another sibling gets one.
-const pullTimeout = 400 * time.Millisecond
-
-// shouldRequestValues reports whether gossip to the sibling at address requests the values that this instance lacks. Only one
-// request to a sibling that is known to have newer values is in flight at a time, since several would bring the same values.
-// A sibling of another zone gets no such request if one of the own zone has values as new, unless this instance is overdue.
-func (s *State) shouldRequestValues(address string, now time.Time) bool {
-	if now.Before(s.pullDeadline) {
-		return false
-	}
-	newest, newestInZone, theirs := document.Revision(0), document.Revision(0), document.Revision(0)
-	otherZone := false
-	for m := range s.gossip.EachLive(now) {
-		newest = max(newest, m.CompleteTo)
-		if m.Zone == s.config.Zone {
-			newestInZone = max(newestInZone, m.CompleteTo)
-		}
-		if m.Address == address {
-			theirs, otherZone = m.CompleteTo, m.Zone != s.config.Zone
-		}
-	}
-	if otherZone && newestInZone >= newest && s.values.completeTo != 0 && !s.overdue(now) {
-		return false
-	}
-	if theirs > s.values.completeTo {
-		s.pullDeadline, s.lastPulled = now.Add(pullTimeout), address
-	}
-	return true
-}
-
-// overdue reports whether siblings have had newer values for so long that they should have arrived: the siblings that have
-// them may be gone, and others are asked directly.
-func (s *State) overdue(now time.Time) bool {
-	return !s.behindSince.IsZero() && now.Sub(s.behindSince) >= pullTimeout
-}
-
-// holder returns the address of a live sibling that has newer values, chosen at random, "" if there is none other than the one that
-// was asked last.
-func (s *State) holder(now time.Time) string {
-	var addresses []string
-	for m := range s.gossip.EachLive(now) {
-		if m.CompleteTo > s.values.completeTo && m.Address != s.lastPulled {
-			addresses = append(addresses, m.Address)
-		}
-	}
-	if len(addresses) == 0 {
-		return ""
+// fetchValues asks a sibling for the values that this instance lacks, if one has them and none is being asked.
+func (s *State) fetchValues(now time.Time, result *StepResult) {
+	address := s.transfers.next(s.values.completeTo, s.config.Zone, s.gossip.EachLive(now), now)
+	if address == "" {
+		return
 	}
-	return addresses[s.rng.IntN(len(addresses))]
-}
-
-func (s *State) sendGossip(address string, requestValues bool, now time.Time, result *StepResult) {
-	message := s.buildGossip(now)
-	message.OmitValues = !requestValues
-	result.Effects = append(result.Effects, SendGossip{Address: address, Message: message})
+	result.Effects = append(result.Effects, FetchValues{
+		Address: address, After: s.values.completeTo, Routing: s.values.routing.Routing, Self: s.gossip.Self(now),
+	})
 }
 
 func (s *State) buildGossip(now time.Time) GossipMessage {
@@ -432,10 +369,12 @@
 func (s *State) receiveGossip(e GossipReceived, now time.Time) {
 	s.recordContact(e.Message.MemberStates, now)
 	s.gossip.Merge(e.Message.MemberStates, now)
-	s.updateBehind(now)
 	s.recordReportedSharers(e.Message.LimitSharers, now)
 	for _, m := range e.Message.MemberStates[:min(1, len(e.Message.MemberStates))] {
 		delete(s.gossipErrors, m.Address)
+		if m.CompleteTo > s.values.completeTo {
+			s.transfers.informant = m.Address
+		}
 	}
 	s.crashes.ReceiveNotices(e.Message.Notices, now)
 	for _, id := range s.departures.Receive(e.Message.Notices.Departures, now) {
@@ -444,22 +383,9 @@
 			s.departures.Apply(t.target)
 		}
 	}
-	s.applyUpdate(e.Message.Update, "sibling", now)
-	if e.Reply == nil {
-		s.pullDeadline = time.Time{}
-		return
-	}
-	reply := s.buildGossip(now)
-	if len(e.Message.MemberStates) > 0 {
-		from := e.Message.MemberStates[0]
-		if !e.Message.OmitValues {
-			reply.Update = s.values.updateAfter(from.CompleteTo)
-		}
-		if from.CompleteTo > s.values.completeTo && !now.Before(s.pullDeadline) {
-			s.pullAddress = from.Address
-		}
+	if e.Reply != nil {
+		e.Reply <- s.buildGossip(now)
 	}
-	e.Reply <- reply
 }
 
 // applyUpdate applies an update and logs the values that changed.
@@ -478,7 +404,6 @@
 			s.gossip.Hasten(now)
 		}
 	}
-	s.updateBehind(now)
 }
 
 func (s *State) logChange(c Change, outdated bool, source string, now time.Time) {
@@ -502,8 +427,8 @@
 		return
 	}
 	source += " revision " + strconv.FormatUint(uint64(c.Revision), 10)
-	if !s.behindSince.IsZero() {
-		source += ", behind siblings for " + ageText(s.behindSince, now)
+	if !s.transfers.behindSince.IsZero() {
+		source += ", behind siblings for " + ageText(s.transfers.behindSince, now)
 	}
 	s.logState(string(c.Kind), c.Name, "", state, source)
 }
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -88,16 +87,16 @@
 	if err := old.Routing.Index(); err != nil {
 		t.Fatal(err)
 	}
-	x.step(GossipReceived{Message: GossipMessage{Update: Update{FromRevision: 0, ToRevision: 50, Changes: []Change{old}}}})
+	x.step(ValuesReceived{Update: Update{FromRevision: 0, ToRevision: 50, Changes: []Change{old}}})
 	if v := x.state.Snapshot().Routing.Version; v != 9 {
 		t.Errorf("version %d in force, want 9", v)
 	}
 	draining := target("i1", "s", "z")
 	draining.Target.Draining, draining.Revision = true, 60
-	x.step(GossipReceived{Message: GossipMessage{Update: Update{FromRevision: 50, ToRevision: 60, Changes: []Change{draining}}}})
+	x.step(ValuesReceived{Update: Update{FromRevision: 50, ToRevision: 60, Changes: []Change{draining}}})
 	late := target("i1", "s", "z")
 	late.Revision = 40
-	x.step(GossipReceived{Message: GossipMessage{Update: Update{FromRevision: 0, ToRevision: 45, Changes: []Change{late}}}})
+	x.step(ValuesReceived{Update: Update{FromRevision: 0, ToRevision: 45, Changes: []Change{late}}})
 	if n := x.usable("s"); n != 0 {
 		t.Errorf("%d usable targets after an older value of a draining target arrived", n)
 	}
@@ -169,16 +168,17 @@
 	x.read(true, routes(1), target("i1", "s", "z"))
 	completeTo := x.revision
 	x.read(false, Change{Kind: KindTarget, Name: "i1", Removed: true}, target("i2", "s", "z"))
-	reply := make(chan GossipMessage, 1)
-	x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{{ID: "b", Zone: "z", Address: "b:1", CompleteTo: completeTo, PlatformAge: sibling.NoContact}}}, Reply: reply})
-	u := (<-reply).Update
+	reply := make(chan Update, 1)
+	x.step(ValuesRequested{After: completeTo, Reply: reply})
+	u := <-reply
 	if u.Full || u.FromRevision != completeTo || u.ToRevision != x.revision || len(u.Changes) != 2 {
 		t.Errorf("update %+v", u)
 	}
 	other := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
 	states := x.state.gossip.MemberStates(x.now)
 	states[0].ID = "b" // both have the same ID in this test
-	other.step(GossipReceived{Message: GossipMessage{MemberStates: states, Update: x.state.values.updateAfter(0)}})
+	other.step(GossipReceived{Message: GossipMessage{MemberStates: states}})
+	other.step(ValuesReceived{Update: x.state.values.updateAfter(0, 0)})
 	if n := other.usable("s"); n != 1 || other.state.values.completeTo != x.revision {
 		t.Errorf("a new sibling has %d usable targets and every change up to revision %d", n, other.state.values.completeTo)
 	}
@@ -445,30 +445,34 @@
 	return sibling.MemberState{ID: id, Zone: zone, Address: id + ":1", Sequence: count, CompleteTo: completeTo, PlatformAge: sibling.NoContact}
 }
 
-// Guards against gossip requests that carry values, and against requests for values from several siblings at a time:
-// when a fleet starts, each instance would receive all values many times.
+// fetches returns the addresses of the siblings that are asked for values among the effects.
+func fetches(effects []Effect) (out []string) {
+	for _, e := range effects {
+		if x, ok := e.(FetchValues); ok {
+			out = append(out, x.Address)
+		}
+	}
+	return out
+}
+
+// Guards against requests for values to several siblings at a time: when a fleet starts, each instance would receive all values many
+// times.
 func TestValuesAreRequestedFromOneSiblingAtATime(t *testing.T) {
 	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-	effects := x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("b", "z", 1, 50), memberState("c", "z", 1, 50), memberState("d", "y", 1, 50)}}})
-	requested := 0
-	for range 4 {
-		for _, e := range gossipRequests(effects) {
-			if len(e.Message.Update.Changes) != 0 {
-				t.Error("a request carries values")
-			}
-			if !e.Message.OmitValues {
-				requested++
-			}
-		}
+	asked := fetches(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("b", "z", 1, 50), memberState("c", "z", 1, 50), memberState("d", "y", 1, 50)}}}))
+	for range 3 {
 		x.now = x.now.Add(90 * time.Millisecond)
-		effects = x.step(Tick{})
+		asked = append(asked, fetches(x.step(Tick{}))...)
+	}
+	if len(asked) != 1 {
+		t.Errorf("%v got a request for values within %v, want one sibling", asked, transferPatience)
 	}
-	if requested != 1 {
-		t.Errorf("%d siblings got a request for values within %v, want 1", requested, pullTimeout)
+	for range 4 {
+		x.now = x.now.Add(90 * time.Millisecond)
+		asked = append(asked, fetches(x.step(Tick{}))...)
 	}
-	x.run(2 * pullTimeout)
-	if x.state.pullDeadline.Before(x.now) {
-		t.Error("no other sibling gets a request for values after the first has not replied")
+	if len(asked) < 2 || asked[0] == asked[1] {
+		t.Errorf("%v got a request for values: no other sibling after the first has not replied", asked)
 	}
 }
 
@@ -479,9 +483,9 @@
 	x.read(true, routes(1))
 	x.run(time.Second)
 	reply := make(chan GossipMessage, 1)
-	effects := gossipRequests(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("b", "y", 1, x.revision+1)}}, Reply: reply}))
-	if len(effects) != 1 || effects[0].Address != "b:1" || effects[0].Message.OmitValues {
-		t.Errorf("messages %+v, want one to b that requests values", effects)
+	asked := fetches(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("b", "y", 1, x.revision+1)}}, Reply: reply}))
+	if len(asked) != 1 || asked[0] != "b:1" {
+		t.Errorf("requests for values to %v, want one to b", asked)
 	}
 }
 
@@ -489,27 +493,44 @@
 // ask a sibling elsewhere that has them within the goal for changes.
 func TestValuesAreRequestedElsewhereIfTheirHolderIsGone(t *testing.T) {
 	const goal = time.Second
-	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-	x.read(true, routes(1))
-	x.run(time.Second)
-	x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{
-		memberState("c", "z", 1, x.revision), memberState("gone", "z", 1, x.revision+1), memberState("far", "y", 1, x.revision+1),
-	}}})
-	for start := x.now; x.now.Sub(start) < goal; {
-		x.now = x.now.Add(50 * time.Millisecond)
-		requests := gossipRequests(x.step(Tick{}))
-		for i := 0; i < len(requests); i++ {
-			switch e := requests[i]; {
-			case e.Address == "far:1" && !e.Message.OmitValues:
-				return
-			case e.Address != "gone:1":
-				// The reply has nothing new.
-				reply := GossipMessage{MemberStates: []sibling.MemberState{memberState(strings.TrimSuffix(e.Address, ":1"), "z", 0, 0)}}
-				requests = append(requests, gossipRequests(x.step(GossipReceived{Message: reply}))...)
+	for _, refuses := range []bool{false, true} {
+		x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+		x.read(true, routes(1))
+		x.run(time.Second)
+		asked := fetches(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{
+			memberState("c", "z", 1, x.revision), memberState("gone", "z", 1, x.revision+1), memberState("far", "y", 1, x.revision+1),
+		}}}))
+		for start := x.now; !slices.Contains(asked, "far:1") && x.now.Sub(start) < goal; {
+			if refuses {
+				asked = append(asked, fetches(x.step(ValuesFailed{Address: "gone:1"}))...)
 			}
+			x.now = x.now.Add(50 * time.Millisecond)
+			asked = append(asked, fetches(x.step(Tick{}))...)
+		}
+		if !slices.Contains(asked, "far:1") {
+			t.Errorf("the sibling of another zone that has newer values was not asked for them within %v, only %v", goal, asked)
+		}
+		if refuses && len(asked) > 4 {
+			t.Errorf("%v were asked, a sibling that is gone again and again", asked)
+		}
+	}
+}
+
+// Guards against a transfer that is given up or repeated elsewhere although it goes on: a slow instance would never have the values.
+func TestTransferThatGoesOnIsNotRepeated(t *testing.T) {
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	asked := fetches(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("b", "z", 1, 50), memberState("c", "z", 1, 50), memberState("d", "y", 1, 50)}}}))
+	if len(asked) != 1 {
+		t.Fatalf("%v got a request for values, want one sibling", asked)
+	}
+	for i := range uint64(40) {
+		x.now = x.now.Add(transferPatience / 2)
+		x.step(ValuesProgressed{Address: asked[0]})
+		more := fetches(x.step(GossipReceived{Message: GossipMessage{MemberStates: []sibling.MemberState{memberState("c", "z", 2+i, 51+document.Revision(i))}}}))
+		if len(more) > 0 {
+			t.Fatalf("%v got a request after %v although the transfer goes on", more, time.Duration(i)*transferPatience/2)
 		}
 	}
-	t.Errorf("the sibling of another zone that has newer values was not asked for them within %v", goal)
 }
 
 // Guards against reads of the store by every instance when a fleet starts.
@@ -608,7 +629,8 @@
 	}
 	ready := func(states ...sibling.MemberState) *stateTest {
 		x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-		x.step(GossipReceived{Message: GossipMessage{MemberStates: states, Update: values(5)}})
+		x.step(GossipReceived{Message: GossipMessage{MemberStates: states}})
+		x.step(ValuesReceived{Update: values(5)})
 		return x
 	}
 	for name, c := range map[string]struct {
--- a/routing/values.go
+++ b/routing/values.go
@@ -42,6 +42,8 @@
 // in which changes arrive does not matter.
 type values struct {
 	entries map[key]*entry
+	// routing is the newest routing with the differences that led to it.
+	routing document.RoutingHistory
 	// completeTo is the revision up to which every change is applied.
 	completeTo document.Revision
 	// forgottenBelow is the revision below which removals may already be deleted: a sibling that is complete to less
@@ -102,6 +104,10 @@
 		}
 	}
 	v.entries[k] = next
+	if c.Routing != nil {
+		v.routing = v.routing.Adopt(c.Routing, c.Differences)
+		next.Differences = nil // they led from what another instance had
+	}
 	return true
 }
 
@@ -124,15 +130,19 @@
 	return e.Change, true
 }
 
-// updateAfter returns the changes that a sibling with every change up to completeTo lacks.
-func (v *values) updateAfter(completeTo document.Revision) Update {
+// updateAfter returns the changes that a sibling lacks that has every change up to completeTo and a version of the routing.
+func (v *values) updateAfter(completeTo, version document.Revision) Update {
 	u := Update{FromRevision: completeTo, ToRevision: v.completeTo, Full: completeTo < v.forgottenBelow || completeTo == 0}
 	if completeTo >= v.completeTo {
 		return Update{FromRevision: v.completeTo, ToRevision: v.completeTo}
 	}
 	for _, e := range v.entries {
 		if u.Full && !e.Removed || !u.Full && e.Revision > completeTo {
-			u.Changes = append(u.Changes, e.Change)
+			c := e.Change
+			if c.Routing != nil {
+				c.Differences = v.routing.Since(version)
+			}
+			u.Changes = append(u.Changes, c)
 		}
 	}
 	return u
--- a/sibling/gossip.go
+++ b/sibling/gossip.go
@@ -274,11 +274,8 @@
 // the message holds the most recently received states, which makes changes spread fast; the rest is a random choice, so that
 // every member's state is sent at some time.
 func (g *Gossip) MemberStates(now time.Time) []MemberState {
-	own := g.self
-	own.PlatformAge, own.OutsideAge = ageOf(g.platformContact, now), ageOf(g.outsideContact, now)
-	own.SpendsFor = max(g.spendsUntil.Sub(now), 0)
 	out := make([]MemberState, 1, min(len(g.byID)+1, maxMemberStates))
-	out[0] = own
+	out[0] = g.Self(now)
 	add := func(m *member) {
 		if now.Sub(m.receivedAt) < g.memberTimeout() {
 			out = append(out, m.state(now))
@@ -309,6 +306,14 @@
 	return out
 }
 
+// Self returns the state that this instance publishes.
+func (g *Gossip) Self(now time.Time) MemberState {
+	own := g.self
+	own.PlatformAge, own.OutsideAge = ageOf(g.platformContact, now), ageOf(g.outsideContact, now)
+	own.SpendsFor = max(g.spendsUntil.Sub(now), 0)
+	return own
+}
+
 // lastReaders returns, of each zone, the live instance that reached the platform last, as far as this instance knows.
 func (g *Gossip) lastReaders(now time.Time) []*member {
 	var out []*member
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -35,56 +34,61 @@
 	loop *RoutingLoop
 }
 
-// Exchange applies a sibling's gossip message and returns this instance's own, with the values that the sibling lacks.
+// Exchange applies a sibling's gossip message and returns this instance's own. The reply to an older process, which does not fetch
+// values, also holds those that it lacks.
 func (s *gossipServer) Exchange(ctx context.Context, m *siblingpb.GossipMessage) (*siblingpb.GossipMessage, error) {
-	received, err := decodeGossipMessage(m)
-	if err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
+	received := decodeGossipMessage(m)
 	own, err := loop.Ask(ctx, s.loop, func(reply chan<- routing.GossipMessage) routing.Event {
 		return routing.GossipReceived{Message: received, Reply: reply}
 	})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return encodeGossipMessage(own)
+	reply := encodeGossipMessage(own)
+	if !m.GetNoValues() && len(received.MemberStates) > 0 {
+		update, err := requestUpdate(ctx, s.loop, received.MemberStates[0].CompleteTo, 0)
+		if err != nil {
+			return nil, err
+		}
+		if reply.Update, err = encodeGossipUpdate(update); err != nil {
+			return nil, status.Error(codes.Internal, err.Error())
+		}
+	}
+	return reply, nil
 }
 
 // ExchangeGossip sends this instance's gossip message to a sibling and returns the sibling's.
 func (c *Client) ExchangeGossip(ctx context.Context, address string, message routing.GossipMessage) (routing.GossipMessage, error) {
-	m, err := encodeGossipMessage(message)
-	if err != nil {
-		return routing.GossipMessage{}, oops.In("sibling").Wrapf(sibling.ErrNotSent, "%v", err)
-	}
+	m := encodeGossipMessage(message)
 	reply, err := call(c, address, func(conn grpc.ClientConnInterface) (*siblingpb.GossipMessage, error) {
 		return siblingpb.NewGossipClient(conn).Exchange(ctx, m)
 	})
 	if err != nil {
 		return routing.GossipMessage{}, err
 	}
-	received, err := decodeGossipMessage(reply)
-	if err != nil {
-		return routing.GossipMessage{}, oops.In("sibling").Wrapf(sibling.ErrNoReply, "%v", err)
-	}
-	return received, nil
+	return decodeGossipMessage(reply), nil
 }
 
-func encodeGossipMessage(message routing.GossipMessage) (*siblingpb.GossipMessage, error) {
-	out := &siblingpb.GossipMessage{NoValues: message.OmitValues, LimitSharers: uint32(max(message.LimitSharers, 0)), Notices: encodeNotices(message.Notices), Update: &siblingpb.Update{
-		FromRevision: uint64(message.Update.FromRevision), ToRevision: uint64(message.Update.ToRevision), Full: message.Update.Full,
-	}}
+func encodeGossipMessage(message routing.GossipMessage) *siblingpb.GossipMessage {
+	out := &siblingpb.GossipMessage{NoValues: true, LimitSharers: uint32(max(message.LimitSharers, 0)), Notices: encodeNotices(message.Notices)}
 	out.Organisations = organisations(message.MemberStates)
 	for _, state := range message.MemberStates {
 		out.MemberStates = append(out.MemberStates, encodeMemberState(state, out.Organisations))
 	}
-	if len(message.Update.Changes) == 0 {
+	return out
+}
+
+// encodeGossipUpdate encodes the values in a reply to an older process.
+func encodeGossipUpdate(u routing.Update) (*siblingpb.Update, error) {
+	out := &siblingpb.Update{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full}
+	if len(u.Changes) == 0 {
 		return out, nil
 	}
-	text, err := json.Marshal(message.Update.Changes)
+	text, err := json.Marshal(u.Changes)
 	if err != nil {
 		return nil, fmt.Errorf("encode changes: %w", err)
 	}
-	out.Update.Changes = text
+	out.Changes = text
 	return out, nil
 }
 
@@ -115,14 +119,9 @@
 	return out
 }
 
-// decodeGossipMessage decodes a message. A change that cannot be decoded or is invalid becomes a change without content, as
-// it does for an instance that reads it from the platform: refusing the whole message would keep this instance from
-// following all other values for as long as the odd one exists.
-func decodeGossipMessage(m *siblingpb.GossipMessage) (routing.GossipMessage, error) {
-	u := m.GetUpdate()
-	out := routing.GossipMessage{OmitValues: m.GetNoValues(), LimitSharers: decodeSharers(m.GetLimitSharers()), Notices: decodeNotices(m.GetNotices()), Update: routing.Update{
-		FromRevision: document.Revision(u.GetFromRevision()), ToRevision: document.Revision(u.GetToRevision()), Full: u.GetFull(),
-	}}
+// decodeGossipMessage decodes a message without its values.
+func decodeGossipMessage(m *siblingpb.GossipMessage) routing.GossipMessage {
+	out := routing.GossipMessage{LimitSharers: decodeSharers(m.GetLimitSharers()), Notices: decodeNotices(m.GetNotices())}
 	for _, b := range m.GetMemberStates() {
 		state := sibling.MemberState{
 			ID: b.GetId(), Zone: b.GetZone(), Address: b.GetAddress(), Generation: b.GetGeneration(), Sequence: b.GetSequence(),
@@ -140,17 +139,27 @@
 		}
 		out.MemberStates = append(out.MemberStates, state)
 	}
-	out.Update.EncodedBytes = len(u.GetChanges())
+	return out
+}
+
+// decodeGossipUpdate decodes the values in the reply of an older process. A change that cannot be decoded or is invalid becomes a
+// change without content, as it does for an instance that reads it from the platform: refusing all of them would keep this instance
+// from following the others for as long as the odd one exists.
+func decodeGossipUpdate(u *siblingpb.Update) (routing.Update, error) {
+	out := routing.Update{
+		FromRevision: document.Revision(u.GetFromRevision()), ToRevision: document.Revision(u.GetToRevision()), Full: u.GetFull(),
+		EncodedBytes: len(u.GetChanges()),
+	}
 	if len(u.GetChanges()) == 0 {
 		return out, nil
 	}
 	var changes []json.RawMessage
 	if err := json.Unmarshal(u.GetChanges(), &changes); err != nil {
-		return routing.GossipMessage{}, fmt.Errorf("decode changes: %w", err)
+		return routing.Update{}, fmt.Errorf("decode changes: %w", err)
 	}
 	for _, raw := range changes {
 		if c := decodeChange(raw); c.Kind != "" && c.Revision != 0 {
-			out.Update.Changes = append(out.Update.Changes, c)
+			out.Changes = append(out.Changes, c)
 		}
 	}
 	return out, nil
--- a/sibling/siblinggrpc/gossip_test.go
+++ b/sibling/siblinggrpc/gossip_test.go
@@ -15,7 +15,7 @@
 	"dogwooddrift.org/drift/targets"
 )
 
-// Guards against member states and changes that differ after encoding and decoding.
+// Guards against member states and notices that differ after encoding and decoding.
 func TestExchangeSurvivesTheWire(t *testing.T) {
 	sent := routing.GossipMessage{
 		LimitSharers: 86,
@@ -24,21 +24,11 @@
 				Demand: map[string]float64{"o": 1.5, "p": 2}},
 			{ID: "b", Zone: "y", Address: "10.0.0.2:1", Leaving: true, SpendsFor: 2500 * time.Millisecond, PlatformAge: sibling.NoContact, Demand: map[string]float64{"q": 0.25}},
 		},
-		Update: routing.Update{FromRevision: 3, ToRevision: 12, Full: true, Changes: []routing.Change{
-			{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: &targets.Registration{
-				ID: "i-1", Service: "s", Zone: "z", Address: "10.0.0.9:80", Slots: 2, Draining: true,
-			}},
-			{Kind: routing.KindZoneOut, Name: "z", Revision: 6, Removed: true},
-			{Kind: routing.KindTarget, Name: "i-2", Revision: 7},
-		}},
 		Notices: targets.Notices{Crashes: []targets.CrashNotice{{Target: "i-1", Suspects: []targets.Fingerprint{{1}}}}, Departures: []targets.DepartureNotice{
 			{Target: "i-3", Incarnation: "1", Address: "10.0.0.8:80", Age: time.Second},
 		}},
 	}
-	m, err := encodeGossipMessage(sent)
-	if err != nil {
-		t.Fatal(err)
-	}
+	m := encodeGossipMessage(sent)
 	text, err := proto.Marshal(m)
 	if err != nil {
 		t.Fatal(err)
@@ -46,11 +36,30 @@
 	if err := proto.Unmarshal(text, m); err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeGossipMessage(m)
+	got := decodeGossipMessage(m)
+	if !reflect.DeepEqual(got, sent) {
+		t.Errorf("got  %+v\nwant %+v", got, sent)
+	}
+}
+
+// Guards against values that differ after they were encoded for an older process and decoded as from one.
+func TestValuesInGossipSurviveTheWire(t *testing.T) {
+	sent := routing.Update{FromRevision: 3, ToRevision: 12, Full: true, Changes: []routing.Change{
+		{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: &targets.Registration{
+			ID: "i-1", Service: "s", Zone: "z", Address: "10.0.0.9:80", Slots: 2, Draining: true,
+		}},
+		{Kind: routing.KindZoneOut, Name: "z", Revision: 6, Removed: true},
+		{Kind: routing.KindTarget, Name: "i-2", Revision: 7},
+	}}
+	m, err := encodeGossipUpdate(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeGossipUpdate(m)
 	if err != nil {
 		t.Fatal(err)
 	}
-	sent.Update.EncodedBytes = len(m.GetUpdate().GetChanges())
+	sent.EncodedBytes = len(m.GetChanges())
 	if !reflect.DeepEqual(got, sent) {
 		t.Errorf("got  %+v\nwant %+v", got, sent)
 	}
@@ -74,14 +83,14 @@
 		"negative revision": `{"kind":"target","name":"odd","revision":-4}`,
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, err := decodeGossipMessage(&siblingpb.GossipMessage{Update: &siblingpb.Update{
+			got, err := decodeGossipUpdate(&siblingpb.Update{
 				ToRevision: 9, Changes: []byte("[" + sound + "," + odd + "," + strings.ReplaceAll(sound, "i-1", "i-2") + "]"),
-			}})
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
 			usable := map[string]bool{}
-			for _, c := range got.Update.Changes {
+			for _, c := range got.Changes {
 				if c.Target != nil || c.Routing != nil {
 					usable[c.Name] = true
 				}
@@ -95,15 +104,17 @@
 
 // FuzzGossip guards against messages of siblings that end the process or bring in unusable values.
 func FuzzGossip(f *testing.F) {
-	for _, m := range []routing.GossipMessage{
-		{MemberStates: []sibling.MemberState{{ID: "a", Demand: map[string]float64{"o": 1}}}},
-		{Update: routing.Update{ToRevision: 3, Changes: []routing.Change{{Kind: routing.KindTarget, Name: "i", Revision: 3}}}},
+	changes := []routing.Change{{Kind: routing.KindTarget, Name: "i", Revision: 3}}
+	update, err := encodeGossipUpdate(routing.Update{ToRevision: 3, Changes: changes})
+	if err != nil {
+		f.Fatal(err)
+	}
+	withValues := encodeGossipMessage(routing.GossipMessage{})
+	withValues.Update = update
+	for _, m := range []*siblingpb.GossipMessage{
+		encodeGossipMessage(routing.GossipMessage{MemberStates: []sibling.MemberState{{ID: "a", Demand: map[string]float64{"o": 1}}}}), withValues,
 	} {
-		encoded, err := encodeGossipMessage(m)
-		if err != nil {
-			f.Fatal(err)
-		}
-		text, err := proto.Marshal(encoded)
+		text, err := proto.Marshal(m)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -114,16 +125,10 @@
 		if proto.Unmarshal(text, &m) != nil {
 			return
 		}
-		got, err := decodeGossipMessage(&m)
-		if err != nil {
-			return
+		if update, err := decodeGossipUpdate(m.GetUpdate()); err == nil {
+			checkChanges(t, update.Changes)
 		}
-		for _, c := range got.Update.Changes {
-			if c.Target != nil && c.Target.Validate() != nil {
-				t.Fatalf("unusable target %+v", c.Target)
-			}
-		}
-		for _, state := range got.MemberStates {
+		for _, state := range decodeGossipMessage(&m).MemberStates {
 			for organisation, demand := range state.Demand {
 				if !(demand >= 0) || math.IsInf(demand, 0) {
 					t.Fatalf("demand of %q is %v", organisation, demand)
@@ -132,3 +137,15 @@
 		}
 	})
 }
+
+// checkChanges fails the test if a change has a value that must not come into force.
+func checkChanges(t *testing.T, changes []routing.Change) {
+	for _, c := range changes {
+		if c.Target != nil && c.Target.Validate() != nil {
+			t.Fatalf("unusable target %+v", c.Target)
+		}
+		if c.Routing != nil && c.Routing.Index() != nil {
+			t.Fatalf("unusable routing %+v", c.Routing)
+		}
+	}
+}
--- /dev/null
+++ b/sibling/siblinggrpc/values.go
@@ -0,0 +1,289 @@
+package siblinggrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"dogwooddrift.org/drift/control/loop"
+	"dogwooddrift.org/drift/document"
+	"dogwooddrift.org/drift/routing"
+	"dogwooddrift.org/drift/sibling"
+	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
+	"dogwooddrift.org/drift/targets"
+)
+
+const (
+	// valuesStallLimit is how long a transfer of values may bring nothing before it is given up. A transfer that goes on has no time
+	// limit: a sibling on a small part of a core may need seconds for a large configuration.
+	valuesStallLimit = 3 * time.Second
+	// maxMessageElements bounds the values, or routes, services and organisations, in one message of a transfer, so that a slow
+	// transfer shows that it goes on.
+	maxMessageElements = 128
+	// maxTransferBytes bounds a transfer. A full fleet has about 2 MB of values.
+	maxTransferBytes = 32 << 20
+)
+
+// RegisterValues adds the service that hands values to siblings to a gRPC server. Its handler asks the control goroutine for the
+// values and encodes them itself.
+func RegisterValues(s grpc.ServiceRegistrar, l *RoutingLoop) {
+	siblingpb.RegisterValuesServer(s, &valuesServer{loop: l})
+}
+
+type valuesServer struct {
+	siblingpb.UnimplementedValuesServer
+	loop *RoutingLoop
+}
+
+// Fetch sends the changes that the sibling lacks.
+func (s *valuesServer) Fetch(r *siblingpb.FetchValuesRequest, stream grpc.ServerStreamingServer[siblingpb.ValuesMessage]) error {
+	update, err := requestUpdate(stream.Context(), s.loop, document.Revision(r.GetAfter()), document.Revision(r.GetRoutingVersion()))
+	if err != nil {
+		return err
+	}
+	for m := range encodeUpdate(update) {
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// requestUpdate asks the control goroutine for the changes that a sibling lacks. The error is a gRPC status.
+func requestUpdate(ctx context.Context, l *RoutingLoop, after, version document.Revision) (routing.Update, error) {
+	update, err := loop.Ask(ctx, l, func(reply chan<- routing.Update) routing.Event {
+		return routing.ValuesRequested{After: after, RoutingVersion: version, Reply: reply}
+	})
+	if err != nil {
+		return routing.Update{}, status.Error(codes.Unavailable, err.Error())
+	}
+	return update, nil
+}
+
+// FetchValues fetches the values that this instance lacks from a sibling. It goes on as long as the sibling sends something, and
+// calls progressed each time. Errors wrap sibling.ErrNoReply or sibling.ErrNotSent.
+func (c *Client) FetchValues(ctx context.Context, f routing.FetchValues, progressed func()) (routing.Update, error) {
+	update, err := c.fetchOnce(ctx, f, progressed)
+	if errors.Is(err, document.ErrMismatch) && f.Routing != nil {
+		f.Routing = nil
+		update, err = c.fetchOnce(ctx, f, progressed)
+	}
+	if errors.Is(err, document.ErrMismatch) {
+		err = fmt.Errorf("%w: %w", sibling.ErrNoReply, err)
+	}
+	return update, err
+}
+
+func (c *Client) fetchOnce(ctx context.Context, f routing.FetchValues, progressed func()) (routing.Update, error) {
+	received, err := call(c, f.Address, func(conn grpc.ClientConnInterface) (*receivedValues, error) {
+		received, err := receiveValues(ctx, conn, f, progressed)
+		if status.Code(err) == codes.Unimplemented {
+			return exchangeForValues(ctx, conn, f)
+		}
+		return received, err
+	})
+	if err != nil {
+		return routing.Update{}, err
+	}
+	return received.finish(f.Routing)
+}
+
+// receiveValues receives a transfer.
+func receiveValues(ctx context.Context, conn grpc.ClientConnInterface, f routing.FetchValues, progressed func()) (*receivedValues, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(valuesStallLimit, func() { cancel(errStalled) })
+	defer stall.Stop()
+	stream, err := siblingpb.NewValuesClient(conn).Fetch(ctx, &siblingpb.FetchValuesRequest{After: uint64(f.After), RoutingVersion: uint64(versionOf(f.Routing))})
+	if err != nil {
+		return nil, err
+	}
+	received := &receivedValues{}
+	for {
+		m, err := stream.Recv()
+		switch {
+		case errors.Is(err, io.EOF):
+			return received, nil
+		case errors.Is(context.Cause(ctx), errStalled):
+			return nil, status.Error(codes.DeadlineExceeded, errStalled.Error())
+		case err != nil:
+			return nil, err
+		}
+		stall.Reset(valuesStallLimit)
+		progressed()
+		if received.add(m); received.update.EncodedBytes > maxTransferBytes {
+			return nil, status.Error(codes.ResourceExhausted, "transfer of values is too large")
+		}
+	}
+}
+
+// errStalled means that a transfer brought nothing for valuesStallLimit.
+var errStalled = errors.New("transfer of values stalled")
+
+func versionOf(r *document.Routing) document.Revision {
+	if r == nil {
+		return 0
+	}
+	return r.Version
+}
+
+// exchangeForValues gets the values from an older process, which sends them whole in its replies to gossip.
+func exchangeForValues(ctx context.Context, conn grpc.ClientConnInterface, f routing.FetchValues) (*receivedValues, error) {
+	ctx, cancel := context.WithTimeout(ctx, valuesStallLimit)
+	defer cancel()
+	m := encodeGossipMessage(routing.GossipMessage{MemberStates: []sibling.MemberState{f.Self}})
+	m.NoValues = false
+	reply, err := siblingpb.NewGossipClient(conn).Exchange(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	update, err := decodeGossipUpdate(reply.GetUpdate())
+	if err != nil {
+		return nil, err
+	}
+	return &receivedValues{update: update}, nil
+}
+
+// receivedValues collects the messages of a transfer.
+type receivedValues struct {
+	update routing.Update
+	// routing holds the differences of the last change of the routing, whose index in the update is routingAt.
+	routing   []document.RoutingDifference
+	routingAt int
+}
+
+// add adds the content of a message. Odd changes are left out, and those with odd content become changes without content, as they do
+// for an instance that reads them from the platform.
+func (r *receivedValues) add(m *siblingpb.ValuesMessage) {
+	r.update.EncodedBytes += proto.Size(m)
+	if e := m.GetExtent(); e != nil {
+		r.update.FromRevision, r.update.ToRevision, r.update.Full = document.Revision(e.GetFromRevision()), document.Revision(e.GetToRevision()), e.GetFull()
+	}
+	for _, x := range m.GetChanges() {
+		c := routing.Change{
+			Kind: routing.Kind(x.GetKind()), Name: x.GetName(), Revision: document.Revision(x.GetRevision()), Removed: x.GetRemoved(), Lapsed: x.GetLapsed(),
+		}
+		if c.Kind == "" || c.Revision == 0 {
+			continue
+		}
+		if x.GetRegistration() != nil {
+			if t := decodeRegistration(c.Name, x.GetRegistration()); t.Validate() == nil {
+				c.Target = t
+			}
+		}
+		if x.GetRouting() == nil {
+			r.update.Changes = append(r.update.Changes, c)
+			continue
+		}
+		r.addRouting(c, decodeRoutingDifference(x.GetRouting()))
+	}
+}
+
+// addRouting adds a part of the differences that lead to a routing.
+func (r *receivedValues) addRouting(c routing.Change, d document.RoutingDifference) {
+	if len(r.routing) == 0 || r.update.Changes[r.routingAt].Revision != c.Revision {
+		r.routing, r.routingAt = nil, len(r.update.Changes)
+		r.update.Changes = append(r.update.Changes, c)
+	}
+	if last := len(r.routing) - 1; last >= 0 && r.routing[last].From == d.From && r.routing[last].To == d.To {
+		whole := &r.routing[last]
+		whole.Routes, whole.Services, whole.Accounts = append(whole.Routes, d.Routes...), append(whole.Services, d.Services...), append(whole.Accounts, d.Accounts...)
+		return
+	}
+	r.routing = append(r.routing, d)
+}
+
+// finish returns the update. base is the routing that the differences were requested for. The error is document.ErrMismatch if they
+// do not apply to it.
+func (r *receivedValues) finish(base *document.Routing) (routing.Update, error) {
+	if len(r.routing) == 0 {
+		return r.update, nil
+	}
+	next, err := document.ApplyRouting(base, r.routing)
+	switch {
+	case errors.Is(err, document.ErrInvalidRouting):
+		// A change without content: the earlier routing stays in force.
+	case err != nil:
+		return routing.Update{}, err
+	default:
+		c := &r.update.Changes[r.routingAt]
+		c.Routing, c.Differences = next, r.routing
+	}
+	return r.update, nil
+}
+
+// encodeUpdate iterates over the messages of a transfer.
+func encodeUpdate(u routing.Update) iter.Seq[*siblingpb.ValuesMessage] {
+	return func(yield func(*siblingpb.ValuesMessage) bool) {
+		m := &siblingpb.ValuesMessage{Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full}}
+		elements := 0
+		for x, n := range encodeChanges(u.Changes) {
+			if elements > 0 && elements+n > maxMessageElements {
+				if !yield(m) {
+					return
+				}
+				m, elements = &siblingpb.ValuesMessage{}, 0
+			}
+			m.Changes = append(m.Changes, x)
+			elements += n
+		}
+		yield(m)
+	}
+}
+
+// encodeChanges iterates over the encoded changes and the number of elements in each.
+func encodeChanges(changes []routing.Change) iter.Seq2[*siblingpb.ValueChange, int] {
+	return func(yield func(*siblingpb.ValueChange, int) bool) {
+		for i := range changes {
+			c := &changes[i]
+			encoded := func() *siblingpb.ValueChange {
+				return &siblingpb.ValueChange{Kind: string(c.Kind), Name: c.Name, Revision: uint64(c.Revision), Removed: c.Removed, Lapsed: c.Lapsed}
+			}
+			if c.Routing == nil {
+				x := encoded()
+				if c.Target != nil {
+					x.Registration = encodeRegistration(c.Target)
+				}
+				if !yield(x, 1) {
+					return
+				}
+				continue
+			}
+			chain := c.Differences
+			if len(chain) == 0 {
+				chain = []document.RoutingDifference{document.DiffRouting(nil, c.Routing)}
+			}
+			for j := range chain {
+				for d, n := range encodeRoutingDifference(&chain[j]) {
+					x := encoded()
+					x.Routing = d
+					if !yield(x, n) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+func encodeRegistration(t *targets.Registration) *siblingpb.Registration {
+	return &siblingpb.Registration{
+		Service: t.Service, Zone: t.Zone, Address: t.Address, Slots: int32(t.Slots), Draining: t.Draining, Incarnation: t.Incarnation,
+		Sequence: t.Sequence, ColdForNs: int64(t.ColdFor),
+	}
+}
+
+func decodeRegistration(id string, t *siblingpb.Registration) *targets.Registration {
+	return &targets.Registration{
+		ID: id, Service: t.GetService(), Zone: t.GetZone(), Address: t.GetAddress(), Slots: int(t.GetSlots()), Draining: t.GetDraining(),
+		Incarnation: t.GetIncarnation(), Sequence: t.GetSequence(), ColdFor: time.Duration(t.GetColdForNs()),
+	}
+}
