--- a/routing/cost_bench_test.go
+++ b/routing/cost_bench_test.go
@@ -79,3 +79,29 @@
 	}
 	return append(out, Change{Kind: KindRouting, Revision: 6, Routing: r})
 }
+
+// BenchmarkSnapshot measures the publication of a snapshot at an instance of 300, by the number of routes.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, routes := range []int{1, 1400, 4200} {
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			s := NewState(InstanceConfig{ID: "n0", Zone: "z0", Address: "n0:1", Cores: 0.8, Bounds: Bounds{RetryBudgetWindow: 10 * time.Second}}, rand.New(rand.NewPCG(1, 2)), now)
+			changes := largeValues(b, 300)
+			r := changes[len(changes)-1].Routing
+			for i := range routes - 1 {
+				r.Routes = append(r.Routes, document.Route{Name: fmt.Sprint(i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Services: []document.WeightedService{{Service: "s0", Weight: 1}}})
+			}
+			if err := r.Index(); err != nil {
+				b.Fatal(err)
+			}
+			s.Step(StoreRead{Update: Update{Full: true, ToRevision: 10, Changes: changes}}, now)
+			for i := range 299 {
+				s.gossip.Merge([]sibling.MemberState{{ID: fmt.Sprint("n", 1+i), Zone: fmt.Sprint("z", i%6), Address: fmt.Sprintf("n%d:1", i), Sequence: 1, Cores: 0.2}}, now)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Snapshot()
+			}
+		})
+	}
+}
