--- a/routing/doc.go
+++ b/routing/doc.go
@@ -19,8 +19,8 @@
 // ErrStoreRead means that a read of the platform's store failed or its reply was invalid.
 var ErrStoreRead = errors.New("platform store read failed")
 
-// ErrHistoryGone means that the platform's store no longer keeps the changes after the requested revision. A full
-// read is needed.
+// ErrHistoryGone means that the platform's store no longer keeps the changes after the requested revision, or keeps more than a reply
+// may hold. A full read is needed.
 var ErrHistoryGone = errors.New("platform store no longer keeps the requested change history")
 
 // Kind is the kind of a value in the platform's store.
