A transfer of values ends after a minute at the latest; docs of transfers

A call without a deadline stays at a sibling whose receiver is gone until the connection is found dead, and siblings expect a deadline of each call (TrackCalls). Found by reading; no run showed it.

--- a/sibling/siblinggrpc/values.go
+++ b/sibling/siblinggrpc/values.go
@@ -22,9 +22,11 @@
 )
 
 const (
-	// valuesStallLimit is how long a transfer of values may bring nothing before it is given up. A transfer that goes on has no time
-	// limit: a sibling on a small part of a core may need seconds for a large configuration.
+	// valuesStallLimit is how long a transfer of values may bring nothing before it is given up. One that goes on is not: a sibling on a
+	// small part of a core may need seconds for a large configuration.
 	valuesStallLimit = 3 * time.Second
+	// maxTransferTime is how long a sibling keeps a transfer whose receiver is gone.
+	maxTransferTime = time.Minute
 	// maxMessageElements bounds the values, or routes, services and organisations, in one message of a transfer, so that a slow
 	// transfer shows that it goes on.
 	maxMessageElements = 128
@@ -98,6 +100,8 @@
 
 // receiveValues receives a transfer.
 func receiveValues(ctx context.Context, conn grpc.ClientConnInterface, f routing.FetchValues, progressed func()) (*receivedValues, error) {
+	ctx, end := context.WithTimeout(ctx, maxTransferTime)
+	defer end()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := time.AfterFunc(valuesStallLimit, func() { cancel(errStalled) })
