Soak: the configuration has many routes from the third version on

The incident needed a configuration of 1,400 routes, which no run of the soak had. Every third version replaces the routes that no caller uses, the others differ little, so that instances fetch small and large differences from each other while links and processes fail.

--- a/cmd/internal/soak/entries.go
+++ b/cmd/internal/soak/entries.go
@@ -36,6 +36,29 @@
 	limitedCallers = 8
 )
 
+const (
+	// seriesRoutes is the number of routes that no caller uses, and versionsPerSeries that of the versions after which they are replaced by
+	// others: most versions differ little from the one before, some in most routes.
+	seriesRoutes      = 1400
+	versionsPerSeries = 3
+)
+
+// addManyRoutes adds the routes of a series, none for the first one.
+func addManyRoutes(configuration map[string]any, series int) {
+	if series == 0 {
+		return
+	}
+	routes := configuration["Routes"].([]map[string]any)
+	for i := range seriesRoutes {
+		name := fmt.Sprintf("unused-%d-%d", series, i)
+		routes = append(routes, map[string]any{
+			"Name": name, "Host": edgeHost, "Prefix": "/" + name + "/", "Type": "idempotent", "TimeoutMs": 2000, "TargetLatencyMs": 500,
+			"Service": changeService, "MaxAttempts": 2,
+		})
+	}
+	configuration["Routes"] = routes
+}
+
 // entries is what targets and operators have written to the store. It is safe for concurrent use.
 type entries struct {
 	store   *platformtest.Store
@@ -67,6 +90,7 @@
 		event.Services["read"] = []string{changeService}
 	} else {
 		addPriorities(c, n.shards, n.version)
+		addManyRoutes(c, n.version/versionsPerSeries)
 		event.Services[crashingService] = []string{crashingService}
 		for _, q := range queryRoutes {
 			event.Services[q.name] = n.shards
