The parts of a large difference are encoded once for all siblings that ask

Now the encoded parts of the latest four large differences are kept. A part that cannot be decoded or encoded makes the transfer fail and is not left out, since the others would then lead to another routing.

--- a/document/routingdiff.go
+++ b/document/routingdiff.go
@@ -79,8 +79,8 @@
 	return current, nil
 }
 
-// changed returns the number of elements that the difference contains.
-func (d *RoutingDifference) changed() int {
+// Elements returns the number of routes, services and organisations that the difference contains.
+func (d *RoutingDifference) Elements() int {
 	return addedIn(d.Routes) + addedIn(d.Services) + addedIn(d.Accounts)
 }
 
@@ -208,7 +208,7 @@
 	kept := append(slices.Clip(h.differences), chain...)
 	elements := 0
 	for i := len(kept) - 1; i >= 0; i-- {
-		if elements += kept[i].changed(); elements > maxRoutingHistoryElements || len(kept)-i > maxRoutingHistory {
+		if elements += kept[i].Elements(); elements > maxRoutingHistoryElements || len(kept)-i > maxRoutingHistory {
 			kept = slices.Clone(kept[i+1:])
 			break
 		}
--- a/document/routingdiff_test.go
+++ b/document/routingdiff_test.go
@@ -89,8 +89,8 @@
 		next.Version = 4
 		change(next)
 		d := DiffRouting(old, next)
-		if len(d.Routes) > 4 || d.changed() > 1 {
-			t.Errorf("%s: %d pieces with %d elements", name, len(d.Routes), d.changed())
+		if len(d.Routes) > 4 || d.Elements() > 1 {
+			t.Errorf("%s: %d pieces with %d elements", name, len(d.Routes), d.Elements())
 		}
 		if got, err := d.Apply(old); err != nil || !sameRouting(got, next) {
 			t.Errorf("%s: not reproduced, error %v", name, err)
@@ -140,7 +140,7 @@
 	}
 	elements := 0
 	for _, d := range h.differences {
-		elements += d.changed()
+		elements += d.Elements()
 	}
 	if len(h.differences) == 0 || len(h.differences) > maxRoutingHistory || elements > maxRoutingHistoryElements {
 		t.Errorf("%d differences with %d elements", len(h.differences), elements)
--- a/sibling/siblinggrpc/routing.go
+++ b/sibling/siblinggrpc/routing.go
@@ -2,12 +2,75 @@
 
 import (
 	"iter"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/sibling/siblinggrpc/siblingpb"
 )
 
+const (
+	// minCachedElements is the number of elements of a difference from which its encoding is kept.
+	minCachedElements = 64
+	// maxCachedDifferences bounds the encodings that are kept: of the latest large changes, and of the whole routing.
+	maxCachedDifferences = 4
+)
+
+// partCache encodes differences and keeps the encodings of the latest large ones: after a large change several siblings ask for it. It is
+// safe for concurrent use.
+type partCache struct {
+	mu   sync.Mutex
+	kept []cachedDifference // latest last
+}
+
+type cachedDifference struct {
+	from, to document.Revision
+	parts    []encodedPart
+}
+
+// encodedPart is an encoded part of a difference and the number of elements in it.
+type encodedPart struct {
+	text     []byte
+	elements int
+}
+
+// encode returns the encoded parts of a difference. Others that ask for the same one meanwhile wait for them.
+func (c *partCache) encode(d *document.RoutingDifference) ([]encodedPart, error) {
+	if d.Elements() < minCachedElements {
+		return encodeParts(d)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.kept {
+		if k.from == d.From && k.to == d.To {
+			return k.parts, nil
+		}
+	}
+	parts, err := encodeParts(d)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.kept) == maxCachedDifferences {
+		c.kept = append(c.kept[:0], c.kept[1:]...)
+	}
+	c.kept = append(c.kept, cachedDifference{d.From, d.To, parts})
+	return parts, nil
+}
+
+func encodeParts(d *document.RoutingDifference) ([]encodedPart, error) {
+	var out []encodedPart
+	for part, n := range encodeRoutingDifference(d) {
+		text, err := proto.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, encodedPart{text, n})
+	}
+	return out, nil
+}
+
 // encodeRoutingDifference iterates over the parts of a difference, in the order in which they apply, and the number of elements in
 // each, at most maxMessageElements.
 func encodeRoutingDifference(d *document.RoutingDifference) iter.Seq2[*siblingpb.RoutingDifference, int] {
@@ -59,7 +122,11 @@
 	}
 }
 
-func decodeRoutingDifference(d *siblingpb.RoutingDifference) document.RoutingDifference {
+func decodeRoutingDifference(text []byte) (document.RoutingDifference, error) {
+	d := &siblingpb.RoutingDifference{}
+	if err := proto.Unmarshal(text, d); err != nil {
+		return document.RoutingDifference{}, err
+	}
 	out := document.RoutingDifference{From: document.Revision(d.GetFrom()), To: document.Revision(d.GetTo()), Limits: decodeLimits(d.GetLimits())}
 	for _, p := range d.GetRoutes() {
 		out.Routes = append(out.Routes, decodePiece(p, p.GetAdded(), decodeRoute))
@@ -70,7 +137,7 @@
 	for _, p := range d.GetAccounts() {
 		out.Accounts = append(out.Accounts, decodePiece(p, p.GetAdded(), decodeAccount))
 	}
-	return out
+	return out, nil
 }
 
 func encodeList[T, M any](list []T, encode func(*T) M) []M {
@@ -89,6 +156,9 @@
 
 func decodePiece[T, M any](p piece, added []M, decode func(M) T) document.Piece[T] {
 	out := document.Piece[T]{From: int(p.GetFrom()), Count: int(p.GetCount())}
+	if len(added) > 0 {
+		out.Added = make([]T, 0, len(added))
+	}
 	for _, m := range added {
 		out.Added = append(out.Added, decode(m))
 	}
--- a/sibling/siblinggrpc/values.go
+++ b/sibling/siblinggrpc/values.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"time"
 
 	"google.golang.org/grpc"
@@ -42,7 +41,8 @@
 
 type valuesServer struct {
 	siblingpb.UnimplementedValuesServer
-	loop *RoutingLoop
+	loop  *RoutingLoop
+	parts partCache
 }
 
 // Fetch sends the changes that the sibling lacks.
@@ -51,7 +51,11 @@
 	if err != nil {
 		return err
 	}
-	for m := range encodeUpdate(update) {
+	messages, err := encodeUpdate(update, &s.parts)
+	if err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	for _, m := range messages {
 		if err := stream.Send(m); err != nil {
 			return err
 		}
@@ -162,6 +166,8 @@
 	// routing holds the differences of the last change of the routing, whose index in the update is routingAt.
 	routing   []document.RoutingDifference
 	routingAt int
+	// err is set if a part of a difference cannot be decoded: without it, the others lead to another routing.
+	err error
 }
 
 // add adds the content of a message. Odd changes are left out, and those with odd content become changes without content, as they do
@@ -183,11 +189,16 @@
 				c.Target = t
 			}
 		}
-		if x.GetRouting() == nil {
+		if len(x.GetRouting()) == 0 {
 			r.update.Changes = append(r.update.Changes, c)
 			continue
 		}
-		r.addRouting(c, decodeRoutingDifference(x.GetRouting()))
+		d, err := decodeRoutingDifference(x.GetRouting())
+		if err != nil {
+			r.err = fmt.Errorf("%w: %w", document.ErrMismatch, err)
+			return
+		}
+		r.addRouting(c, d)
 	}
 }
 
@@ -208,6 +219,9 @@
 // finish returns the update. base is the routing that the differences were requested for. The error is document.ErrMismatch if they
 // do not apply to it.
 func (r *receivedValues) finish(base *document.Routing) (routing.Update, error) {
+	if r.err != nil {
+		return routing.Update{}, r.err
+	}
 	if len(r.routing) == 0 {
 		return r.update, nil
 	}
@@ -224,58 +238,52 @@
 	return r.update, nil
 }
 
-// encodeUpdate iterates over the messages of a transfer.
-func encodeUpdate(u routing.Update) iter.Seq[*siblingpb.ValuesMessage] {
-	return func(yield func(*siblingpb.ValuesMessage) bool) {
-		m := &siblingpb.ValuesMessage{Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full}}
-		elements := 0
-		for x, n := range encodeChanges(u.Changes) {
-			if elements > 0 && elements+n > maxMessageElements {
-				if !yield(m) {
-					return
-				}
-				m, elements = &siblingpb.ValuesMessage{}, 0
-			}
-			m.Changes = append(m.Changes, x)
-			elements += n
+// encodeUpdate returns the messages of a transfer.
+func encodeUpdate(u routing.Update, parts *partCache) ([]*siblingpb.ValuesMessage, error) {
+	out := []*siblingpb.ValuesMessage{{
+		Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full},
+	}}
+	elements := 0 // in the last message
+	add := func(c *siblingpb.ValueChange, n int) {
+		if elements > 0 && elements+n > maxMessageElements {
+			out, elements = append(out, &siblingpb.ValuesMessage{}), 0
 		}
-		yield(m)
+		last := out[len(out)-1]
+		last.Changes = append(last.Changes, c)
+		elements += n
 	}
-}
-
-// encodeChanges iterates over the encoded changes and the number of elements in each.
-func encodeChanges(changes []routing.Change) iter.Seq2[*siblingpb.ValueChange, int] {
-	return func(yield func(*siblingpb.ValueChange, int) bool) {
-		for i := range changes {
-			c := &changes[i]
-			encoded := func() *siblingpb.ValueChange {
-				return &siblingpb.ValueChange{Kind: string(c.Kind), Name: c.Name, Revision: uint64(c.Revision), Removed: c.Removed, Lapsed: c.Lapsed}
-			}
-			if c.Routing == nil {
-				x := encoded()
-				if c.Target != nil {
-					x.Registration = encodeRegistration(c.Target)
-				}
-				if !yield(x, 1) {
-					return
-				}
-				continue
-			}
-			chain := c.Differences
-			if len(chain) == 0 {
-				chain = []document.RoutingDifference{document.DiffRouting(nil, c.Routing)}
+	for i := range u.Changes {
+		c := &u.Changes[i]
+		if c.Routing == nil {
+			add(encodeChange(c), 1)
+			continue
+		}
+		chain := c.Differences
+		if len(chain) == 0 {
+			chain = []document.RoutingDifference{document.DiffRouting(nil, c.Routing)}
+		}
+		for j := range chain {
+			encoded, err := parts.encode(&chain[j])
+			if err != nil {
+				return nil, fmt.Errorf("encode routing version %d: %w", chain[j].To, err)
 			}
-			for j := range chain {
-				for d, n := range encodeRoutingDifference(&chain[j]) {
-					x := encoded()
-					x.Routing = d
-					if !yield(x, n) {
-						return
-					}
-				}
+			for _, part := range encoded {
+				x := encodeChange(c)
+				x.Routing = part.text
+				add(x, part.elements)
 			}
 		}
 	}
+	return out, nil
+}
+
+// encodeChange encodes a change without its routing.
+func encodeChange(c *routing.Change) *siblingpb.ValueChange {
+	out := &siblingpb.ValueChange{Kind: string(c.Kind), Name: c.Name, Revision: uint64(c.Revision), Removed: c.Removed, Lapsed: c.Lapsed}
+	if c.Target != nil {
+		out.Registration = encodeRegistration(c.Target)
+	}
+	return out
 }
 
 func encodeRegistration(t *targets.Registration) *siblingpb.Registration {
--- a/sibling/siblinggrpc/values_test.go
+++ b/sibling/siblinggrpc/values_test.go
@@ -91,10 +91,20 @@
 	return r
 }
 
+// encoded returns the messages of a transfer.
+func encoded(t testing.TB, u routing.Update) []*siblingpb.ValuesMessage {
+	t.Helper()
+	messages, err := encodeUpdate(u, &partCache{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return messages
+}
+
 // transfer encodes an update and decodes it at an instance that has base. It also returns the number of messages and their bytes.
 func transfer(t testing.TB, u routing.Update, base *document.Routing) (got routing.Update, messages, bytes int, err error) {
 	received := &receivedValues{}
-	for m := range encodeUpdate(u) {
+	for _, m := range encoded(t, u) {
 		text, err := proto.Marshal(m)
 		if err != nil {
 			t.Fatal(err)
@@ -174,7 +184,11 @@
 		return c
 	}
 	routingOf := func(d *siblingpb.RoutingDifference) *siblingpb.ValueChange {
-		return &siblingpb.ValueChange{Kind: "routing", Revision: 4, Routing: d}
+		text, err := proto.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &siblingpb.ValueChange{Kind: "routing", Revision: 4, Routing: text}
 	}
 	for name, c := range map[string]*siblingpb.ValueChange{
 		"port 0":           odd(func(r *siblingpb.Registration) { r.Address = "10.0.0.1:0" }),
@@ -203,6 +217,53 @@
 	}
 }
 
+// Guards against a difference of which a part is lost on the way and the others come into force, and against an encoding that is kept for
+// another difference.
+func TestEncodedParts(t *testing.T) {
+	base, next := largeRouting(3, 10), largeRouting(4, 300)
+	cache := &partCache{}
+	var d document.RoutingDifference
+	for range 2 {
+		for v := range document.Revision(2 * maxCachedDifferences) {
+			next.Version = 4 + v
+			d = document.DiffRouting(base, next)
+			parts, err := cache.encode(&d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if decoded, err := decodeRoutingDifference(parts[0].text); err != nil || decoded.To != next.Version {
+				t.Fatalf("parts to version %d, want %d, error %v", decoded.To, next.Version, err)
+			}
+		}
+	}
+	if len(cache.kept) != maxCachedDifferences {
+		t.Errorf("%d encodings kept, want %d", len(cache.kept), maxCachedDifferences)
+	}
+	parts, err := cache.encode(&d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := &receivedValues{}
+	for i, part := range parts {
+		if i == 1 {
+			part.text = part.text[:len(part.text)-1]
+		}
+		received.add(&siblingpb.ValuesMessage{Changes: []*siblingpb.ValueChange{{Kind: "routing", Revision: 9, Routing: part.text}}})
+	}
+	if u, err := received.finish(base); !errors.Is(err, document.ErrMismatch) {
+		t.Errorf("update %+v, error %v, want %v", u, err, document.ErrMismatch)
+	}
+}
+
+// Guards against a transfer that leaves out a routing that cannot be encoded, and calls itself complete.
+func TestRoutingThatCannotBeEncodedIsAnError(t *testing.T) {
+	r := largeRouting(4, 100)
+	r.Routes[70].Name = "\xff"
+	if m, err := encodeUpdate(routing.Update{Changes: []routing.Change{{Kind: routing.KindRouting, Revision: 8, Routing: r}}}, &partCache{}); err == nil {
+		t.Errorf("%d messages", len(m))
+	}
+}
+
 // FuzzValues guards against transfers that end the process or bring in unusable values.
 func FuzzValues(f *testing.F) {
 	base := largeRouting(3, 3)
@@ -210,7 +271,7 @@
 		{ToRevision: 3, Changes: []routing.Change{{Kind: routing.KindTarget, Name: "i", Revision: 3}}},
 		{ToRevision: 9, Changes: []routing.Change{{Kind: routing.KindRouting, Revision: 8, Routing: largeRouting(4, 4), Differences: []document.RoutingDifference{document.DiffRouting(base, largeRouting(4, 4))}}}},
 	} {
-		for m := range encodeUpdate(u) {
+		for _, m := range encoded(f, u) {
 			text, err := proto.Marshal(m)
 			if err != nil {
 				f.Fatal(err)
@@ -305,7 +366,11 @@
 
 func (s slowValues) Fetch(_ *siblingpb.FetchValuesRequest, stream grpc.ServerStreamingServer[siblingpb.ValuesMessage]) error {
 	u := routing.Update{ToRevision: 9, Changes: []routing.Change{{Kind: routing.KindRouting, Revision: 9, Routing: largeRouting(4, 300)}}}
-	for m := range encodeUpdate(u) {
+	messages, err := encodeUpdate(u, &partCache{})
+	if err != nil {
+		return err
+	}
+	for _, m := range messages {
 		time.Sleep(s.pause)
 		if err := stream.Send(m); err != nil {
 			return err
