--- a/routing/large_test.go
+++ b/routing/large_test.go
@@ -58,7 +58,7 @@
 				}
 				return cost
 			}
-			f.run(8 * time.Second)
+			f.run(6 * time.Second)
 			worst, worstSpread := time.Duration(0), time.Duration(0)
 			for round := range 3 {
 				for i := range f.members {
@@ -71,7 +71,7 @@
 				first := f.timeUntil(func() bool { return f.inForce(version) > 0 }, 4*c.limit)
 				spread := f.timeInForce(version, 4*c.limit)
 				worst, worstSpread = max(worst, first+spread), max(worstSpread, spread)
-				f.run(6 * time.Second)
+				f.run(3 * time.Second)
 			}
 			t.Logf("in force at all instances %v after the change and %v after the first instance, at the most", worst, worstSpread)
 			if worst > c.limit {
--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -217,8 +217,7 @@
 
 // hasVersion reports whether a version of the routing is in force at the instance.
 func (m *fleetMember) hasVersion(version document.Revision) bool {
-	r := m.state.Snapshot().Routing
-	return r != nil && r.Version == version
+	return m.state.confirmed && m.state.routing != nil && m.state.routing.Version == version
 }
 
 // Guards against a target that is used too long because it was removed just after a reader returned from a cut: the reader
