Test: a late write that a sibling passes on (fails)

A target wrote that it is draining, and its earlier entry was written 18 ms later. Instances that read both keep the first one; what they pass on to siblings is only the second one, and the siblings use the target until it writes again.

--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -385,6 +385,28 @@
 	}
 }
 
+// Guards against a target that is leaving and is used by an instance that has a late write of its earlier entry from a sibling, which has
+// both and knows better: what the sibling passes on must tell so.
+func TestLateWriteIsPassedOnWithWhatItIsOlderThan(t *testing.T) {
+	entry := func(sequence uint64, draining bool) Change {
+		c := target("i1", "s", "z")
+		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
+		return c
+	}
+	reader, sibling := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	reader.read(true, routes(1), entry(1, false))
+	sibling.read(true, routes(1), entry(1, false))
+	reader.read(false, entry(2, true))
+	reader.read(false, entry(1, false))
+	if n := reader.usable("s"); n != 0 {
+		t.Fatalf("%d usable targets at the instance that has both entries, want 0", n)
+	}
+	sibling.step(ValuesReceived{Update: reader.state.values.updateAfter(sibling.state.values.completeTo, 1)})
+	if n := sibling.usable("s"); n != 0 {
+		t.Errorf("%d usable targets at the sibling, want 0", n)
+	}
+}
+
 // Guards against an entry that another writer left with a high sequence and that hides the target's own entries for good.
 func TestOutdatedEntryIsBelievedInTheEnd(t *testing.T) {
 	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
