--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -453,16 +453,6 @@
 	}
 }
 
-// gossipRequests returns the gossip requests among the effects.
-func gossipRequests(effects []Effect) (out []SendGossip) {
-	for _, e := range effects {
-		if x, ok := e.(SendGossip); ok {
-			out = append(out, x)
-		}
-	}
-	return out
-}
-
 func memberState(id, zone string, count uint64, completeTo document.Revision) sibling.MemberState {
 	return sibling.MemberState{ID: id, Zone: zone, Address: id + ":1", Sequence: count, CompleteTo: completeTo, PlatformAge: sibling.NoContact}
 }
