Tests: the heavy tests of package routing run in parallel

Its tests on the virtual clock ran one after the other on one core, for 7 minutes after the other packages had ended. Each has a fleet of its own.

--- a/routing/large_test.go
+++ b/routing/large_test.go
@@ -39,6 +39,7 @@
 // Guards against a change of one route that is in force late at slow and busy instances because the configuration had grown by many
 // routes right before: each transfer carried the whole configuration, took longer than the next request for it, and was repeated.
 func TestChangeOfALargeConfigurationReachesSlowInstancesInTime(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		instances, zones int
 		limit            time.Duration
--- a/routing/readers_test.go
+++ b/routing/readers_test.go
@@ -15,6 +15,7 @@
 // lost it: they must notice in time to read themselves. The worst moment of the change is right after the last answer that
 // the readers had.
 func TestChangeIsInForceInTimeWithoutItsReaders(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		instances, zones, rounds int
 		limit                    time.Duration
@@ -70,6 +71,7 @@
 // reads the store, because those that read it lose it together with many others right after an answer: the time until the others
 // notice must leave enough of the limit for the way of the change through the fleet.
 func TestChangeReachesBusyInstancesInTimeWithoutItsReaders(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		instances, zones int
 		limit            time.Duration
@@ -127,6 +129,7 @@
 // Guards against a configuration that reaches the instances of a large fleet one round of gossip after the other: the goal of the
 // design is a second.
 func TestChangeReachesALargeFleetWithinTheGoal(t *testing.T) {
+	t.Parallel()
 	const goal = time.Second
 	random := rand.New(rand.NewPCG(2, 2))
 	f := newStoreFleet(67, 4, Bounds{RetryBudgetWindow: 10 * time.Second, ChangeLimit: 5 * time.Second})
@@ -149,6 +152,7 @@
 // Guards against instances that take the readers of the store for lost, or notice their loss late, since what they know of them is
 // old: in a fleet whose messages hold only a part of the states, the contact of the readers must be known everywhere in time.
 func TestContactOfReadersIsKnownInTime(t *testing.T) {
+	t.Parallel()
 	f := newStoreFleet(67, 4, Bounds{RetryBudgetWindow: 10 * time.Second, ChangeLimit: 5 * time.Second})
 	f.run(15 * time.Second)
 	late, reads := map[string]int{}, f.reads
@@ -223,6 +227,7 @@
 // Guards against a target that is used too long because it was removed just after a reader returned from a cut: the reader
 // takes the removal for one that an outage of the store caused, and believes it later.
 func TestRemovalIsInForceInTimeAfterAReaderReturns(t *testing.T) {
+	t.Parallel()
 	const limit = 3 * time.Second
 	worst := time.Duration(0)
 	for round := range 24 {
--- a/routing/rolling_test.go
+++ b/routing/rolling_test.go
@@ -103,6 +103,7 @@
 // Guards against instances that divide the share of a stopping one among them while it still spends it: an organisation that
 // sends several times its rate while instances are stopped and started in turn gets more than the tolerated number of requests.
 func TestRollingRestartsStayWithinTheRate(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		instances, zones int
 		rate             float64
@@ -130,6 +131,7 @@
 
 // Guards against refusals below the rate while the shares of instances that are stopped and started in turn move.
 func TestRollingRestartsRefuseLittleBelowTheRate(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{64, 12} {
 		t.Run(fmt.Sprint(rate, " requests a second"), func(t *testing.T) {
 			x := newRollingRun(9, 3, rate, rate)
--- a/routing/shares_test.go
+++ b/routing/shares_test.go
@@ -205,6 +205,7 @@
 // Guards against refusals far below the rate in a large fleet at the instance that an organisation's callers are connected to,
 // because most of its rate is divided evenly among all: a caller sends two requests together now and then.
 func TestLargeFleetLeavesTheRateWhereTheDemandIs(t *testing.T) {
+	t.Parallel()
 	const instances, rate = 80, 3.0
 	f := newRateFleet(t, instances, rate, rate, rateBounds)
 	for n := range 15 {
