--- a/review/bed/bed.go
+++ b/review/6/bed/bed.go
@@ -1,4 +1,4 @@
-// Package bed is the test bed of the scripts in review/6 and above: it starts instances of the product as separate processes on
+// Package bed is the test bed of the scripts in review/6 and above. It starts instances of the product as separate processes on
 // loopback addresses, with a store, searchers and clients that follow the platform's pages.
 package bed
 
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"dogwooddrift.org/drift/review/bed"
+	"dogwooddrift.org/drift/review/6/bed"
 )
 
 const (
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the programs of the scripts in review/6 and above, with the stand-ins in review/bed. Needs no network after a build of
+# Builds the programs of the scripts in review/6 and above, with the stand-ins in review/6/bed. Needs no network after a build of
 # the product.
 set -euo pipefail
 cd "$(dirname "$0")/.."
