--- a/cmd/internal/edge/where_test.go
+++ b/cmd/internal/edge/where_test.go
@@ -1,22 +1,15 @@
 package edge
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"net/url"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"dogwooddrift.org/drift/cmd/internal/linelog"
-	"dogwooddrift.org/drift/cmd/internal/soak"
 	"dogwooddrift.org/drift/platform/platformtest"
 )
 
@@ -50,47 +43,19 @@
 func TestWhereOfARunningInstance(t *testing.T) {
 	store := platformtest.NewStore()
 	server := httptest.NewServer(store)
-	defer server.Close()
-	defer server.CloseClientConnections()
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
 	targets := platformtest.StartTargets([]string{"one", "s0", "s1"}, 2, []string{"z"}, time.Millisecond)
 	seen := make(chan platformtest.Observation, 1000)
 	for _, x := range targets {
-		defer x.Close()
+		t.Cleanup(x.Close)
 		x.Observe = func(o platformtest.Observation) { seen <- o }
 		x.Register(store, x.Address())
 	}
 	store.Put("op/config", platformtest.Configuration(1, "shop.example", "key", []string{"s0", "s1"}, "one"))
-	addresses, err := soak.FreeAddresses(4)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "boot.toml")
-	text := platformtest.NodeFile(platformtest.Node{
-		Name: "edge-1", Zone: "z", CallersAddress: addresses[0], ReadinessAddress: addresses[1], SiblingsAddress: addresses[2],
-		StoreAddress: strings.TrimPrefix(server.URL, "http://"), Seeds: []string{addresses[2]},
-	})
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c := DefaultConfig()
-	c.MetricsPort, c.Notice = int(netip.MustParseAddrPort(addresses[3]).Port()), 0
-	out := linelog.New(&bytes.Buffer{})
-	defer out.Close(nil)
-	n, err := New(path, c, out)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- n.Run(ctx, nil) }()
-	defer func() {
-		stop()
-		if err := <-ended; err != nil {
-			t.Errorf("the instance ended with %v", err)
-		}
-	}()
+	_, operators := startInstance(t, strings.TrimPrefix(server.URL, "http://"))
 	ask := func(query string) (int, *Where, string) {
-		response, err := http.Get("http://" + addresses[3] + "/where?" + query)
+		response, err := http.Get("http://" + operators + "/where?" + query)
 		if err != nil {
 			return 0, nil, err.Error()
 		}
