Searcher: a reply with a field that is not HTTP is no reply

What callers saw: a target in trouble sent a reply in whose header the name of a field held a blank. The caller got it as an answer, complete or as a part of a gathered one; with Not-Executed beside it, the promise that the request did not run. If it was the name of the length, as in "Content-Length : 16", the field did not count and the body went on to the deadline or the end of the connection: not the target's body.

Cause: net/http.ReadResponse takes names with blanks, for the sake of old servers, and nothing else looked at them. Interim replies were not looked at at all.

Change: the check of package httpreply covers the fields of a header: a name of token characters that is followed by the colon at once, a value without control bytes, no blank before the first field. Folded values, empty values and bytes above ASCII in values still pass.

--- a/httpreply/check.go
+++ b/httpreply/check.go
@@ -1,10 +1,11 @@
 // Package httpreply checks that the bytes which a peer sends are HTTP/1.1 replies (RFC 9110, RFC 9112). net/http also accepts some that are
-// not, such as a status 000, and passes them on.
+// not, such as a status 000 or a blank in the name of a field, and passes them on.
 package httpreply
 
 import (
 	"errors"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformed means that the bytes of a peer are not an HTTP/1.1 reply. None of its fields counts, and its connection must not be used
@@ -23,6 +24,11 @@
 	returned bool
 
 	status int
+
+	// inValue is true after the colon of a field, also on the lines that continue its value.
+	inValue bool
+	// continuable is true if the next line may continue a value.
+	continuable bool
 }
 
 // part is the part of a reply to which the next byte belongs.
@@ -80,7 +86,11 @@
 		c.returned = true
 		return true
 	}
-	sound := c.part != statusLine || c.scanStatus(b)
+	scan := c.scanField
+	if c.part == statusLine {
+		scan = c.scanStatus
+	}
+	sound := scan(b)
 	c.column++
 	return sound
 }
@@ -89,9 +99,11 @@
 func (c *Check) endLine() bool {
 	switch {
 	case c.part == statusLine:
-		c.part = headerLine
+		c.part, c.continuable = headerLine, false
 		return c.column >= reasonColumn && minStatus <= c.status && c.status <= maxStatus
 	case c.column > 0:
+		c.continuable = true
+		return c.inValue
 	case c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols:
 		*c = Check{interim: c.interim + 1}
 	default:
@@ -118,7 +130,37 @@
 	return isText(b)
 }
 
+// scanField checks a byte of a line of the header.
+func (c *Check) scanField(b byte) bool {
+	if c.column == 0 {
+		if isBlank(b) {
+			return c.continuable
+		}
+		c.inValue = false
+	}
+	if c.inValue {
+		return isText(b)
+	}
+	if b == ':' {
+		c.inValue = true
+		return c.column > 0
+	}
+	return isNameByte[b]
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+func isBlank(b byte) bool { return b == ' ' || b == '\t' }
+
 // isText reports whether a byte may be a part of a value or reason phrase: all but control bytes.
 func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
+// isNameByte holds the bytes of tokens, of which names of fields consist.
+var isNameByte = func() (table [256]bool) {
+	for b := range table {
+		c := byte(b)
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		table[b] = letter || isDigit(c) || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+	}
+	return table
+}()
--- a/httpreply/replytest/cases.go
+++ b/httpreply/replytest/cases.go
@@ -51,6 +51,14 @@
 	return Case{Name: name, Encode: func(m Message) string { return statusLine(m) + text + "\r\n" + withLength(m) }}
 }
 
+// lastLine is line at the end of the header.
+func lastLine(name, text string) Case {
+	return Case{Name: name, Encode: func(m Message) string {
+		m.Fields += text + "\r\n"
+		return Sound(m)
+	}}
+}
+
 // length returns a form with other header lines for the length of the body.
 func length(name, format string) Case {
 	return Case{Name: name, Encode: func(m Message) string {
@@ -80,6 +88,17 @@
 	begin("blank before the protocol", " HTTP/1.1 200"), begin("control byte in the reason", "HTTP/1.1 200 a\x01b"),
 	begin("carriage return in the reason", "HTTP/1.1 200 a\rb"), begin("empty line before the status line", "\r\nHTTP/1.1 200"),
 
+	line("blank in a name", "X Own: 1"), line("blank before the colon", "X-Own : 1"), line("tab before the colon", "X-Own\t: 1"),
+	line("control byte in a name", "X-\x01Own: 1"), line("zero byte in a name", "X-\x00Own: 1"), line("delete byte in a name", "X-\x7fOwn: 1"),
+	line("carriage return in a name", "X-\rOwn: 1"), line("byte above ASCII in a name", "X-\xc3\xb6wn: 1"), line("bracket in a name", "X-(Own): 1"),
+	line("no name", ": 1"), line("no colon", "X-Own"), line("blank before the first field", " X-Own: 1"), line("only a blank first", " "),
+	line("control byte in a value", "X-Own: a\x02b"), line("zero byte in a value", "X-Own: a\x00b"), line("delete byte in a value", "X-Own: a\x7fb"),
+	line("carriage return in a value", "X-Own: a\rb"), line("control byte in a folded value", "X-Own: a\r\n b\x02"), line("two carriage returns", "X-Own: a\r"),
+	lastLine("blank in the last name", "X Own: 1"), lastLine("control byte in the last name", "X\x1fOwn: 1"),
+
+	length("blank in the name of the length", "Content Length: N"), length("blank after the name of the length", "Content-Length : N"),
+	before("interim with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Own: 1\r\n\r\n"),
+	before("interim with a control byte in a name", "HTTP/1.1 100 Continue\r\nX\x01Own: 1\r\n\r\n"),
 	before("interim with a control byte in the reason", "HTTP/1.1 100 a\x01\r\n\r\n"),
 	before("interim with two blanks before the status", "HTTP/1.1  103 Early Hints\r\n\r\n"),
 }
