Searcher: a reply with chunks or trailers that are not HTTP is no reply

What callers saw: a body in chunks with a control byte in a chunk extension, or with a blank in the name of a trailer, counted as an answer, as a part of a gathered one and, with Not-Executed, as the promise that the request did not run.

Cause: net/http skips chunk extensions unseen and takes blanks in the names of trailers as in those of header fields. The check ended with the header.

Change: the check follows a reply to its end: a body of the declared length, chunks with their sizes, extensions and data, and trailers, whose fields are judged as those of the header.

Evidence, on the commit before: searcher.TestMalformedReplyIsNone failed in 3 of the 17 forms that are new here, edge.TestMalformedReplyReachesNoCaller in the same 3 ("blank_in_the_name_of_a_trailer: /one/x, refused false: status 200", "refused true: status 503").

--- a/httpreply/check.go
+++ b/httpreply/check.go
@@ -4,17 +4,24 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"strings"
 )
 
-// ErrMalformed means that the bytes of a peer are not an HTTP/1.1 reply. None of its fields counts, and its connection must not be used
-// again. The request may have run.
-var ErrMalformed = errors.New("not an HTTP reply")
+var (
+	// ErrMalformed means that the bytes of a peer are not an HTTP/1.1 reply. None of its fields counts, and its connection must not be used
+	// again. The request may have run.
+	ErrMalformed = errors.New("not an HTTP reply")
+	// ErrExtra means that bytes arrived after the end of a reply.
+	ErrExtra = errors.New("bytes after the end of an HTTP reply")
+)
 
-// Check checks the header of the reply to one request, and those of the interim replies before it. It keeps no bytes.
+// Check checks the reply to one request, with the interim replies before it. It keeps no bytes. The zero value is a check of the reply to a
+// request whose method is not HEAD.
 type Check struct {
-	part part
+	method string
+	part   part
 	// interim counts the interim replies that have ended.
 	interim int
 
@@ -25,10 +32,24 @@
 
 	status int
 
+	field fieldKind
 	// inValue is true after the colon of a field, also on the lines that continue its value.
 	inValue bool
 	// continuable is true if the next line may continue a value.
 	continuable bool
+	// name holds the first bytes of the name of the current field.
+	name [len(nameTransferEncoding)]byte
+
+	encoded   bool // Transfer-Encoding was present
+	hasLength bool // Content-Length was present
+	length    int64
+	// number is the length or size of which the digits arrive.
+	number number
+	// inExtension is true after the semicolon that follows the size of a chunk.
+	inExtension bool
+
+	// left is the number of bytes of the body or chunk that have not arrived.
+	left int64
 }
 
 // part is the part of a reply to which the next byte belongs.
@@ -37,7 +58,27 @@
 const (
 	statusLine part = iota
 	headerLine
-	afterHeader
+	bodyToClose // ends with the connection
+	bodyOfLength
+	chunkSizeLine
+	chunkData
+	chunkEnd // the line end after the data of a chunk
+	trailerLine
+	complete
+)
+
+// fieldKind tells the fields apart that determine the length of a reply.
+type fieldKind int
+
+const (
+	otherField fieldKind = iota
+	contentLength
+	transferEncoding
+)
+
+const (
+	nameContentLength    = "content-length"
+	nameTransferEncoding = "transfer-encoding"
 )
 
 const (
@@ -50,8 +91,8 @@
 	maxStatus = 599
 )
 
-// Reset begins the check of the reply to another request.
-func (c *Check) Reset() { *c = Check{} }
+// Reset begins the check of the reply to a request with the method.
+func (c *Check) Reset(method string) { *c = Check{method: method} }
 
 // InterimReplies returns the number of interim (1xx) replies that have ended.
 func (c *Check) InterimReplies() int { return c.interim }
@@ -59,17 +100,39 @@
 // HeaderEnded reports whether the header of the final reply has ended. A reply with status 101 is a final one.
 func (c *Check) HeaderEnded() bool { return c.part != statusLine && c.part != headerLine }
 
-// Scan checks the next bytes from the connection. The error is ErrMalformed; after it, only Reset may be called.
-func (c *Check) Scan(p []byte) error {
-	for _, b := range p {
-		if c.part == afterHeader {
-			return nil
-		}
-		if !c.scanLine(b) {
-			return ErrMalformed
+// Scan checks the next bytes from the connection. It returns the number of bytes that are a part of a sound reply; if that is not all of
+// them, the error is ErrMalformed or ErrExtra. After an error, only Reset may be called.
+func (c *Check) Scan(p []byte) (int, error) {
+	for n := 0; n < len(p); {
+		switch c.part {
+		case complete:
+			return n, ErrExtra
+		case bodyToClose:
+			return len(p), nil
+		case bodyOfLength, chunkData:
+			skipped := min(int64(len(p)-n), c.left)
+			n += int(skipped)
+			c.skip(skipped)
+		default:
+			if !c.scanLine(p[n]) {
+				return n, ErrMalformed
+			}
+			n++
 		}
 	}
-	return nil
+	return len(p), nil
+}
+
+// skip records that bytes of a body or chunk have arrived.
+func (c *Check) skip(n int64) {
+	if c.left -= n; c.left > 0 {
+		return
+	}
+	if c.part == chunkData {
+		c.part = chunkEnd
+	} else {
+		c.part = complete
+	}
 }
 
 // scanLine checks a byte of a line. As RFC 9112 allows, a line feed without a carriage return ends a line too.
@@ -86,30 +149,51 @@
 		c.returned = true
 		return true
 	}
-	scan := c.scanField
-	if c.part == statusLine {
-		scan = c.scanStatus
+	sound := false
+	switch c.part {
+	case statusLine:
+		sound = c.scanStatus(b)
+	case headerLine, trailerLine:
+		sound = c.scanField(b)
+	case chunkSizeLine:
+		sound = c.scanChunkSize(b)
 	}
-	sound := scan(b)
 	c.column++
 	return sound
 }
 
 // endLine checks that the current line may end.
 func (c *Check) endLine() bool {
-	switch {
-	case c.part == statusLine:
+	switch c.part {
+	case statusLine:
 		c.part, c.continuable = headerLine, false
 		return c.column >= reasonColumn && minStatus <= c.status && c.status <= maxStatus
-	case c.column > 0:
-		c.continuable = true
-		return c.inValue
-	case c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols:
-		*c = Check{interim: c.interim + 1}
-	default:
-		c.part = afterHeader
+	case headerLine, trailerLine:
+		if c.column > 0 {
+			c.continuable = true
+			return c.inValue
+		}
+		if !c.endField() {
+			return false
+		}
+		if c.part == trailerLine {
+			c.part = complete
+			return true
+		}
+		return c.endHeader()
+	case chunkSizeLine:
+		size := c.number
+		c.number, c.inExtension = number{}, false
+		if c.left = size.value; size.value > 0 {
+			c.part = chunkData
+		} else {
+			c.part, c.continuable = trailerLine, false
+		}
+		return size.digits
+	default: // chunkEnd
+		c.part = chunkSizeLine
+		return true
 	}
-	return true
 }
 
 // scanStatus checks a byte of the status line.
@@ -130,24 +214,134 @@
 	return isText(b)
 }
 
-// scanField checks a byte of a line of the header.
+// scanField checks a byte of a line of the header or trailer.
 func (c *Check) scanField(b byte) bool {
 	if c.column == 0 {
 		if isBlank(b) {
-			return c.continuable
+			return c.continuable && c.scanValue(b)
 		}
-		c.inValue = false
+		if !c.endField() {
+			return false
+		}
+		c.inValue, c.field = false, otherField
 	}
 	if c.inValue {
-		return isText(b)
+		return c.scanValue(b)
 	}
 	if b == ':' {
 		c.inValue = true
+		c.field = c.kindOfField()
 		return c.column > 0
 	}
+	if c.column < len(c.name) {
+		c.name[c.column] = b
+	}
 	return isNameByte[b]
 }
 
+// kindOfField returns the kind of the field whose name has just ended. Trailers do not determine the length of a reply.
+func (c *Check) kindOfField() fieldKind {
+	if c.part == trailerLine || c.column > len(c.name) {
+		return otherField
+	}
+	switch name := string(c.name[:c.column]); {
+	case strings.EqualFold(name, nameContentLength):
+		return contentLength
+	case strings.EqualFold(name, nameTransferEncoding):
+		c.encoded = true
+		return transferEncoding
+	}
+	return otherField
+}
+
+// scanValue checks a byte of the value of a field.
+func (c *Check) scanValue(b byte) bool {
+	if c.field == contentLength {
+		return c.number.scan(b, 10)
+	}
+	return isText(b)
+}
+
+// endField checks the value of the field that ended before the current line.
+func (c *Check) endField() bool {
+	if c.field != contentLength {
+		return true
+	}
+	length := c.number
+	c.field, c.number = otherField, number{}
+	if !length.digits || c.hasLength && length.value != c.length {
+		return false
+	}
+	c.hasLength, c.length = true, length.value
+	return true
+}
+
+// endHeader determines what follows the header.
+func (c *Check) endHeader() bool {
+	bodiless := c.method == http.MethodHead || c.status == http.StatusNoContent || c.status == http.StatusNotModified
+	switch {
+	case c.status == http.StatusSwitchingProtocols:
+		c.part = bodyToClose
+	case c.status < http.StatusOK:
+		*c = Check{method: c.method, interim: c.interim + 1}
+	case bodiless:
+		c.part = complete
+	case c.encoded:
+		c.part = chunkSizeLine
+	case !c.hasLength:
+		c.part = bodyToClose
+	case c.length == 0:
+		c.part = complete
+	default:
+		c.part, c.left = bodyOfLength, c.length
+	}
+	return true
+}
+
+// scanChunkSize checks a byte of a line with the size of a chunk and its extensions, which are ignored.
+func (c *Check) scanChunkSize(b byte) bool {
+	if c.inExtension {
+		return isText(b)
+	}
+	if b == ';' {
+		c.inExtension = true
+		return c.number.digits
+	}
+	return c.number.scan(b, 16)
+}
+
+// number is an unsigned number that may have blanks around it.
+type number struct {
+	value  int64
+	digits bool // there was a digit
+	ended  bool // a blank came after the digits
+}
+
+// scan adds a byte of the number. It returns false if the byte cannot follow or the number is too large.
+func (n *number) scan(b byte, base int64) bool {
+	if isBlank(b) {
+		n.ended = n.digits
+		return true
+	}
+	digit := digitValue(b)
+	if digit >= base || n.ended || n.value > (math.MaxInt64-digit)/base {
+		return false
+	}
+	n.value, n.digits = n.value*base+digit, true
+	return true
+}
+
+// digitValue returns the value of a hexadecimal digit, and a larger value for other bytes.
+func digitValue(b byte) int64 {
+	switch {
+	case isDigit(b):
+		return int64(b - '0')
+	case 'a' <= b|0x20 && b|0x20 <= 'f':
+		return int64(b|0x20-'a') + 10
+	}
+	return math.MaxInt8
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 func isBlank(b byte) bool { return b == ' ' || b == '\t' }
--- a/httpreply/replytest/cases.go
+++ b/httpreply/replytest/cases.go
@@ -97,10 +97,22 @@
 	lastLine("blank in the last name", "X Own: 1"), lastLine("control byte in the last name", "X\x1fOwn: 1"),
 
 	length("blank in the name of the length", "Content Length: N"), length("blank after the name of the length", "Content-Length : N"),
+	length("length with a sign", "Content-Length: +N"), length("length with a letter", "Content-Length: Nx"), length("length with a blank", "Content-Length: 0 N"),
+	length("empty length", "Content-Length:"), length("two lengths", "Content-Length: N\r\nContent-Length: 1N"),
+	length("length above all bounds", "Content-Length: 99999999999999999999"),
+	length("blank in the name of the encoding", "Content-Length: N\r\nTransfer Encoding: chunked"),
+
 	before("interim with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Own: 1\r\n\r\n"),
 	before("interim with a control byte in a name", "HTTP/1.1 100 Continue\r\nX\x01Own: 1\r\n\r\n"),
 	before("interim with a control byte in the reason", "HTTP/1.1 100 a\x01\r\n\r\n"),
 	before("interim with two blanks before the status", "HTTP/1.1  103 Early Hints\r\n\r\n"),
+
+	chunks("chunk size with a sign", "+%[1]x\r\n%[2]s\r\n0\r\n\r\n"), chunks("chunk size with a prefix", "0x%[1]x\r\n%[2]s\r\n0\r\n\r\n"),
+	chunks("no chunk size", "\r\n%[2]s\r\n0\r\n\r\n"), chunks("control byte in a chunk extension", "%[1]x;a=\x01\r\n%[2]s\r\n0\r\n\r\n"),
+	chunks("control byte in the last extension", "%[1]x\r\n%[2]s\r\n0;a=\x01\r\n\r\n"), chunks("chunk longer than its size", "%[1]x\r\n%[2]s+\r\n0\r\n\r\n"),
+	chunks("blank in the name of a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX Own: 1\r\n\r\n"),
+	chunks("control byte in the name of a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX\x01Own: 1\r\n\r\n"),
+	chunks("control byte in a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX-Own: \x01\r\n\r\n"), chunks("trailer without a colon", "%[1]x\r\n%[2]s\r\n0\r\nX-Own\r\n\r\n"),
 }
 
 // Odd holds forms that are rare but sound.
