Searcher: chunks in a reply of HTTP/1.0 make it no reply

What callers saw: a reply of HTTP/1.0 with Transfer-Encoding: chunked reached the caller with the target's signature and a body that was not the target's: the sizes and line ends of the chunks were in it.

Cause: HTTP/1.0 has no transfer codings, so net/http ignores the field there and reads to the end of the connection.

Change: such a header is malformed. RFC 9112, 6.1, has the framing of such a message treated as faulty.

Evidence, on the commit before: searcher.TestMalformedReplyIsNone/chunks_in_version_1.0 failed; it passes now. Replies of HTTP/1.0 without the field still pass (TestOddReplyIsPassedOn).

--- a/httpreply/check.go
+++ b/httpreply/check.go
@@ -30,7 +30,8 @@
 	// returned is true if the last byte was a carriage return.
 	returned bool
 
-	status int
+	minorVersion byte
+	status       int
 
 	field fieldKind
 	// inValue is true after the colon of a field, also on the lines that continue its value.
@@ -202,6 +203,7 @@
 	case c.column < len(statusStart):
 		return b == statusStart[c.column]
 	case c.column == len(statusStart):
+		c.minorVersion = b
 		return isDigit(b)
 	case c.column < statusColumn:
 		return b == ' '
@@ -280,6 +282,8 @@
 func (c *Check) endHeader() bool {
 	bodiless := c.method == http.MethodHead || c.status == http.StatusNoContent || c.status == http.StatusNotModified
 	switch {
+	case c.minorVersion == '0' && c.encoded:
+		return false // RFC 9112, 6.1: the framing is faulty
 	case c.status == http.StatusSwitchingProtocols:
 		c.part = bodyToClose
 	case c.status < http.StatusOK:
--- a/httpreply/replytest/cases.go
+++ b/httpreply/replytest/cases.go
@@ -113,6 +113,9 @@
 	chunks("blank in the name of a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX Own: 1\r\n\r\n"),
 	chunks("control byte in the name of a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX\x01Own: 1\r\n\r\n"),
 	chunks("control byte in a trailer", "%[1]x\r\n%[2]s\r\n0\r\nX-Own: \x01\r\n\r\n"), chunks("trailer without a colon", "%[1]x\r\n%[2]s\r\n0\r\nX-Own\r\n\r\n"),
+	{Name: "chunks in version 1.0", Encode: func(m Message) string {
+		return fmt.Sprintf("HTTP/1.0 %s\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", m.Status, m.Fields, len(m.Body), m.Body)
+	}, Unframed: true},
 }
 
 // Odd holds forms that are rare but sound.
