Searcher: a switch of protocols that no request asked for is no reply

What callers saw: a reply with status 101 ended the request at the caller with 101 and without the body, which is no final answer. With Not-Executed beside it, a non-idempotent request was sent up to four times.

Cause: 101 is the one 1xx status that ends an exchange, so the client took it as a final reply. But Upgrade is not passed on to targets, and a server must not switch to a protocol that the request does not name (RFC 9110, 7.8).

Change: the check refuses status 101.

Evidence, on the commit before: searcher.TestMalformedReplyIsNone/switch_of_protocols failed; edge.TestMalformedReplyReachesNoCaller: "/one/x, refused false: status 101", "refused true: sent 4 times". Both pass now.

--- a/httpreply/check.go
+++ b/httpreply/check.go
@@ -17,8 +17,8 @@
 	ErrExtra = errors.New("bytes after the end of an HTTP reply")
 )
 
-// Check checks the reply to one request, with the interim replies before it. It keeps no bytes. The zero value is a check of the reply to a
-// request whose method is not HEAD.
+// Check checks the reply to one request, with the interim replies before it. The request must not ask for another protocol, so that status 101 is
+// malformed too. A Check keeps no bytes. The zero value is a check of the reply to a request whose method is not HEAD.
 type Check struct {
 	method string
 	part   part
@@ -98,7 +98,7 @@
 // InterimReplies returns the number of interim (1xx) replies that have ended.
 func (c *Check) InterimReplies() int { return c.interim }
 
-// HeaderEnded reports whether the header of the final reply has ended. A reply with status 101 is a final one.
+// HeaderEnded reports whether the header of the final reply has ended.
 func (c *Check) HeaderEnded() bool { return c.part != statusLine && c.part != headerLine }
 
 // Scan checks the next bytes from the connection. It returns the number of bytes that are a part of a sound reply; if that is not all of
@@ -285,7 +285,7 @@
 	case c.minorVersion == '0' && c.encoded:
 		return false // RFC 9112, 6.1: the framing is faulty
 	case c.status == http.StatusSwitchingProtocols:
-		c.part = bodyToClose
+		return false // no request asks for another protocol
 	case c.status < http.StatusOK:
 		*c = Check{method: c.method, interim: c.interim + 1}
 	case bodiless:
--- a/httpreply/replytest/cases.go
+++ b/httpreply/replytest/cases.go
@@ -86,7 +86,7 @@
 	begin("tab before the status", "HTTP/1.1\t200"), begin("no status", "HTTP/1.1"), begin("version 2", "HTTP/2.0 200"),
 	begin("version without a number", "HTTP/1.x 200"), begin("version of three parts", "HTTP/1.1.1 200"), begin("protocol in small letters", "http/1.1 200"),
 	begin("blank before the protocol", " HTTP/1.1 200"), begin("control byte in the reason", "HTTP/1.1 200 a\x01b"),
-	begin("carriage return in the reason", "HTTP/1.1 200 a\rb"), begin("empty line before the status line", "\r\nHTTP/1.1 200"),
+	begin("switch of protocols", "HTTP/1.1 101"), begin("carriage return in the reason", "HTTP/1.1 200 a\rb"), begin("empty line before the status line", "\r\nHTTP/1.1 200"),
 
 	line("blank in a name", "X Own: 1"), line("blank before the colon", "X-Own : 1"), line("tab before the colon", "X-Own\t: 1"),
 	line("control byte in a name", "X-\x01Own: 1"), line("zero byte in a name", "X-\x00Own: 1"), line("delete byte in a name", "X-\x7fOwn: 1"),
