Targets over net/http: a reply that is not HTTP is no reply

With status 000 or 600 the reply was refused, but its incarnation and state were still reported and could make the target count as cold. After "Content-Length : 2" a request waited until its end.

Cause: net/http parses the replies, and the fields of a reply were returned beside the error of reading its body.

Change: the transport of each target is one of package httpreply. A reply of which the body could not be read whole returns no fields. A malformed reply counts as a failed request and not as a lost connection: it was the client that closed it.

--- a/targets/targetshttp/client.go
+++ b/targets/targetshttp/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/samber/oops"
 
+	"dogwooddrift.org/drift/httpreply"
 	"dogwooddrift.org/drift/targets"
 )
 
@@ -58,9 +59,10 @@
 	reporter Reporter
 }
 
-// New returns a client that uses the given HTTP client but does not follow redirects.
+// New returns a client with the settings of the given HTTP client, with connections of its own unless that has a *Transport. It does not
+// follow redirects.
 func New(client *http.Client) *Client {
-	withoutRedirects := *client
+	withoutRedirects := *httpreply.Client(client)
 	// Following a redirect would run a request a second time.
 	withoutRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{client: &withoutRedirects}
@@ -239,7 +241,7 @@
 		if !sent.Load() {
 			return nil, nil, oops.In("target").Wrapf(targets.ErrNotSent, "%v", err)
 		}
-		return nil, nil, oops.In("target").Wrapf(targets.ErrConnectionLost, "%v", err)
+		return nil, nil, exchangeError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxReplyBytes))
@@ -247,7 +249,8 @@
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 			return resp.Header, nil, oops.In("target").Wrapf(targets.ErrFailed, "read reply: %v", err)
 		}
-		return resp.Header, nil, oops.In("target").Wrapf(targets.ErrConnectionLost, "read reply: %v", err)
+		// The reply is incomplete or malformed, so none of its fields counts.
+		return nil, nil, exchangeError(err)
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
@@ -261,6 +264,15 @@
 	}
 }
 
+// exchangeError converts an error after which the request may have run and no reply counts.
+func exchangeError(err error) error {
+	cause := targets.ErrConnectionLost
+	if errors.Is(err, httpreply.ErrMalformed) {
+		cause = targets.ErrFailed // it was this client that closed the connection
+	}
+	return oops.In("target").Wrapf(cause, "%v", err)
+}
+
 // FailureReason returns the reason, as reported in answers, for an error of Search.
 func FailureReason(err error) targets.Reason {
 	switch {
--- a/targets/targetshttp/transport.go
+++ b/targets/targetshttp/transport.go
@@ -3,16 +3,18 @@
 import (
 	"net/http"
 	"sync"
+
+	"dogwooddrift.org/drift/httpreply"
 )
 
-// Transport is an http.RoundTripper with a separate http.Transport for each target, so that the number of connections
-// is limited per target. It is safe for concurrent use.
+// Transport is an http.RoundTripper with a separate transport for each target, so that the number of connections is limited
+// per target. It accepts only sound replies. It is safe for concurrent use.
 type Transport struct {
-	// New creates the transport of one target.
+	// New returns the settings for the transport of one target.
 	New func() *http.Transport
 
 	mu      sync.RWMutex
-	targets map[string]*http.Transport // by address
+	targets map[string]*httpreply.Transport // by address
 }
 
 // Limit sets the maximal number of connections to a target. Zero closes the idle ones and removes the target. Running
@@ -21,13 +23,13 @@
 	t.mu.Lock()
 	old := t.targets[address]
 	if t.targets == nil {
-		t.targets = map[string]*http.Transport{}
+		t.targets = map[string]*httpreply.Transport{}
 	}
 	delete(t.targets, address)
 	if connections > 0 {
-		next := t.New()
-		next.MaxConnsPerHost, next.MaxIdleConnsPerHost = connections, connections
-		t.targets[address] = next
+		settings := t.New()
+		settings.MaxConnsPerHost, settings.MaxIdleConnsPerHost = connections, connections
+		t.targets[address] = httpreply.NewTransport(settings)
 	}
 	t.mu.Unlock()
 	if old != nil {
@@ -44,10 +46,11 @@
 		t.mu.Lock()
 		if target = t.targets[r.URL.Host]; target == nil {
 			if t.targets == nil {
-				t.targets = map[string]*http.Transport{}
+				t.targets = map[string]*httpreply.Transport{}
 			}
-			target = t.New()
-			target.MaxConnsPerHost = 1
+			settings := t.New()
+			settings.MaxConnsPerHost = 1
+			target = httpreply.NewTransport(settings)
 			t.targets[r.URL.Host] = target
 		}
 		t.mu.Unlock()
