Documents: a reply of the platform that is not HTTP is no reply

What could happen: an instance took a document or an instance list over from a reply whose header, interim reply, chunks or trailer are not HTTP, or believed from a malformed 304 that there is no newer one, and used the connection again.

Cause: net/http parses the replies here too.

Change: the client uses httpreply.Client.

--- a/document/documenthttp/client.go
+++ b/document/documenthttp/client.go
@@ -14,6 +14,7 @@
 
 	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/document/documentjson"
+	"dogwooddrift.org/drift/httpreply"
 )
 
 // URL paths of the platform.
@@ -28,8 +29,10 @@
 	client *http.Client
 }
 
-// New returns a client for the platform at the base URL, such as "http://127.0.0.1:7000".
-func New(base string, client *http.Client) *Client { return &Client{base: base, client: client} }
+// New returns a client for the platform at the base URL, such as "http://127.0.0.1:7000". It has connections of its own.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: base, client: httpreply.Client(client)}
+}
 
 // answerMargin is the time that Document allows for an answer in addition to the long-poll wait.
 const answerMargin = 2 * time.Second
