driftctl: a reply of an instance that is not HTTP is no reply

What an operator could see: dump and where printed a state from a reply that is not HTTP, and did not read the end of a reply.

Cause: http.DefaultClient, and a decoder that stops after the first value.

Change: the tool uses httpreply.Client and reads a reply whole before it decodes it.

--- a/cmd/driftctl/dump.go
+++ b/cmd/driftctl/dump.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+
+	"dogwooddrift.org/drift/httpreply"
 )
 
 func dumpCommand() *cli.Command {
@@ -34,13 +36,16 @@
 	return printJSON(out, state)
 }
 
+// instanceClient asks the operators' interfaces of instances.
+var instanceClient = httpreply.Client(http.DefaultClient)
+
 // askInstance decodes the JSON reply of an instance, whose operators' address is given, to a GET of a path with its query.
 func askInstance(ctx context.Context, address, path string, reply any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := instanceClient.Do(req)
 	if err != nil {
 		return err
 	}
@@ -50,7 +55,11 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return fmt.Errorf("instance at %s returned status %s: %s", address, resp.Status, strings.TrimSpace(string(text)))
 	}
-	if err := json.NewDecoder(resp.Body).Decode(reply); err != nil {
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("read reply of %s: %w", address, err)
+	}
+	if err := json.Unmarshal(text, reply); err != nil {
 		return fmt.Errorf("decode reply of %s: %w", address, err)
 	}
 	return nil
