--- a/cmd/internal/edge/malformed_test.go
+++ b/cmd/internal/edge/malformed_test.go
@@ -36,7 +36,7 @@
 			return form.Load().Encode(m)
 		}
 	}
-	var changes *replytest.Requests
+	var changes *replytest.Received
 	for _, service := range []string{"one", "s0", "s1"} {
 		x := &platformtest.Target{ID: "i-" + service + "-0", Service: service, Zone: "z"}
 		address, received := replytest.StartPeer(t, false, reply(x.ID))
--- a/document/documenthttp/malformed_test.go
+++ b/document/documenthttp/malformed_test.go
@@ -15,7 +15,7 @@
 const instanceList = `{"revision":7,"instances":[]}`
 
 // readList reads an instance list from a platform whose replies have the form.
-func readList(t *testing.T, c replytest.Case, m replytest.Message) (*replytest.Requests, func() (*document.InstanceList, error)) {
+func readList(t *testing.T, c replytest.Case, m replytest.Message) (*replytest.Received, func() (*document.InstanceList, error)) {
 	address, received := replytest.StartPeer(t, c.Unframed, func(*http.Request) string { return c.Encode(m) })
 	client := New("http://"+address, &http.Client{Transport: &http.Transport{}})
 	return received, func() (*document.InstanceList, error) {
--- a/httpreply/check.go
+++ b/httpreply/check.go
@@ -27,8 +27,8 @@
 
 	// column is the number of bytes of the current line so far.
 	column int
-	// returned is true if the last byte was a carriage return.
-	returned bool
+	// afterCR is true if the last byte was a carriage return.
+	afterCR bool
 
 	minorVersion byte
 	status       int
@@ -102,7 +102,7 @@
 func (c *Check) HeaderEnded() bool { return c.part != statusLine && c.part != headerLine }
 
 // Scan checks the next bytes from the connection. It returns the number of bytes that are a part of a sound reply; if that is not all of
-// them, the error is ErrMalformed or ErrExtra. After an error, only Reset may be called.
+// them, the error is ErrMalformed or ErrExtra. After ErrMalformed, only Reset may be called.
 func (c *Check) Scan(p []byte) (int, error) {
 	for n := 0; n < len(p); {
 		switch c.part {
@@ -140,14 +140,14 @@
 func (c *Check) scanLine(b byte) bool {
 	if b == '\n' {
 		sound := c.endLine()
-		c.column, c.returned = 0, false
+		c.column, c.afterCR = 0, false
 		return sound
 	}
-	if c.returned {
+	if c.afterCR {
 		return false
 	}
 	if b == '\r' {
-		c.returned = true
+		c.afterCR = true
 		return true
 	}
 	sound := false
--- a/httpreply/replytest/cases.go
+++ b/httpreply/replytest/cases.go
@@ -144,8 +144,8 @@
 	{Name: "version 1.0", Encode: func(m Message) string { return "HTTP/1.0 " + m.Status + "\r\n" + m.Fields + "\r\n" + m.Body }, Unframed: true},
 }
 
-// Requests counts what a peer received.
-type Requests struct {
+// Received counts what a peer received.
+type Received struct {
 	Requests, Connections atomic.Int64
 	// Reused counts the requests on a connection that had carried an earlier one.
 	Reused atomic.Int64
@@ -153,14 +153,14 @@
 
 // StartPeer starts a peer that replies to each request, whose body it reads, with the text that reply returns. It closes the connection
 // after an empty text, and after each reply if it is unframed.
-func StartPeer(t testing.TB, unframed bool, reply func(*http.Request) string) (address string, received *Requests) {
+func StartPeer(t testing.TB, unframed bool, reply func(*http.Request) string) (address string, received *Received) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	received = &Requests{}
+	received = &Received{}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -174,7 +174,7 @@
 	return l.Addr().String(), received
 }
 
-func serve(c net.Conn, unframed bool, reply func(*http.Request) string, received *Requests) {
+func serve(c net.Conn, unframed bool, reply func(*http.Request) string, received *Received) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for first := true; ; first = false {
