--- a/httpreply/check_test.go
+++ b/httpreply/check_test.go
@@ -126,7 +126,7 @@
 }
 
 func BenchmarkCheck(b *testing.B) {
-	text := []byte("HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nServer-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nServer-Load: 1,0,2\r\n" +
+	text := []byte("HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nSignature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nLoad: 1,0,2\r\n" +
 		"Content-Length: 400\r\n\r\n" + strings.Repeat("0123456789abcdef", 25))
 	var c httpreply.Check
 	b.ReportAllocs()
