Values: a sibling learns of removals that the sender does not know by the names of what exists

Cause: an instance complete to a revision N knows every value that exists at N. It was taken to know every removal up to N too. But one that read the store in full, or took a full transfer over, never heard of what was removed before. It sent siblings the changes after their revision without those removals, and they took N over and never asked again. Only removals whose entries had expired were counted as unknown.

The new tests before the change: --- FAIL: TestRemovalsReachSiblingsOfARestartedInstance/a_target_leaves --- FAIL: TestRemovalsReachSiblingsOfARestartedInstance/a_target_is_replaced_at_its_address --- FAIL: TestRemovalsReachSiblingsOfARestartedInstance/a_zone_that_was_out_returns --- FAIL: TestRemovalsReachSiblingsOfASiblingOfARestartedInstance (the same and a_key_is_withdrawn, for a target removed beside it)

Change: removalsSince is the revision after which all removals are known; a full update sets it to its own revision. A sibling that is complete to less gets the changes after its revision and the names of the values that it can keep (ValuesMessage.unchanged): what else it has is removed. A sibling that lacks a value named so starts over with all values. Processes of the version before do not say that they accept names and get every value.

Why names and not the removals themselves: they would have to be kept and sent for as long as some instance might lack them, and a new instance would hand them on with a new age each time. The names tell the same at any distance.

The virtual fleet's store answered full reads with its whole history, removals included, which hid the fault; it returns what exists now.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -52,13 +52,25 @@
 	Differences []document.RoutingDifference `json:"-"`
 }
 
+// ValueID identifies a value of the platform's store.
+type ValueID struct {
+	Kind Kind
+	// Name is that of the value's changes.
+	Name string
+}
+
+// ID returns the identity of the value.
+func (c *Change) ID() ValueID { return ValueID{c.Kind, c.Name} }
+
 // Update is a set of changes.
 type Update struct {
-	// The update contains every change after FromRevision up to and including ToRevision.
+	// The update contains every change after FromRevision up to and including ToRevision. A full one may lack removals.
 	FromRevision, ToRevision document.Revision
-	// Full is set if the update contains every existing value: a value that it does not contain does not exist.
+	// Full is set if the update names every existing value, in Changes or in Unchanged: a value that it does not name does not exist.
 	Full    bool
 	Changes []Change
+	// Unchanged names the existing values of a full update that were last written up to FromRevision. The receiver has them.
+	Unchanged []ValueID
 	// EncodedBytes is the size of the changes as a sibling sent them, 0 for an update of this instance or the platform.
 	EncodedBytes int
 }
@@ -132,7 +144,9 @@
 	// if it needs the whole one. Reply must have room for one value.
 	ValuesRequested struct {
 		After, RoutingVersion document.Revision
-		Reply                 chan<- Update
+		// AcceptsUnchanged is false if the sibling is an older process, which needs every value in a full update.
+		AcceptsUnchanged bool
+		Reply            chan<- Update
 	}
 	// ValuesProgressed reports that a FetchValues effect goes on.
 	ValuesProgressed struct{ Address string }
--- a/routing/fleet_test.go
+++ b/routing/fleet_test.go
@@ -17,7 +17,7 @@
 	bounds  Bounds
 	events  []fleetEvent // in the order of their times
 	members []*fleetMember
-	changes []Change // of the store, in the order of their revisions
+	store   storeHistory
 	reads   int
 	// handling returns how long what arrives at an instance waits for its processor, nil if it does not wait.
 	handling func() time.Duration
@@ -176,17 +176,11 @@
 	}
 }
 
-func (f *storeFleet) revision() document.Revision { return document.Revision(len(f.changes)) }
+func (f *storeFleet) revision() document.Revision { return f.store.revision() }
 
 // write writes a value to the store.
 func (f *storeFleet) write(c Change) {
-	c.Revision = f.revision() + 1
-	if c.Routing != nil {
-		if err := c.Routing.Index(); err != nil {
-			panic(err)
-		}
-	}
-	f.changes = append(f.changes, c)
+	f.store.write(c)
 	for _, m := range f.members {
 		if r := m.waiting; r != nil {
 			m.answer(*r)
@@ -234,9 +228,9 @@
 		m.fail(r)
 		return
 	}
-	u := Update{FromRevision: r.After, ToRevision: m.fleet.revision(), Full: r.Full, Changes: slices.Clone(m.fleet.changes[r.After:])}
+	u := m.fleet.store.after(r.After)
 	if r.Full {
-		u.Changes = slices.Clone(m.fleet.changes)
+		u = m.fleet.store.full()
 	}
 	m.after(storeLatency/2, func() { m.arrive(StoreRead{Update: u}, nil) })
 }
@@ -295,7 +289,7 @@
 		}
 		m.after(stallLimit, fail)
 		reply := make(chan Update, 1)
-		to.arrive(ValuesRequested{After: f.After, RoutingVersion: version, Reply: reply}, func() {
+		to.arrive(ValuesRequested{After: f.After, RoutingVersion: version, AcceptsUnchanged: true, Reply: reply}, func() {
 			m.after(gossipLatency, func() {
 				if ended {
 					return
--- /dev/null
+++ b/routing/removals_test.go
@@ -0,0 +1,214 @@
+package routing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dogwooddrift.org/drift/document"
+)
+
+// storeHistory is what a store was told, in the order of the revisions, which count from 1.
+type storeHistory []Change
+
+// write appends a change with the next revision.
+func (h *storeHistory) write(c Change) {
+	c.Revision = h.revision() + 1
+	if c.Routing != nil {
+		if err := c.Routing.Index(); err != nil {
+			panic(err)
+		}
+	}
+	*h = append(*h, c)
+}
+
+func (h storeHistory) revision() document.Revision { return document.Revision(len(h)) }
+
+// full returns what a full read of the store returns: the existing values, without a trace of those that were removed.
+func (h storeHistory) full() Update {
+	u := Update{ToRevision: h.revision(), Full: true}
+	last := map[ValueID]document.Revision{}
+	for _, c := range h {
+		last[c.ID()] = c.Revision
+	}
+	for _, c := range h {
+		if last[c.ID()] == c.Revision && !c.Removed {
+			u.Changes = append(u.Changes, c)
+		}
+	}
+	return u
+}
+
+// after returns what a read of the changes after a revision returns.
+func (h storeHistory) after(revision document.Revision) Update {
+	return Update{FromRevision: revision, ToRevision: h.revision(), Changes: slices.Clone(h[revision:])}
+}
+
+// receive delivers a read of the store.
+func (t *stateTest) receive(u Update) { t.step(StoreRead{Update: u}) }
+
+// fetch delivers the values that this instance lacks and a sibling has.
+func (t *stateTest) fetch(from *stateTest) {
+	base := t.state.values.routing.Routing
+	version := document.Revision(0)
+	if base != nil {
+		version = base.Version
+	}
+	reply := make(chan Update, 1)
+	from.step(ValuesRequested{After: t.state.values.completeTo, RoutingVersion: version, AcceptsUnchanged: true, Reply: reply})
+	t.step(ValuesReceived{Update: received(<-reply, base)})
+}
+
+// removals are ways in which a value that instances hold ends, by what it is.
+var removals = map[string]struct {
+	changes []Change
+	// ended reports whether an instance in whose view the changes are in force goes by them.
+	ended func(*stateTest) bool
+}{
+	"a target leaves": {
+		[]Change{{Kind: KindTarget, Name: "i1", Removed: true}},
+		func(t *stateTest) bool { return !t.sendsTo("i1") },
+	},
+	"a target is replaced at its address": {
+		[]Change{{Kind: KindTarget, Name: "i1", Removed: true}, atAddressOf("i1", target("i9", "t", "z"))},
+		func(t *stateTest) bool { return !t.sendsTo("i1") && t.sendsTo("i9") },
+	},
+	"a zone is taken out": {
+		[]Change{{Kind: KindZoneOut, Name: "z"}},
+		func(t *stateTest) bool { return t.usable("s") == 0 },
+	},
+	"a zone that was out returns": {
+		[]Change{{Kind: KindZoneOut, Name: "y", Removed: true}},
+		func(t *stateTest) bool { return t.sendsTo("i2") },
+	},
+	"a key is withdrawn": {
+		[]Change{withKey(2, "new")},
+		func(t *stateTest) bool {
+			r := t.state.Snapshot().Routing
+			return r.AccountByKeyDigest("old") == nil && r.AccountByKeyDigest("new") != nil
+		},
+	},
+}
+
+func atAddressOf(id string, c Change) Change {
+	c.Target.Address = target(id, "", "").Target.Address
+	return c
+}
+
+// withKey returns a routing with an organisation that has one key.
+func withKey(version document.Revision, digest string) Change {
+	c := routes(version)
+	c.Routing.Accounts = []document.Account{{Organisation: document.Organisation{Name: "o", Keys: []document.Key{{ID: "0", SHA256: digest}}}}}
+	return c
+}
+
+// sendsTo reports whether the instance sends requests to a target.
+func (t *stateTest) sendsTo(id string) bool {
+	s := t.state.Snapshot()
+	for _, service := range []string{"s", "t"} {
+		for _, c := range s.Candidates(service) {
+			if c.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// heldBefore returns a store with the values that removals end.
+func heldBefore() *storeHistory {
+	h := &storeHistory{}
+	for _, c := range []Change{withKey(1, "old"), target("i1", "s", "z"), target("i2", "s", "y"), {Kind: KindZoneOut, Name: "y"}} {
+		h.write(c)
+	}
+	return h
+}
+
+// Guards against a removed target, zone or key that stays in use at an instance that nothing has happened to: the instances that
+// restarted meanwhile read a store that no longer has it, and passed on later changes without its removal.
+func TestRemovalsReachSiblingsOfARestartedInstance(t *testing.T) {
+	for name, c := range removals {
+		t.Run(name, func(t *testing.T) {
+			h := heldBefore()
+			survivor, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			survivor.receive(h.full())
+			for _, change := range c.changes {
+				h.write(change)
+			}
+			restarted.receive(h.full())
+			h.write(target("i7", "s", "z"))
+			restarted.receive(h.after(h.revision() - 1))
+			survivor.fetch(restarted)
+			survivor.run(lapseTime + time.Second)
+			if !c.ended(survivor) {
+				t.Error("the instance that took the changes from a restarted one does not go by them")
+			}
+			if got := survivor.state.values.completeTo; got != h.revision() {
+				t.Errorf("complete to %d, want %d", got, h.revision())
+			}
+		})
+	}
+}
+
+// Guards against removals that are lost on a second way from instance to instance: the one that took a full update over from a
+// restarted instance knows no more of them than that one.
+func TestRemovalsReachSiblingsOfASiblingOfARestartedInstance(t *testing.T) {
+	for name, c := range removals {
+		t.Run(name, func(t *testing.T) {
+			h := heldBefore()
+			first, second, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			first.receive(h.full())
+			h.write(target("i3", "s", "z"))
+			second.receive(h.full())
+			for _, change := range c.changes {
+				h.write(change)
+			}
+			h.write(Change{Kind: KindTarget, Name: "i3", Removed: true})
+			restarted.receive(h.full())
+			h.write(target("i7", "s", "z"))
+			restarted.receive(h.after(h.revision() - 1))
+			first.fetch(restarted)
+			second.fetch(first)
+			second.run(lapseTime + time.Second)
+			if !c.ended(second) || second.sendsTo("i3") {
+				t.Error("the last of three instances does not go by the changes")
+			}
+		})
+	}
+}
+
+// Guards against the cost of all values for each instance that is behind a restarted one: of those that both have, the names suffice.
+func TestUpdateAfterARestartHoldsNoUnchangedValues(t *testing.T) {
+	h := heldBefore()
+	survivor, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	survivor.receive(h.full())
+	h.write(Change{Kind: KindTarget, Name: "i1", Removed: true})
+	h.write(target("i7", "s", "z"))
+	restarted.receive(h.full())
+	u := restarted.state.values.updateFor(ValuesRequested{After: survivor.state.values.completeTo, RoutingVersion: 1, AcceptsUnchanged: true})
+	if len(u.Changes) != 1 || len(u.Unchanged) != 3 || !u.Full {
+		t.Errorf("%d values and %d names, full %v, want 1 and 3 of a full update", len(u.Changes), len(u.Unchanged), u.Full)
+	}
+	older := restarted.state.values.updateFor(ValuesRequested{After: survivor.state.values.completeTo, RoutingVersion: 1})
+	if len(older.Changes) != 4 || len(older.Unchanged) != 0 || !older.Full {
+		t.Errorf("%d values and %d names, full %v, for an older process, want 4 and 0 of a full update", len(older.Changes), len(older.Unchanged), older.Full)
+	}
+}
+
+// Guards against an instance that goes on without a value that its sibling takes for known.
+func TestInstanceThatLacksAnUnchangedValueFetchesAll(t *testing.T) {
+	h := heldBefore()
+	survivor, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	survivor.receive(h.full())
+	delete(survivor.state.values.entries, ValueID{KindTarget, "i1"})
+	h.write(target("i7", "s", "z"))
+	restarted.receive(h.full())
+	survivor.fetch(restarted)
+	if to := survivor.state.values.completeTo; to != 0 {
+		t.Errorf("complete to %d with a value missing, want 0", to)
+	}
+	survivor.fetch(restarted)
+	if !survivor.sendsTo("i1") || survivor.state.values.completeTo != h.revision() {
+		t.Error("the missing value did not come with the next transfer")
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -141,7 +141,7 @@
 		// state from it either.
 		s.gossipErrors[e.Address] = e.Err
 	case ValuesRequested:
-		e.Reply <- s.values.updateAfter(e.After, e.RoutingVersion)
+		e.Reply <- s.values.updateFor(e)
 	case ValuesProgressed:
 		s.transfers.progress(e.Address, now)
 	case ValuesReceived:
@@ -398,8 +398,8 @@
 		return
 	}
 	for _, c := range applied {
-		s.logChange(c, s.values.entries[key{c.Kind, c.Name}].outdated, source, now)
-		s.applyValue(key{c.Kind, c.Name}, now)
+		s.logChange(c, s.values.entries[c.ID()].outdated, source, now)
+		s.applyValue(c.ID(), now)
 		if c.Kind != KindTarget {
 			s.gossip.Hasten(now)
 		}
@@ -479,35 +479,35 @@
 
 // rebuild derives the routing and the targets from all values.
 func (s *State) rebuild(now time.Time) {
-	for k := range s.values.entries {
-		s.applyValue(k, now)
+	for id := range s.values.entries {
+		s.applyValue(id, now)
 	}
 }
 
 // applyValue derives the routing or the target of one value, which may not be in use any more.
-func (s *State) applyValue(k key, now time.Time) {
+func (s *State) applyValue(id ValueID, now time.Time) {
 	s.changed = true
 	var c Change
 	var changedAt time.Time
 	outdated := false
-	if e := s.values.entries[k]; e != nil {
+	if e := s.values.entries[id]; e != nil {
 		c, _ = e.current(now)
 		changedAt, outdated = e.changedAt, e.outdated
 	}
 	switch {
-	case k.kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
+	case id.Kind == KindRouting && c.Routing != nil && (s.routing == nil || c.Routing.Version.Supersedes(s.routing.Version)):
 		s.logRateChanges(s.routing, c.Routing)
 		s.routing, s.routingSince = c.Routing, now
 		s.lastDivision = time.Time{}
-	case k.kind == KindTarget && c.Target != nil:
-		s.putTarget(k.name, c.Target, changedAt, outdated, now)
-	case k.kind == KindTarget:
-		if t := s.targets[k.name]; t != nil {
-			s.crashes.RecordTargetLost(k.name, t.target.Incarnation, now)
-			if s.targetLog.known[k.name] == stateLapsed {
-				s.targetLog.addRegistration(targetChange{id: k.name, service: t.target.Service, new: stateRemoved, source: sourceExpired})
+	case id.Kind == KindTarget && c.Target != nil:
+		s.putTarget(id.Name, c.Target, changedAt, outdated, now)
+	case id.Kind == KindTarget:
+		if t := s.targets[id.Name]; t != nil {
+			s.crashes.RecordTargetLost(id.Name, t.target.Incarnation, now)
+			if s.targetLog.known[id.Name] == stateLapsed {
+				s.targetLog.addRegistration(targetChange{id: id.Name, service: t.target.Service, new: stateRemoved, source: sourceExpired})
 			}
-			delete(s.targets, k.name)
+			delete(s.targets, id.Name)
 		}
 	}
 }
@@ -779,15 +779,15 @@
 		d.Members = append(d.Members, m)
 	}
 	zonesOut := s.zonesOut(now)
-	for k, e := range s.values.entries {
-		if k.kind != KindTarget || e.Target == nil {
+	for id, e := range s.values.entries {
+		if id.Kind != KindTarget || e.Target == nil {
 			continue
 		}
-		t := TargetDump{ID: k.name, Service: e.Target.Service, Zone: e.Target.Zone, Address: e.Target.Address, State: "ready", Revision: e.Revision}
+		t := TargetDump{ID: id.Name, Service: e.Target.Service, Zone: e.Target.Zone, Address: e.Target.Address, State: "ready", Revision: e.Revision}
 		if e.Target.Draining {
 			t.State = "draining"
 		}
-		if target := s.targets[k.name]; target != nil {
+		if target := s.targets[id.Name]; target != nil {
 			stats := target.target.Stats
 			t.Outstanding, t.LatencyMs, t.Avoided = stats.Outstanding(), stats.Latency().Seconds()*1000, stats.Avoided(now)
 			if s.routing != nil {
--- a/routing/values.go
+++ b/routing/values.go
@@ -1,18 +1,13 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"dogwooddrift.org/drift/document"
 	"dogwooddrift.org/drift/targets"
 )
 
-// key identifies a value.
-type key struct {
-	kind Kind
-	name string
-}
-
 // entry is the newest known write or removal of one value.
 type entry struct {
 	Change
@@ -40,53 +35,80 @@
 
 // values holds the known values of the platform's store. For each value the highest revision wins, so that the order
 // in which changes arrive does not matter.
+//
+// Invariant: a value has an entry that is not a removal if and only if it existed at completeTo, unless the entry is newer. An entry that
+// is a removal tells that a value does not exist, and so does the lack of an entry. The difference matters to a sibling that is
+// behind: it learns of a removal by the entry, and without one only by the names of all values that exist.
 type values struct {
-	entries map[key]*entry
+	entries map[ValueID]*entry
 	// routing is the newest routing with the differences that led to it.
 	routing document.RoutingHistory
 	// completeTo is the revision up to which every change is applied.
 	completeTo document.Revision
-	// forgottenBelow is the revision below which removals may already be deleted: a sibling that is complete to less
-	// needs a full update.
-	forgottenBelow document.Revision
-	nextExpiry     time.Time
+	// removalsSince is the revision after which each removal up to completeTo has an entry. Earlier ones may be forgotten, or were
+	// never known because a full update does not hold them: a sibling that is complete to less needs a full update.
+	removalsSince document.Revision
+	nextExpiry    time.Time
 }
 
 // expiryInterval is the time between two searches for values that have expired.
 const expiryInterval = 100 * time.Millisecond
 
-func newValues() *values { return &values{entries: map[key]*entry{}} }
+func newValues() *values { return &values{entries: map[ValueID]*entry{}} }
 
 // apply applies an update and returns the changes that were newer than the known values.
 func (v *values) apply(u Update, now time.Time) []Change {
 	var applied []Change
-	inUpdate := map[key]bool{}
 	for _, c := range u.Changes {
-		inUpdate[key{c.Kind, c.Name}] = true
 		if v.put(c, now) {
 			applied = append(applied, c)
 		}
 	}
 	if u.Full {
-		for k, e := range v.entries {
-			if inUpdate[k] || e.Removed || e.Revision > u.ToRevision {
-				continue
-			}
-			c := Change{Kind: k.kind, Name: k.name, Revision: u.ToRevision, Removed: true, Lapsed: k.kind == KindTarget}
-			if v.put(c, now) {
-				applied = append(applied, c)
-			}
-		}
+		applied = append(applied, v.removeUnnamed(u, now)...)
 	}
-	if u.Full || u.FromRevision <= v.completeTo {
+	switch {
+	case u.Full && v.lacks(u.Unchanged):
+		// What this instance had was not complete. It needs every value.
+		v.completeTo = 0
+	case u.Full && u.ToRevision > v.completeTo:
+		v.completeTo, v.removalsSince = u.ToRevision, u.ToRevision
+	case u.FromRevision <= v.completeTo:
 		v.completeTo = max(v.completeTo, u.ToRevision)
 	}
 	return applied
 }
 
+// removeUnnamed removes the values that a full update does not name, and returns the removals.
+func (v *values) removeUnnamed(u Update, now time.Time) []Change {
+	named := make(map[ValueID]bool, len(u.Changes)+len(u.Unchanged))
+	for i := range u.Changes {
+		named[u.Changes[i].ID()] = true
+	}
+	for _, id := range u.Unchanged {
+		named[id] = true
+	}
+	var removed []Change
+	for id, e := range v.entries {
+		if named[id] || e.Removed || e.Revision > u.ToRevision {
+			continue
+		}
+		c := Change{Kind: id.Kind, Name: id.Name, Revision: u.ToRevision, Removed: true, Lapsed: id.Kind == KindTarget}
+		if v.put(c, now) {
+			removed = append(removed, c)
+		}
+	}
+	return removed
+}
+
+// lacks reports whether one of the values has no entry.
+func (v *values) lacks(ids []ValueID) bool {
+	return slices.ContainsFunc(ids, func(id ValueID) bool { return v.entries[id] == nil })
+}
+
 func (v *values) put(c Change, now time.Time) bool {
-	k := key{c.Kind, c.Name}
-	e := v.entries[k]
+	id := c.ID()
+	e := v.entries[id]
 	if e != nil && !c.Revision.Supersedes(e.Revision) {
 		return false
 	}
@@ -103,7 +125,7 @@
 			next.keep(e, now, lapseTime)
 		}
 	}
-	v.entries[k] = next
+	v.entries[id] = next
 	if c.Routing != nil {
 		v.routing = v.routing.Adopt(c.Routing, c.Differences)
 		next.Differences = nil // they led from what another instance had
@@ -130,19 +152,31 @@
 	return e.Change, true
 }
 
-// updateAfter returns the changes that a sibling lacks that has every change up to completeTo and a version of the routing.
+// updateFor returns the changes that a sibling lacks.
+func (v *values) updateFor(r ValuesRequested) Update {
+	if r.After < v.removalsSince && !r.AcceptsUnchanged {
+		r.After = 0
+	}
+	return v.updateAfter(r.After, r.RoutingVersion)
+}
+
+// updateAfter returns the changes that a sibling lacks that has every change up to completeTo and a version of the routing. If the
+// sibling may have values whose removal is not known here, the update names those that it can keep.
 func (v *values) updateAfter(completeTo, version document.Revision) Update {
-	u := Update{FromRevision: completeTo, ToRevision: v.completeTo, Full: completeTo < v.forgottenBelow || completeTo == 0}
 	if completeTo >= v.completeTo {
 		return Update{FromRevision: v.completeTo, ToRevision: v.completeTo}
 	}
-	for _, e := range v.entries {
-		if u.Full && !e.Removed || !u.Full && e.Revision > completeTo {
+	u := Update{FromRevision: completeTo, ToRevision: v.completeTo, Full: completeTo < v.removalsSince || completeTo == 0}
+	for id, e := range v.entries {
+		switch {
+		case e.Revision > completeTo && (completeTo > 0 || !e.Removed):
 			c := e.Change
 			if c.Routing != nil {
 				c.Differences = v.routing.Since(version)
 			}
 			u.Changes = append(u.Changes, c)
+		case u.Full && !e.Removed:
+			u.Unchanged = append(u.Unchanged, id)
 		}
 	}
 	return u
@@ -155,14 +189,14 @@
 	}
 	v.nextExpiry = now.Add(expiryInterval)
 	expired := false
-	for k, e := range v.entries {
+	for id, e := range v.entries {
 		if !e.earlierUntil.IsZero() && !now.Before(e.earlierUntil) {
 			e.earlierUntil, e.earlier = time.Time{}, nil
 			expired = true
 		}
 		if e.Removed && now.Sub(e.changedAt) > removalRetention {
-			v.forgottenBelow = max(v.forgottenBelow, e.Revision+1)
-			delete(v.entries, k)
+			v.removalsSince = max(v.removalsSince, e.Revision)
+			delete(v.entries, id)
 		}
 	}
 	return expired
--- a/sibling/siblinggrpc/gossip.go
+++ b/sibling/siblinggrpc/gossip.go
@@ -46,7 +46,7 @@
 	}
 	reply := encodeGossipMessage(own)
 	if !m.GetNoValues() && len(received.MemberStates) > 0 {
-		update, err := requestUpdate(ctx, s.loop, received.MemberStates[0].CompleteTo, 0)
+		update, err := requestUpdate(ctx, s.loop, routing.ValuesRequested{After: received.MemberStates[0].CompleteTo})
 		if err != nil {
 			return nil, err
 		}
--- a/sibling/siblinggrpc/values.go
+++ b/sibling/siblinggrpc/values.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -47,7 +49,9 @@
 
 // Fetch sends the changes that the sibling lacks.
 func (s *valuesServer) Fetch(r *siblingpb.FetchValuesRequest, stream grpc.ServerStreamingServer[siblingpb.ValuesMessage]) error {
-	update, err := requestUpdate(stream.Context(), s.loop, document.Revision(r.GetAfter()), document.Revision(r.GetRoutingVersion()))
+	update, err := requestUpdate(stream.Context(), s.loop, routing.ValuesRequested{
+		After: document.Revision(r.GetAfter()), RoutingVersion: document.Revision(r.GetRoutingVersion()), AcceptsUnchanged: r.GetAcceptsUnchanged(),
+	})
 	if err != nil {
 		return err
 	}
@@ -64,9 +68,10 @@
 }
 
 // requestUpdate asks the control goroutine for the changes that a sibling lacks. The error is a gRPC status.
-func requestUpdate(ctx context.Context, l *RoutingLoop, after, version document.Revision) (routing.Update, error) {
+func requestUpdate(ctx context.Context, l *RoutingLoop, request routing.ValuesRequested) (routing.Update, error) {
 	update, err := loop.Ask(ctx, l, func(reply chan<- routing.Update) routing.Event {
-		return routing.ValuesRequested{After: after, RoutingVersion: version, Reply: reply}
+		request.Reply = reply
+		return request
 	})
 	if err != nil {
 		return routing.Update{}, status.Error(codes.Unavailable, err.Error())
@@ -110,7 +115,9 @@
 	defer cancel(nil)
 	stall := time.AfterFunc(valuesStallLimit, func() { cancel(errStalled) })
 	defer stall.Stop()
-	stream, err := siblingpb.NewValuesClient(conn).Fetch(ctx, &siblingpb.FetchValuesRequest{After: uint64(f.After), RoutingVersion: uint64(versionOf(f.Routing))})
+	stream, err := siblingpb.NewValuesClient(conn).Fetch(ctx, &siblingpb.FetchValuesRequest{
+		After: uint64(f.After), RoutingVersion: uint64(versionOf(f.Routing)), AcceptsUnchanged: true,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -177,6 +184,11 @@
 	if e := m.GetExtent(); e != nil {
 		r.update.FromRevision, r.update.ToRevision, r.update.Full = document.Revision(e.GetFromRevision()), document.Revision(e.GetToRevision()), e.GetFull()
 	}
+	for _, x := range m.GetUnchanged() {
+		for _, name := range x.GetNames() {
+			r.update.Unchanged = append(r.update.Unchanged, routing.ValueID{Kind: routing.Kind(x.GetKind()), Name: name})
+		}
+	}
 	for _, x := range m.GetChanges() {
 		c := routing.Change{
 			Kind: routing.Kind(x.GetKind()), Name: x.GetName(), Revision: document.Revision(x.GetRevision()), Removed: x.GetRemoved(), Lapsed: x.GetLapsed(),
@@ -244,13 +256,17 @@
 		Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full},
 	}}
 	elements := 0 // in the last message
-	add := func(c *siblingpb.ValueChange, n int) {
+	// last returns the message that n more elements go into.
+	last := func(n int) *siblingpb.ValuesMessage {
 		if elements > 0 && elements+n > maxMessageElements {
 			out, elements = append(out, &siblingpb.ValuesMessage{}), 0
 		}
-		last := out[len(out)-1]
-		last.Changes = append(last.Changes, c)
 		elements += n
+		return out[len(out)-1]
+	}
+	add := func(c *siblingpb.ValueChange, n int) {
+		m := last(n)
+		m.Changes = append(m.Changes, c)
 	}
 	for i := range u.Changes {
 		c := &u.Changes[i]
@@ -274,6 +290,16 @@
 			}
 		}
 	}
+	names := map[routing.Kind][]string{}
+	for _, id := range u.Unchanged {
+		names[id.Kind] = append(names[id.Kind], id.Name)
+	}
+	for _, kind := range slices.Sorted(maps.Keys(names)) {
+		for part := range slices.Chunk(names[kind], maxMessageElements) {
+			m := last(len(part))
+			m.Unchanged = append(m.Unchanged, &siblingpb.UnchangedValues{Kind: string(kind), Names: part})
+		}
+	}
 	return out, nil
 }
 
--- a/sibling/siblinggrpc/values_test.go
+++ b/sibling/siblinggrpc/values_test.go
@@ -142,6 +142,10 @@
 			{Kind: routing.KindTarget, Name: "i-2", Revision: 7, Removed: true, Lapsed: true},
 			{Kind: routing.KindRouting, Revision: 7},
 		}}
+		for i := range 300 {
+			sent.Unchanged = append(sent.Unchanged, routing.ValueID{Kind: routing.KindTarget, Name: fmt.Sprint("i-u", i)})
+		}
+		sent.Unchanged = append(sent.Unchanged, routing.ValueID{Kind: routing.KindZoneOut, Name: "y"})
 		got, messages, _, err := transfer(t, sent, c.base)
 		if err != nil {
 			t.Fatal(err)
@@ -173,6 +177,47 @@
 	}
 }
 
+// Guards against the bytes of all values for each instance that is behind one that has just restarted, in a fleet of the design size with a
+// large configuration: the names of the values that both have are enough.
+func TestTransferAfterARestartIsSmall(t *testing.T) {
+	const fleetTargets = 6_700
+	const mostBytes = fleetTargets * 16 // names of 12 bytes and their framing
+	whole, update := routing.Update{ToRevision: 9000, Full: true}, routing.Update{FromRevision: 8000, ToRevision: 9000, Full: true}
+	for i := range fleetTargets {
+		id := fmt.Sprintf("i-%010x", i)
+		whole.Changes = append(whole.Changes, routing.Change{Kind: routing.KindTarget, Name: id, Revision: 7, Target: &targets.Registration{
+			ID: id, Service: fmt.Sprintf("shard%04d", i/3), Zone: "zone-a", Address: "10.1.64.97:8285", Slots: 2, Incarnation: "1790000000000", Sequence: 90,
+		}})
+		update.Unchanged = append(update.Unchanged, routing.ValueID{Kind: routing.KindTarget, Name: id})
+	}
+	whole.Changes = append(whole.Changes, routing.Change{Kind: routing.KindRouting, Revision: 8, Routing: largeRouting(4, 1400)})
+	update.Unchanged = append(update.Unchanged, routing.ValueID{Kind: routing.KindRouting})
+	_, _, wholeBytes, err := transfer(t, whole, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, bytes, err := transfer(t, update, nil)
+	if err != nil || bytes > mostBytes {
+		t.Errorf("%d bytes, want at most %d; error %v", bytes, mostBytes, err)
+	}
+	t.Logf("%d bytes, %d with every value", bytes, wholeBytes)
+}
+
+// Guards against a client that does not say that it knows unchanged values by their names, and so gets all of them.
+func TestUnchangedValuesAreFetchedByName(t *testing.T) {
+	now := time.Now()
+	state := routing.NewState(routing.InstanceConfig{ID: "a", Zone: "z", Address: "a:1", Bounds: routing.Bounds{RetryBudgetWindow: time.Second}}, rand.New(rand.NewPCG(1, 1)), now)
+	registration := &targets.Registration{ID: "i-1", Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 2}
+	state.Step(routing.StoreRead{Update: routing.Update{Full: true, ToRevision: 9, Changes: []routing.Change{
+		{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: registration}, {Kind: routing.KindRouting, Revision: 8, Routing: largeRouting(4, 4)},
+	}}}, now)
+	address, client := serve(t, func(s grpc.ServiceRegistrar) { RegisterValues(s, run(t, state)) })
+	update, err := client.FetchValues(t.Context(), routing.FetchValues{Address: address, After: 6, Routing: largeRouting(3, 4)}, func() {})
+	if err != nil || !update.Full || len(update.Changes) != 1 || !reflect.DeepEqual(update.Unchanged, []routing.ValueID{{Kind: routing.KindTarget, Name: "i-1"}}) {
+		t.Errorf("update %+v, error %v", update, err)
+	}
+}
+
 // Guards against an odd value of a sibling that keeps this instance from following the others, and against one that comes into force.
 func TestOddValuesInATransferAreLeftOut(t *testing.T) {
 	sound := func(id string) *siblingpb.ValueChange {
@@ -304,6 +349,11 @@
 		revision := document.Revision(10 - len(versions) + i)
 		state.Step(routing.StoreRead{Update: routing.Update{Full: i == 0, FromRevision: revision - 1, ToRevision: revision, Changes: []routing.Change{{Kind: routing.KindRouting, Revision: revision, Routing: r}}}}, now)
 	}
+	return run(t, state)
+}
+
+// run runs the control loop of an instance until the end of the test.
+func run(t testing.TB, state *routing.State) *RoutingLoop {
 	l := loop.New[routing.Event, routing.Effect, routing.Snapshot](state)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
