Values: a transfer that ends late brings back no removed value

What callers saw: on sites of 86 machines, requests still went to targets that had left (DRAIN), now mostly from instances that had just restarted, and from their siblings.

Cause: an instance that starts asks several siblings for their values. One of them may be behind. Where its values arrived after those of a newer sibling, a value that the newer one no longer had counted as new: for a value without an entry any revision was accepted. From there it spread with the next full updates.

Change: an instance complete to N knows what exists at N. A value of a revision up to N that it has no entry for was removed, and is not taken back.

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -212,3 +212,27 @@
 		t.Error("the missing value did not come with the next transfer")
 	}
 }
+
+// Guards against a removed target or zone that an instance takes back from a transfer that ends late: it asks several siblings, and the one
+// that is behind still has the value. The newer transfer said that it does not exist, without an entry for its removal.
+func TestLateTransferBringsBackNoRemovedValue(t *testing.T) {
+	for name, c := range removals {
+		t.Run(name, func(t *testing.T) {
+			h := heldBefore()
+			behind, ahead, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			behind.receive(h.full())
+			for _, change := range c.changes {
+				h.write(change)
+			}
+			ahead.receive(h.full())
+			late := make(chan Update, 1)
+			behind.step(ValuesRequested{AcceptsUnchanged: true, Reply: late})
+			restarted.fetch(ahead)
+			restarted.step(ValuesReceived{Update: <-late})
+			restarted.run(confirmTimeout + time.Second)
+			if !c.ended(restarted) {
+				t.Error("an instance that has the changes goes back behind them after a late transfer")
+			}
+		})
+	}
+}
--- a/routing/values.go
+++ b/routing/values.go
@@ -112,6 +112,9 @@
 	if e != nil && !c.Revision.Supersedes(e.Revision) {
 		return false
 	}
+	if e == nil && c.Revision <= v.completeTo {
+		return false // the value was removed since then
+	}
 	next := &entry{Change: c, changedAt: now, newest: c.Target}
 	if e != nil {
 		next.outdated = c.Target != nil && c.Target.Precedes(e.newest)
