Values: a target that a full update does not name lapses only after an outage

What callers saw: an instance that learned from a full update that a target was gone went on sending to it for 2 s more, and so did each instance that heard of the removal from it, 2 s from then on: most of DrainMs on the small sites, beside the time that the news took.

Cause: a registration may expire while the platform is away, and its target returns within 2 s. A watched removal counts as such only after an outage; a target missing from a full update always did, also after a mass restart or when the store had dropped its history. The mark was also passed on after the 2 s had passed.

The new tests before the change: TestTargetMissingWithoutAnOutageIsGone: an instance sends to a target that a restarted sibling no longer names TestTargetMissingWithoutAnOutageIsGone: an instance sends to a target that a full read no longer names TestTargetMissingAfterAnOutageHasTimeToReturn: a target that is gone is used by an instance that hears of it late

Change: a full read counts what it does not name as lapsed in the 2.5 s after an outage, as a watch does; the mark travels with full transfers (ValuesExtent.lapsed) and ends with the lapse. Loss of history is kept apart from the count of failed reads (historyGone), which it reset: an outage that was long enough for the history to go was no outage afterwards. An instance that has never reached the store and failed to for 1.5 s has seen an outage too.

TestStateLogsTargetsTogether is about the lines after an outage, but played none: it does now, and wants the same lines. fetchValues moved to transfers.go, with what it decides by.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -41,8 +41,8 @@
 	Name     string            `json:"name,omitempty"`
 	Revision document.Revision `json:"revision"`
 	Removed  bool              `json:"removed,omitempty"`
-	// Lapsed marks the removal of a target that may only be temporary: its registration was missing from a full read,
-	// or was removed after an outage of the platform, in which registrations expire. A live target registers again soon.
+	// Lapsed marks the removal of a target that may only be temporary: its registration was removed, or was missing from a full
+	// read, after an outage of the platform, in which registrations expire. A live target registers again soon.
 	Lapsed bool `json:"lapsed,omitempty"`
 	// Routing and Target hold the value; both are nil if the value is invalid.
 	Routing *document.Routing     `json:"routing,omitempty"`
@@ -71,6 +71,9 @@
 	Changes []Change
 	// Unchanged names the existing values of a full update that were last written up to FromRevision. The receiver has them.
 	Unchanged []ValueID
+	// Lapsed is set if a target that a full update does not name may be missing for a short time only: the platform has just
+	// returned from an outage, in which registrations expire.
+	Lapsed bool
 	// EncodedBytes is the size of the changes as a sibling sent them, 0 for an update of this instance or the platform.
 	EncodedBytes int
 }
--- a/routing/reading.go
+++ b/routing/reading.go
@@ -44,7 +44,7 @@
 	}
 	s.reading = true
 	result.Effects = append(result.Effects, ReadStore{
-		After: s.values.completeTo, Wait: s.storeWait(), Full: s.values.completeTo == 0 || s.readFailures < 0,
+		After: s.values.completeTo, Wait: s.storeWait(), Full: s.values.completeTo == 0 || s.historyGone,
 	})
 }
 
@@ -100,17 +100,25 @@
 	if s.readFailures > 0 {
 		s.logState("platform", "", "lost", "regained", "read")
 	}
-	if !s.storeContact.IsZero() && s.readFailures > 0 && now.Sub(s.storeContact) > minOutage {
+	if s.readFailures > 0 && now.Sub(s.withoutStoreSince()) > minOutage {
 		s.storeRecoveredAt = now
 	}
-	s.readFailures, s.storeContact = 0, now
+	s.readFailures, s.historyGone, s.storeContact = 0, false, now
 	s.nextRead = now.Add(s.readPause())
 	if now.Sub(s.storeRecoveredAt) < lapseWindow {
-		markLapsed(e.Update.Changes)
+		e.Update.markLapsed()
 	}
 	s.applyUpdate(e.Update, "platform", now)
 }
 
+// withoutStoreSince returns when this instance last reached the store, or its start if it never did.
+func (s *State) withoutStoreSince() time.Time {
+	if s.storeContact.IsZero() {
+		return s.started
+	}
+	return s.storeContact
+}
+
 // readPause returns the time between two reads of the store. It grows with the fleet as far as Bounds.ChangeLimit leaves time for it.
 func (s *State) readPause() time.Duration {
 	perMembers := time.Duration(s.memberCount) * readPausePerMember
@@ -156,19 +164,20 @@
 }
 
 // markLapsed marks the removals of targets that an outage of the platform may have caused.
-func markLapsed(changes []Change) {
-	for i := range changes {
-		if c := &changes[i]; c.Removed && c.Kind == KindTarget {
+func (u *Update) markLapsed() {
+	u.Lapsed = u.Full
+	for i := range u.Changes {
+		if c := &u.Changes[i]; c.Removed && c.Kind == KindTarget {
 			c.Lapsed = true
 		}
 	}
 }
 
 // recordReadFailure schedules the next read after a failed one. If the store no longer keeps the history, the next read
-// is a full one (readFailures is -1).
+// is a full one.
 func (s *State) recordReadFailure(err error, now time.Time) {
 	if errors.Is(err, ErrHistoryGone) {
-		s.readFailures = -1
+		s.historyGone = true
 		s.nextRead = now
 		s.logState("platform", "", "history", "full read required", err.Error())
 		return
@@ -176,8 +185,6 @@
 	if s.readFailures == 0 {
 		s.logState("platform", "", "reached", "lost", err.Error())
 	}
-	if s.readFailures >= 0 {
-		s.readFailures++
-	}
+	s.readFailures++
 	s.nextRead = now.Add(readRetryDelay)
 }
--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -236,3 +236,60 @@
 		})
 	}
 }
+
+// Guards against requests to a target that has left for as long as one may be missing after an outage of the platform: there was none, and a
+// full update that does not name the target says that it is gone.
+func TestTargetMissingWithoutAnOutageIsGone(t *testing.T) {
+	h := heldBefore()
+	survivor, reader, restarted := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	survivor.receive(h.full())
+	reader.receive(h.full())
+	h.write(Change{Kind: KindTarget, Name: "i1", Removed: true})
+	restarted.receive(h.full())
+	survivor.fetch(restarted)
+	if survivor.sendsTo("i1") {
+		t.Error("an instance sends to a target that a restarted sibling no longer names")
+	}
+	reader.step(StoreRead{Err: ErrHistoryGone})
+	reader.receive(h.full())
+	if reader.sendsTo("i1") {
+		t.Error("an instance sends to a target that a full read no longer names")
+	}
+}
+
+// Guards against the loss of all targets at once: their registrations expired while the platform was away, and they are missing from the
+// first full read after that, here and at siblings that have it from the reader.
+func TestTargetMissingAfterAnOutageHasTimeToReturn(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		h := heldBefore()
+		survivor, reader := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+		survivor.receive(h.full())
+		if !fresh {
+			reader.receive(h.full())
+		}
+		for range 4 {
+			reader.run(500 * time.Millisecond)
+			reader.step(StoreRead{Err: ErrStoreRead})
+		}
+		h.write(Change{Kind: KindTarget, Name: "i1", Removed: true})
+		if !fresh {
+			reader.step(StoreRead{Err: ErrHistoryGone})
+		}
+		reader.receive(h.full())
+		survivor.fetch(reader)
+		if !survivor.sendsTo("i1") || !fresh && !reader.sendsTo("i1") {
+			t.Errorf("new reader %v: a target that may register again is not used", fresh)
+		}
+		survivor.run(lapseTime + 2*expiryInterval)
+		reader.run(lapseTime + 2*expiryInterval)
+		if survivor.sendsTo("i1") || reader.sendsTo("i1") {
+			t.Errorf("new reader %v: a target that did not register again is in use", fresh)
+		}
+		late := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+		late.receive(heldBefore().full())
+		late.fetch(reader)
+		if late.sendsTo("i1") {
+			t.Errorf("new reader %v: a target that is gone is used by an instance that hears of it late", fresh)
+		}
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -80,13 +80,14 @@
 	confirmed bool
 
 	reading          bool // a read of the store is in flight
+	historyGone      bool // the next read of the store must be a full one
 	reader           bool // this instance reads the store, as last logged
 	nextRead         time.Time
 	storeContact     time.Time // last successful read by this instance
 	outsideContact   time.Time // last gossip of this zone with another one
 	isolated         bool      // cut off from other zones and unable to serve some route
 	storeRecoveredAt time.Time // first successful read after an outage
-	readFailures     int       // in a row; -1 if the next read must be a full one
+	readFailures     int       // in a row
 	transfers        *transfers
 	lastDivision     time.Time
 	// ownDemand is the demand that this instance reports to siblings, as of lastDivision. It is not modified.
@@ -338,17 +339,6 @@
 	}
 }
 
-// fetchValues asks a sibling for the values that this instance lacks, if one has them and none is being asked.
-func (s *State) fetchValues(now time.Time, result *StepResult) {
-	address := s.transfers.next(s.values.completeTo, s.config.Zone, s.gossip.EachLive(now), now)
-	if address == "" {
-		return
-	}
-	result.Effects = append(result.Effects, FetchValues{
-		Address: address, After: s.values.completeTo, Routing: s.values.routing.Routing, Self: s.gossip.Self(now),
-	})
-}
-
 func (s *State) buildGossip(now time.Time) GossipMessage {
 	if now.Sub(s.noticesAt) >= sibling.GossipInterval {
 		n := s.crashes.TakeNotices(now)
--- a/routing/targetlog_test.go
+++ b/routing/targetlog_test.go
@@ -167,6 +167,8 @@
 		t.Fatalf("start: %d changes in %d lines", c, n)
 	}
 	effects = nil
+	step(StoreRead{Err: ErrStoreRead})
+	run(minOutage)
 	step(StoreRead{Update: Update{ToRevision: 70, Full: true}})
 	run(lapseTime + 3*time.Second)
 	var kinds []string
--- a/routing/transfers.go
+++ b/routing/transfers.go
@@ -120,3 +120,14 @@
 		delete(t.running, address)
 	}
 }
+
+// fetchValues asks a sibling for the values that this instance lacks, if one has them and none is being asked.
+func (s *State) fetchValues(now time.Time, result *StepResult) {
+	address := s.transfers.next(s.values.completeTo, s.config.Zone, s.gossip.EachLive(now), now)
+	if address == "" {
+		return
+	}
+	result.Effects = append(result.Effects, FetchValues{
+		Address: address, After: s.values.completeTo, Routing: s.values.routing.Routing, Self: s.gossip.Self(now),
+	})
+}
--- a/routing/values.go
+++ b/routing/values.go
@@ -48,7 +48,9 @@
 	// removalsSince is the revision after which each removal up to completeTo has an entry. Earlier ones may be forgotten, or were
 	// never known because a full update does not hold them: a sibling that is complete to less needs a full update.
 	removalsSince document.Revision
-	nextExpiry    time.Time
+	// lapsedUntil is until when the targets that the last full update did not name may return, zero if they may not.
+	lapsedUntil time.Time
+	nextExpiry  time.Time
 }
 
 // expiryInterval is the time between two searches for values that have expired.
@@ -72,7 +74,10 @@
 		// What this instance had was not complete. It needs every value.
 		v.completeTo = 0
 	case u.Full && u.ToRevision > v.completeTo:
-		v.completeTo, v.removalsSince = u.ToRevision, u.ToRevision
+		v.completeTo, v.removalsSince, v.lapsedUntil = u.ToRevision, u.ToRevision, time.Time{}
+		if u.Lapsed {
+			v.lapsedUntil = now.Add(lapseTime)
+		}
 	case u.FromRevision <= v.completeTo:
 		v.completeTo = max(v.completeTo, u.ToRevision)
 	}
@@ -93,7 +98,7 @@
 		if named[id] || e.Removed || e.Revision > u.ToRevision {
 			continue
 		}
-		c := Change{Kind: id.Kind, Name: id.Name, Revision: u.ToRevision, Removed: true, Lapsed: id.Kind == KindTarget}
+		c := Change{Kind: id.Kind, Name: id.Name, Revision: u.ToRevision, Removed: true, Lapsed: u.Lapsed && id.Kind == KindTarget}
 		if v.put(c, now) {
 			removed = append(removed, c)
 		}
@@ -121,12 +126,14 @@
 		if next.outdated || c.Target == nil {
 			next.newest = e.newest
 		}
-		switch {
-		case next.outdated:
-			next.keep(e, now, outdatedTime)
-		case c.Removed && c.Lapsed && !e.Removed:
-			next.keep(e, now, lapseTime)
-		}
+	}
+	switch {
+	case next.outdated:
+		next.keep(e, now, now.Add(outdatedTime))
+	case c.Removed && c.Lapsed && e != nil && e.Removed:
+		next.keep(e, now, e.earlierUntil)
+	case c.Removed && c.Lapsed:
+		next.keep(e, now, now.Add(lapseTime))
 	}
 	v.entries[id] = next
 	if c.Routing != nil {
@@ -136,9 +143,12 @@
 	return true
 }
 
-// keep keeps what is in use of the entry that e replaces in use for d.
-func (e *entry) keep(replaced *entry, now time.Time, d time.Duration) {
-	e.earlierUntil = now.Add(d)
+// keep keeps what is in use of the entry that e replaces, nil if it replaces none, in use until a time.
+func (e *entry) keep(replaced *entry, now, until time.Time) {
+	e.earlierUntil = until
+	if replaced == nil {
+		return
+	}
 	if c, ok := replaced.current(now); ok {
 		e.earlier = &c
 	}
@@ -169,11 +179,14 @@
 	if completeTo >= v.completeTo {
 		return Update{FromRevision: v.completeTo, ToRevision: v.completeTo}
 	}
-	u := Update{FromRevision: completeTo, ToRevision: v.completeTo, Full: completeTo < v.removalsSince || completeTo == 0}
+	u := Update{
+		FromRevision: completeTo, ToRevision: v.completeTo, Full: completeTo < v.removalsSince || completeTo == 0, Lapsed: !v.lapsedUntil.IsZero(),
+	}
 	for id, e := range v.entries {
 		switch {
 		case e.Revision > completeTo && (completeTo > 0 || !e.Removed):
 			c := e.Change
+			c.Lapsed = c.Lapsed && !e.earlierUntil.IsZero() // one that did not return is gone
 			if c.Routing != nil {
 				c.Differences = v.routing.Since(version)
 			}
@@ -191,6 +204,9 @@
 		return false
 	}
 	v.nextExpiry = now.Add(expiryInterval)
+	if !now.Before(v.lapsedUntil) {
+		v.lapsedUntil = time.Time{}
+	}
 	expired := false
 	for id, e := range v.entries {
 		if !e.earlierUntil.IsZero() && !now.Before(e.earlierUntil) {
--- a/sibling/siblinggrpc/values.go
+++ b/sibling/siblinggrpc/values.go
@@ -182,7 +182,8 @@
 func (r *receivedValues) add(m *siblingpb.ValuesMessage) {
 	r.update.EncodedBytes += proto.Size(m)
 	if e := m.GetExtent(); e != nil {
-		r.update.FromRevision, r.update.ToRevision, r.update.Full = document.Revision(e.GetFromRevision()), document.Revision(e.GetToRevision()), e.GetFull()
+		r.update.FromRevision, r.update.ToRevision = document.Revision(e.GetFromRevision()), document.Revision(e.GetToRevision())
+		r.update.Full, r.update.Lapsed = e.GetFull(), e.GetLapsed()
 	}
 	for _, x := range m.GetUnchanged() {
 		for _, name := range x.GetNames() {
@@ -253,7 +254,7 @@
 // encodeUpdate returns the messages of a transfer.
 func encodeUpdate(u routing.Update, parts *partCache) ([]*siblingpb.ValuesMessage, error) {
 	out := []*siblingpb.ValuesMessage{{
-		Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full},
+		Extent: &siblingpb.ValuesExtent{FromRevision: uint64(u.FromRevision), ToRevision: uint64(u.ToRevision), Full: u.Full, Lapsed: u.Lapsed},
 	}}
 	elements := 0 // in the last message
 	// last returns the message that n more elements go into.
--- a/sibling/siblinggrpc/values_test.go
+++ b/sibling/siblinggrpc/values_test.go
@@ -135,7 +135,7 @@
 		"difference": {base, []document.RoutingDifference{document.DiffRouting(base, next)}},
 		"chain":      {base, []document.RoutingDifference{{From: 3, To: 9}, document.DiffRouting(&document.Routing{Version: 9}, next)}},
 	} {
-		sent := routing.Update{FromRevision: 3, ToRevision: 12, Full: true, Changes: []routing.Change{
+		sent := routing.Update{FromRevision: 3, ToRevision: 12, Full: true, Lapsed: true, Changes: []routing.Change{
 			{Kind: routing.KindTarget, Name: "i-1", Revision: 5, Target: &registration},
 			{Kind: routing.KindRouting, Revision: 8, Routing: next, Differences: c.chain},
 			{Kind: routing.KindZoneOut, Name: "z", Revision: 6, Removed: true},
