Values: a late write is passed on with the changes that it is older than

Cause: a target writes ready, then draining, and the platform carries out the first write last. An instance that has both goes by the count of the target's own writes. To siblings it passed on the newest revision only, which is the older registration. The same happened to a new instance, and to one that had the removal of the target but never its last registration.

TestLateWriteIsPassedOnWithTheRemovalBeforeIt, new, before the change: "an instance that was behind uses the target", "in between", "new", in each of its three cases.

Change: an outdated entry keeps the changes that it is older than, as long as it is not believed, and passes them on before itself, in the order of their revisions; a removal passes on the last registration before it if the sibling lacks that. The receiver decides by the same rule as an instance that read them. When an outdated registration is believed in the end, it becomes the last one: the next writes of the target are not outdated again for the sake of a count that was wrong.

Why no flag on the change: the sibling may know more than the sender, and must be able to judge by itself.

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -293,3 +293,49 @@
 		}
 	}
 }
+
+// Guards against a target that is leaving or gone and is used by an instance that did not see in which order it wrote its registrations: a
+// sibling that did passes on what the late write is older than, also to an instance that has the removal only and to a new one.
+func TestLateWriteIsPassedOnWithTheRemovalBeforeIt(t *testing.T) {
+	entry := func(sequence uint64, draining bool) Change {
+		c := target("i1", "s", "z")
+		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
+		return c
+	}
+	removed := Change{Kind: KindTarget, Name: "i1", Removed: true}
+	for name, changes := range map[string][]Change{
+		"draining": {entry(7, true), entry(6, false)},
+		"removed":  {entry(7, true), removed, entry(6, false)},
+		"twice":    {entry(7, true), removed, entry(6, false), entry(5, false)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &storeHistory{}
+			h.write(routes(1))
+			h.write(entry(5, false))
+			reader, behind, hasRemoval, fresh := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			for _, x := range []*stateTest{reader, behind, hasRemoval} {
+				x.receive(h.full())
+			}
+			for i, c := range changes {
+				h.write(c)
+				reader.receive(h.after(h.revision() - 1))
+				if i == 1 {
+					hasRemoval.fetch(reader)
+				}
+			}
+			behind.fetch(reader)
+			hasRemoval.fetch(reader)
+			fresh.fetch(reader)
+			for who, x := range map[string]*stateTest{"behind": behind, "in between": hasRemoval, "new": fresh} {
+				x.run(confirmTimeout + time.Second)
+				if x.sendsTo("i1") {
+					t.Errorf("an instance that was %s uses the target", who)
+				}
+				x.run(outdatedTime)
+				if !x.sendsTo("i1") {
+					t.Errorf("an instance that was %s does not believe the registration in the end", who)
+				}
+			}
+		})
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -388,7 +388,8 @@
 		return
 	}
 	for _, c := range applied {
-		s.logChange(c, s.values.entries[c.ID()].outdated, source, now)
+		e := s.values.entries[c.ID()]
+		s.logChange(c, e.outdated && e.Revision == c.Revision, source, now)
 		s.applyValue(c.ID(), now)
 		if c.Kind != KindTarget {
 			s.gossip.Hasten(now)
--- a/routing/values.go
+++ b/routing/values.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dogwooddrift.org/drift/document"
-	"dogwooddrift.org/drift/targets"
 )
 
 // entry is the newest known write or removal of one value.
@@ -16,10 +15,12 @@
 	// return, and one that is outdated is likely to be replaced.
 	earlierUntil time.Time
 	earlier      *Change
-	// newest is the registration of a target that was written last, also after its removal. The value is outdated if it is a
-	// registration that the target wrote before newest.
-	newest   *targets.Registration
+	// newest is the change with the registration that a target wrote last, nil if none is known. The removal of the target keeps it.
+	newest *Change
+	// outdated is set if the value is a registration that the target wrote before newest. Until earlierUntil, prior holds the changes
+	// that it is older than, in the order of their revisions.
 	outdated bool
+	prior    []Change
 }
 
 const (
@@ -120,15 +121,22 @@
 	if e == nil && c.Revision <= v.completeTo {
 		return false // the value was removed since then
 	}
-	next := &entry{Change: c, changedAt: now, newest: c.Target}
-	if e != nil {
-		next.outdated = c.Target != nil && c.Target.Precedes(e.newest)
+	next := &entry{Change: c, changedAt: now}
+	if c.Target != nil {
+		next.newest = &c
+	}
+	if e != nil && e.newest != nil {
+		next.outdated = c.Target != nil && c.Target.Precedes(e.newest.Target)
 		if next.outdated || c.Target == nil {
 			next.newest = e.newest
 		}
 	}
 	switch {
 	case next.outdated:
+		next.prior = e.prior
+		if len(e.prior) == 0 {
+			next.prior = e.statements(0)
+		}
 		next.keep(e, now, now.Add(outdatedTime))
 	case c.Removed && c.Lapsed && e != nil && e.Removed:
 		next.keep(e, now, e.earlierUntil)
@@ -165,6 +173,18 @@
 	return e.Change, true
 }
 
+// statements returns the changes after a revision by which a sibling sees the value as this instance does, that of the entry last.
+func (e *entry) statements(after document.Revision) []Change {
+	out := slices.Clone(e.prior)
+	if len(out) == 0 && e.newest != nil && e.newest.Revision != e.Revision {
+		out = append(out, *e.newest)
+	}
+	out = slices.DeleteFunc(out, func(c Change) bool { return c.Revision <= after })
+	c := e.Change
+	c.Lapsed = c.Lapsed && !e.earlierUntil.IsZero() // a target that did not return is gone
+	return append(out, c)
+}
+
 // updateFor returns the changes that a sibling lacks.
 func (v *values) updateFor(r ValuesRequested) Update {
 	if r.After < v.removalsSince && !r.AcceptsUnchanged {
@@ -185,12 +205,12 @@
 	for id, e := range v.entries {
 		switch {
 		case e.Revision > completeTo && (completeTo > 0 || !e.Removed):
-			c := e.Change
-			c.Lapsed = c.Lapsed && !e.earlierUntil.IsZero() // one that did not return is gone
-			if c.Routing != nil {
-				c.Differences = v.routing.Since(version)
+			for _, c := range e.statements(completeTo) {
+				if c.Routing != nil {
+					c.Differences = v.routing.Since(version)
+				}
+				u.Changes = append(u.Changes, c)
 			}
-			u.Changes = append(u.Changes, c)
 		case u.Full && !e.Removed:
 			u.Unchanged = append(u.Unchanged, id)
 		}
@@ -210,7 +230,11 @@
 	expired := false
 	for id, e := range v.entries {
 		if !e.earlierUntil.IsZero() && !now.Before(e.earlierUntil) {
-			e.earlierUntil, e.earlier = time.Time{}, nil
+			e.earlierUntil, e.earlier, e.prior = time.Time{}, nil, nil
+			if e.outdated {
+				believed := e.Change
+				e.newest = &believed
+			}
 			expired = true
 		}
 		if e.Removed && now.Sub(e.changedAt) > removalRetention {
