Values: the routing in force is passed on past one that is not

A withdrawn key stayed valid at an instance that had its values from a sibling.

Cause: a routing that is invalid, removed, or of an older version that was written late leaves the one in force in force at the instance that reads it. But its entry took the place of the one in force, and siblings that had not read that one yet never got it.

Evidence: TestRoutingInForceIsPassedOnPastOneThatIsNot before the change: "an instance that was behind has routing Version:1", with the withdrawn key, in each of its three cases; "an instance that is new has routing <nil>" in two.

Change: such a routing moves the revision of the entry only. The history of differences stays with the routing in force too.

Not covered: an instance that reads such a routing first, as any other value of which nobody tells it that it was written late.

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -339,3 +339,33 @@
 		})
 	}
 }
+
+// Guards against a withdrawn key that stays valid at instances that have the routing from a sibling: what the platform holds now is no valid
+// routing, or an older one written late, and the one in force was not passed on.
+func TestRoutingInForceIsPassedOnPastOneThatIsNot(t *testing.T) {
+	for name, last := range map[string]Change{
+		"invalid": {Kind: KindRouting}, "older version": withKey(1, "old"), "removed": {Kind: KindRouting, Removed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &storeHistory{}
+			h.write(withKey(1, "old"))
+			h.write(target("i1", "s", "z"))
+			reader, behind, fresh := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+			reader.receive(h.full())
+			behind.receive(h.full())
+			for _, c := range []Change{withKey(2, "new"), last} {
+				h.write(c)
+				reader.receive(h.after(h.revision() - 1))
+			}
+			behind.fetch(reader)
+			fresh.fetch(reader)
+			for who, x := range map[string]*stateTest{"reads the store": reader, "was behind": behind, "is new": fresh} {
+				x.run(confirmTimeout + time.Second)
+				r := x.state.Snapshot().Routing
+				if r == nil || r.Version != 2 || r.AccountByKeyDigest("old") != nil {
+					t.Errorf("an instance that %s has routing %+v, want version 2 without the withdrawn key", who, r)
+				}
+			}
+		})
+	}
+}
--- a/routing/values.go
+++ b/routing/values.go
@@ -121,6 +121,10 @@
 	if e == nil && c.Revision <= v.completeTo {
 		return false // the value was removed since then
 	}
+	if e != nil && e.Routing != nil && (c.Routing == nil || !c.Routing.Version.Supersedes(e.Routing.Version)) {
+		e.Revision = c.Revision // the routing in force stays
+		return true
+	}
 	next := &entry{Change: c, changedAt: now}
 	if c.Target != nil {
 		next.newest = &c
