Values: nothing up to the revision of a full update is taken back

Cause, two cases of one kind. An instance that has the removal of a value from long before, and a full update since then, took a write in between back from a late transfer, as its entry was older. And a full update that held such an old removal among its changes counted as naming the value, so that a receiver which had a write in between kept it.

TestLateTransferBringsBackNoValueRemovedAgain: "the target is in use again".

Change: what is complete to N takes no change up to N, whatever entry it has. A full update names the values that it has or keeps, not those that it removes.

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -369,3 +369,25 @@
 		})
 	}
 }
+
+// Guards against a value that an instance takes back from a late transfer although a newer full update said that it does not exist: the entry
+// that it had was a removal of long before.
+func TestLateTransferBringsBackNoValueRemovedAgain(t *testing.T) {
+	h := heldBefore()
+	removed := Change{Kind: KindTarget, Name: "i1", Removed: true}
+	x, behind := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	x.receive(h.full())
+	h.write(removed)
+	x.receive(h.after(h.revision() - 1))
+	h.write(target("i1", "s", "z"))
+	behind.receive(h.full())
+	late := make(chan Update, 1)
+	behind.step(ValuesRequested{After: x.state.values.completeTo, AcceptsUnchanged: true, Reply: late})
+	h.write(removed)
+	h.write(target("i7", "s", "z"))
+	x.receive(h.full())
+	x.step(ValuesReceived{Update: <-late})
+	if x.sendsTo("i1") {
+		t.Error("the target is in use again")
+	}
+}
--- a/routing/values.go
+++ b/routing/values.go
@@ -89,14 +89,16 @@
 func (v *values) removeUnnamed(u Update, now time.Time) []Change {
 	named := make(map[ValueID]bool, len(u.Changes)+len(u.Unchanged))
 	for i := range u.Changes {
-		named[u.Changes[i].ID()] = true
+		if c := &u.Changes[i]; !c.Removed {
+			named[c.ID()] = true
+		}
 	}
 	for _, id := range u.Unchanged {
 		named[id] = true
 	}
 	var removed []Change
 	for id, e := range v.entries {
-		if named[id] || e.Removed || e.Revision > u.ToRevision {
+		if named[id] || e.Removed {
 			continue
 		}
 		c := Change{Kind: id.Kind, Name: id.Name, Revision: u.ToRevision, Removed: true, Lapsed: u.Lapsed && id.Kind == KindTarget}
@@ -115,11 +117,8 @@
 func (v *values) put(c Change, now time.Time) bool {
 	id := c.ID()
 	e := v.entries[id]
-	if e != nil && !c.Revision.Supersedes(e.Revision) {
-		return false
-	}
-	if e == nil && c.Revision <= v.completeTo {
-		return false // the value was removed since then
+	if c.Revision <= v.completeTo || e != nil && !c.Revision.Supersedes(e.Revision) {
+		return false // a value that existed then and has no entry, or a removal, does not exist any more
 	}
 	if e != nil && e.Routing != nil && (c.Routing == nil || !c.Routing.Version.Supersedes(e.Routing.Version)) {
 		e.Revision = c.Revision // the routing in force stays
