Values: a newer full update is believed about what exists

What callers saw: nothing; found when the commit before was read again. Since it, an instance takes nothing up to the revision that it is complete to. If that claim is wrong, because the store or a process of the version before sent a revision without all changes up to it, the missed values would stay unknown after each later full read as well, where they came before.

Change: the rule holds for updates that are not newer. A full update beyond the own revision tells what exists there, whatever was believed before. For true claims nothing changes: what exists at the newer revision and was written before the own one has an entry.

Evidence: TestNewerFullReadNamesWhatWasMissed before the change: "target i7 is not used", "target i8 is not used".

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -391,3 +391,20 @@
 		t.Error("the target is in use again")
 	}
 }
+
+// Guards against a value that stays unknown although newer full reads name it: the store had sent a revision without the changes up to it.
+func TestNewerFullReadNamesWhatWasMissed(t *testing.T) {
+	h := heldBefore()
+	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
+	x.receive(h.full())
+	h.write(target("i7", "s", "z"))
+	h.write(target("i8", "s", "z"))
+	x.receive(Update{FromRevision: h.revision() - 2, ToRevision: h.revision()})
+	h.write(target("i9", "s", "z"))
+	x.receive(h.full())
+	for _, id := range []string{"i1", "i7", "i8", "i9"} {
+		if !x.sendsTo(id) {
+			t.Errorf("target %s is not used", id)
+		}
+	}
+}
--- a/routing/values.go
+++ b/routing/values.go
@@ -62,23 +62,25 @@
 // apply applies an update and returns the changes that were newer than the known values.
 func (v *values) apply(u Update, now time.Time) []Change {
 	var applied []Change
+	newer := u.Full && u.ToRevision > v.completeTo
 	for _, c := range u.Changes {
-		if v.put(c, now) {
+		// A value that existed at completeTo and has no entry, or a removal, does not exist any more. Only a full update that is newer
+		// can tell otherwise.
+		if (newer || c.Revision > v.completeTo) && v.put(c, now) {
 			applied = append(applied, c)
 		}
 	}
-	if u.Full {
-		applied = append(applied, v.removeUnnamed(u, now)...)
-	}
 	switch {
-	case u.Full && v.lacks(u.Unchanged):
-		// What this instance had was not complete. It needs every value.
-		v.completeTo = 0
-	case u.Full && u.ToRevision > v.completeTo:
+	case newer:
+		applied = append(applied, v.removeUnnamed(u, now)...)
 		v.completeTo, v.removalsSince, v.lapsedUntil = u.ToRevision, u.ToRevision, time.Time{}
 		if u.Lapsed {
 			v.lapsedUntil = now.Add(lapseTime)
 		}
+		if v.lacks(u.Unchanged) {
+			// What this instance had was not complete. It needs every value.
+			v.completeTo = 0
+		}
 	case u.FromRevision <= v.completeTo:
 		v.completeTo = max(v.completeTo, u.ToRevision)
 	}
@@ -117,8 +119,8 @@
 func (v *values) put(c Change, now time.Time) bool {
 	id := c.ID()
 	e := v.entries[id]
-	if c.Revision <= v.completeTo || e != nil && !c.Revision.Supersedes(e.Revision) {
-		return false // a value that existed then and has no entry, or a removal, does not exist any more
+	if e != nil && !c.Revision.Supersedes(e.Revision) {
+		return false
 	}
 	if e != nil && e.Routing != nil && (c.Routing == nil || !c.Routing.Version.Supersedes(e.Routing.Version)) {
 		e.Revision = c.Revision // the routing in force stays
