--- a/sibling/siblinggrpc/values_test.go
+++ b/sibling/siblinggrpc/values_test.go
@@ -314,6 +314,7 @@
 	base := largeRouting(3, 3)
 	for _, u := range []routing.Update{
 		{ToRevision: 3, Changes: []routing.Change{{Kind: routing.KindTarget, Name: "i", Revision: 3}}},
+		{FromRevision: 3, ToRevision: 5, Full: true, Lapsed: true, Unchanged: []routing.ValueID{{Kind: routing.KindTarget, Name: "i"}, {Kind: routing.KindRouting}}},
 		{ToRevision: 9, Changes: []routing.Change{{Kind: routing.KindRouting, Revision: 8, Routing: largeRouting(4, 4), Differences: []document.RoutingDifference{document.DiffRouting(base, largeRouting(4, 4))}}}},
 	} {
 		for _, m := range encoded(f, u) {
