--- a/cmd/dogwooddrift/soak_test.go
+++ b/cmd/dogwooddrift/soak_test.go
@@ -20,6 +20,7 @@
 	{2, true, true}:      "requests that came late in the grace time of a planned stop were passed on and cut at its end",
 	{1, true, false}:     "requests were abandoned before anything was sent, so that the recovery of unresponsive targets was never detected",
 	{98300, true, false}: "a split request of which groups had run was refused as not run",
+	{99310, true, false}: "a late write of a registration was passed on without the changes that it is older than",
 	{1010, false, false}: "SIGTERM arrived during startup, before the process handled signals, and ended it with a signal's exit status",
 }
 
