--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -301,21 +301,16 @@
 // Guards against a target that is leaving or gone and is used by an instance that did not see in which order it wrote its registrations: a
 // sibling that did passes on what the late write is older than, also to an instance that has the removal only and to a new one.
 func TestLateWriteIsPassedOnWithTheRemovalBeforeIt(t *testing.T) {
-	entry := func(sequence uint64, draining bool) Change {
-		c := target("i1", "s", "z")
-		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
-		return c
-	}
 	removed := Change{Kind: KindTarget, Name: "i1", Removed: true}
 	for name, changes := range map[string][]Change{
-		"draining": {entry(7, true), entry(6, false)},
-		"removed":  {entry(7, true), removed, entry(6, false)},
-		"twice":    {entry(7, true), removed, entry(6, false), entry(5, false)},
+		"draining": {written(7, true), written(6, false)},
+		"removed":  {written(7, true), removed, written(6, false)},
+		"twice":    {written(7, true), removed, written(6, false), written(5, false)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &storeHistory{}
 			h.write(routes(1))
-			h.write(entry(5, false))
+			h.write(written(5, false))
 			reader, behind, hasRemoval, fresh := newInstance(t), newInstance(t), newInstance(t), newInstance(t)
 			for _, x := range []*stateTest{reader, behind, hasRemoval} {
 				x.receive(h.full())
--- a/routing/state_test.go
+++ b/routing/state_test.go
@@ -68,6 +68,13 @@
 	return Change{Kind: KindTarget, Name: id, Target: &targets.Registration{ID: id, Service: service, Zone: zone, Address: "10.0.0.1:" + id[1:], Slots: 2}}
 }
 
+// written returns a registration of target i1, which it wrote with a sequence.
+func written(sequence uint64, draining bool) Change {
+	c := target("i1", "s", "z")
+	c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
+	return c
+}
+
 func routes(version document.Revision) Change {
 	return Change{Kind: KindRouting, Routing: &document.Routing{
 		Version:  version,
@@ -340,19 +347,14 @@
 // Guards against a target that is leaving and is used again because the platform carries out an earlier write of its entry
 // late, and against that entry undoing what the target itself said.
 func TestOlderEntryBringsBackNoLeavingTarget(t *testing.T) {
-	entry := func(sequence uint64, draining bool) Change {
-		c := target("i1", "s", "z")
-		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
-		return c
-	}
 	removed := Change{Kind: KindTarget, Name: "i1", Removed: true}
 	for name, changes := range map[string][]Change{
-		"it reported that it is draining": {entry(7, true), entry(6, false)},
-		"its entry was removed":           {entry(7, true), removed, entry(6, false)},
+		"it reported that it is draining": {written(7, true), written(6, false)},
+		"its entry was removed":           {written(7, true), removed, written(6, false)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-			x.read(true, routes(1), entry(5, false))
+			x.read(true, routes(1), written(5, false))
 			before := x.state.Snapshot().Candidates("s")[0]
 			x.step(TargetLeaving{Target: before})
 			for _, c := range changes {
@@ -368,7 +370,7 @@
 					t.Error("the late write undid what the target itself said")
 				}
 			}
-			x.read(false, entry(8, true), entry(9, false))
+			x.read(false, written(8, true), written(9, false))
 			if n := x.usable("s"); n != 1 {
 				t.Errorf("%d usable targets after the target is ready again, want 1", n)
 			}
@@ -376,8 +378,8 @@
 	}
 	// A process that starts again begins to count anew.
 	x := newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-	x.read(true, routes(1), entry(7, true))
-	next := entry(1, false)
+	x.read(true, routes(1), written(7, true))
+	next := written(1, false)
 	next.Target.Incarnation = "2"
 	x.read(false, next)
 	if n := x.usable("s"); n != 1 {
@@ -388,16 +390,11 @@
 // Guards against a target that is leaving and is used by an instance that has a late write of its earlier entry from a sibling, which has
 // both and knows better: what the sibling passes on must tell so.
 func TestLateWriteIsPassedOnWithWhatItIsOlderThan(t *testing.T) {
-	entry := func(sequence uint64, draining bool) Change {
-		c := target("i1", "s", "z")
-		c.Target.Incarnation, c.Target.Sequence, c.Target.Draining = "1", sequence, draining
-		return c
-	}
 	reader, sibling := newStateTest(t, Bounds{RetryBudgetWindow: time.Second}), newStateTest(t, Bounds{RetryBudgetWindow: time.Second})
-	reader.read(true, routes(1), entry(1, false))
-	sibling.read(true, routes(1), entry(1, false))
-	reader.read(false, entry(2, true))
-	reader.read(false, entry(1, false))
+	reader.read(true, routes(1), written(1, false))
+	sibling.read(true, routes(1), written(1, false))
+	reader.read(false, written(2, true))
+	reader.read(false, written(1, false))
 	if n := reader.usable("s"); n != 0 {
 		t.Fatalf("%d usable targets at the instance that has both entries, want 0", n)
 	}
