Values: an instance that starts over with all values says so in its log

An operator could not see that an instance had found a value missing which a sibling takes for known; its revision just fell to 0 for a moment. One line now, `values` from `complete` to `incomplete`; the test of that case wants it. No decision changes.

--- a/routing/removals_test.go
+++ b/routing/removals_test.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// Guards against an instance that goes on without a value that its sibling takes for known.
+// Guards against an instance that goes on without a value that its sibling takes for known, or that says nothing of it in its log.
 func TestInstanceThatLacksAnUnchangedValueFetchesAll(t *testing.T) {
 	h := heldBefore()
 	survivor, restarted := newInstance(t), newInstance(t)
@@ -207,9 +207,15 @@
 	delete(survivor.state.values.entries, ValueID{KindTarget, "i1"})
 	h.write(target("i7", "s", "z"))
 	restarted.receive(h.full())
-	survivor.fetch(restarted)
-	if to := survivor.state.values.completeTo; to != 0 {
-		t.Errorf("complete to %d with a value missing, want 0", to)
+	reply := make(chan Update, 1)
+	restarted.step(ValuesRequested{After: survivor.state.values.completeTo, AcceptsUnchanged: true, Reply: reply})
+	logged := false
+	for _, e := range survivor.step(ValuesReceived{Update: <-reply}) {
+		line, ok := e.(LogStateChange)
+		logged = logged || ok && line.Subject == "values" && line.New == "incomplete"
+	}
+	if to := survivor.state.values.completeTo; to != 0 || !logged {
+		t.Errorf("complete to %d with a value missing, want 0; logged %v", to, logged)
 	}
 	survivor.fetch(restarted)
 	if !survivor.sendsTo("i1") || survivor.state.values.completeTo != h.revision() {
--- a/routing/state.go
+++ b/routing/state.go
@@ -384,6 +384,9 @@
 		return
 	}
 	applied := s.values.apply(u, now)
+	if u.Full && s.values.completeTo == 0 {
+		s.logState("values", "", "complete", "incomplete", "the "+source+" names values that are missing here")
+	}
 	if len(applied) == 0 {
 		return
 	}
